Lay out the workspace and the words that all crates share

The crates follow the areas of the starting design: decisions in libraries without sockets or clocks, programs around them. `base` holds ids, verdicts and the frames of a streamed answer; `run_claim` makes a report of 'not run' possible only before the first byte left. The programs are empty so far.

--- /dev/null
+++ b/crates/base/src/lib.rs
@@ -0,0 +1,26 @@
+//! Words that every other crate shares: ids, verdicts, priorities, the frames of a streamed
+//! answer and the HTTP header names.
+
+mod answer_digest;
+mod call_identity;
+mod failure_report;
+mod header_names;
+mod host_list;
+mod ids;
+mod request_priority;
+mod run_claim;
+mod run_verdict;
+mod stream_event;
+
+pub use {
+    answer_digest::AnswerDigest,
+    call_identity::CallIdentity,
+    failure_report::{EntryAddress, FailureReason, FailureReport},
+    header_names::*,
+    host_list::{HostList, HostRow, HostState, TargetMark},
+    ids::*,
+    request_priority::RequestPriority,
+    run_claim::{RunClaim, Sent, Unsent},
+    run_verdict::RunVerdict,
+    stream_event::StreamEvent,
+};
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The operator's tool.
+
+fn main() {}
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,3 @@
+//! The entry daemon.
+
+fn main() {}
--- /dev/null
+++ b/crates/limit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Limits: admission by deadline and fair share, concurrency limits.
--- /dev/null
+++ b/crates/load/src/main.rs
@@ -0,0 +1,3 @@
+//! Open-loop load and experiment tool.
+
+fn main() {}
--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership: which entries and targets live, leave or are gone.
--- /dev/null
+++ b/crates/order/src/lib.rs
@@ -0,0 +1,1 @@
+//! Orders to engines: ownership of targets, wanted state, fencing numbers.
--- /dev/null
+++ b/crates/pipe/src/lib.rs
@@ -0,0 +1,1 @@
+//! The run of one request through the stages of its pipeline.
--- /dev/null
+++ b/crates/placer/src/main.rs
@@ -0,0 +1,3 @@
+//! Sends orders to engines.
+
+fn main() {}
--- /dev/null
+++ b/crates/proofs/src/lib.rs
@@ -0,0 +1,1 @@
+//! Harness for integration tests with real processes.
--- /dev/null
+++ b/crates/retry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Retries, hedges and crash suspects.
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Routing: which entries a customer uses and which target a call goes to.
--- /dev/null
+++ b/crates/setup/src/http_server.rs
@@ -0,0 +1,154 @@
+use {
+    actix_http::{
+        HttpService, Payload, Request, Response, StatusCode,
+        body::{BoxBody, MessageBody},
+        header::{CONTENT_TYPE, HeaderValue},
+    },
+    actix_rt::net::TcpStream,
+    actix_service::{Service, ServiceFactory},
+    bytes::{Bytes, BytesMut},
+    futures_util::StreamExt,
+    serde::Serialize,
+    std::{cell::Cell, convert::Infallible, future::Future, rc::Rc, time::Duration},
+    tokio::net::TcpListener,
+};
+
+/// Pause after the kernel refused a connection, for instance for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Body of a reply.
+pub type HttpBody = BoxBody;
+/// Reply of a handler.
+pub type HttpReply = Response<BoxBody>;
+
+/// Bounds on what a client may do to a listener.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HttpLimits {
+    /// Time in which the whole head of a request must arrive.
+    pub head_time: Duration,
+    /// Time for which an idle connection is kept.
+    pub idle_time: Duration,
+    /// Connections that may be open at once.
+    pub connections: usize,
+}
+
+impl Default for HttpLimits {
+    fn default() -> Self {
+        Self {
+            head_time: Duration::from_secs(5),
+            idle_time: Duration::from_secs(60),
+            connections: 4_096,
+        }
+    }
+}
+
+/// One open connection; frees its place when dropped.
+struct ConnectionPlace {
+    open: Rc<Cell<usize>>,
+}
+
+impl ConnectionPlace {
+    fn take(open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self {
+            open: Rc::clone(open),
+        }
+    }
+}
+
+impl Drop for ConnectionPlace {
+    fn drop(&mut self) {
+        self.open.set(self.open.get() - 1);
+    }
+}
+
+/// Serves HTTP/1.1 on the listener until the future is dropped; every request runs on this
+/// thread.
+pub async fn serve_http<Handler, Answer>(
+    listener: TcpListener,
+    limits: HttpLimits,
+    handler: Handler,
+) where
+    Handler: Fn(Request) -> Answer + Clone + 'static,
+    Answer: Future<Output = HttpReply> + 'static,
+{
+    let open = Rc::new(Cell::new(0));
+    let handler = move |request| {
+        let answer = handler(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    };
+    let factory = HttpService::build()
+        .client_request_timeout(limits.head_time)
+        .keep_alive(limits.idle_time)
+        .h1(handler)
+        .tcp();
+    let Ok(service) = factory.new_service(()).await else {
+        return;
+    };
+    let service = Rc::new(service);
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            actix_rt::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        if open.get() >= limits.connections {
+            drop(stream);
+            continue;
+        }
+        let place = ConnectionPlace::take(&open);
+        let service = Rc::clone(&service);
+        actix_rt::spawn(serve_stream(service, stream, place));
+    }
+}
+
+async fn serve_stream<S: Service<TcpStream>>(
+    service: Rc<S>,
+    stream: TcpStream,
+    _place: ConnectionPlace,
+) {
+    let _ = stream.set_nodelay(true);
+    let _ = service.call(stream).await;
+}
+
+/// Reads a body to its end; `None` if it is longer than the limit, cut, or late.
+pub async fn read_body(payload: Payload, limit: usize, time: Duration) -> Option<Bytes> {
+    actix_rt::time::timeout(time, collect_body(payload, limit))
+        .await
+        .ok()
+        .flatten()
+}
+
+async fn collect_body(mut payload: Payload, limit: usize) -> Option<Bytes> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.ok()?;
+        if body.len() + chunk.len() > limit {
+            return None;
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Some(body.freeze())
+}
+
+/// Reply with a JSON body.
+pub fn json_reply(status: StatusCode, value: &impl Serialize) -> HttpReply {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    typed_reply(status, "application/json", body)
+}
+
+/// Reply with a plain text body.
+pub fn text_reply(status: StatusCode, text: impl Into<String>) -> HttpReply {
+    typed_reply(
+        status,
+        "text/plain; charset=utf-8",
+        text.into().into_bytes(),
+    )
+}
+
+fn typed_reply(status: StatusCode, kind: &'static str, body: Vec<u8>) -> HttpReply {
+    let mut reply = Response::with_body(status, body.boxed());
+    reply
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static(kind));
+    reply
+}
--- /dev/null
+++ b/crates/setup/src/lib.rs
@@ -0,0 +1,17 @@
+//! What every program needs to start: settings, logs, counters, an HTTP listener, a ready line.
+
+mod http_server;
+mod log_setup;
+mod metric_board;
+mod ready_line;
+mod settings_file;
+mod start_error;
+
+pub use {
+    http_server::{HttpBody, HttpLimits, HttpReply, json_reply, read_body, serve_http, text_reply},
+    log_setup::{LogLevel, open_log},
+    metric_board::MetricBoard,
+    ready_line::ReadyLine,
+    settings_file::load_settings,
+    start_error::{StartError, exit_code},
+};
--- /dev/null
+++ b/crates/sheet/src/lib.rs
@@ -0,0 +1,13 @@
+//! The sheet: what operators publish, how it is checked, and when it is put in force.
+
+mod fleet_sheet;
+mod sheet_error;
+mod sheet_index;
+mod sheet_part;
+
+pub use {
+    fleet_sheet::FleetSheet,
+    sheet_error::SheetError,
+    sheet_index::{IndexPart, SheetIndex},
+    sheet_part::{CustomerRow, PipelineRow, PoolKind, PoolRow, SheetPart, StageRow, TargetRow},
+};
--- /dev/null
+++ b/crates/stand/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins of the systems around camphorramp.
