Check a sheet whole and place each fault

Assembling a sheet stopped at the first fault of a part and placed none, and it checked nothing across parts.

Ruled out: deserialising whole rows with toml, which ends at the first fault of a row; Spanned fields in the public rows, which every reader would have to unwrap.

--- a/crates/sheet/src/fleet_sheet.rs
+++ b/crates/sheet/src/fleet_sheet.rs
@@ -1,12 +1,43 @@
 use {
     crate::{
-        CustomerRow, PipelineRow, PoolKind, PoolRow, SheetError, SheetIndex, SheetPart, TargetRow,
+        CustomerRow, PipelineRow, PoolKind, PoolRow, SheetError, SheetIndex, TargetRow,
+        sheet_draft::SheetDraft,
     },
     base::{CustomerId, PipelineId, PoolId, SheetVersion, TargetId},
     std::collections::BTreeMap,
 };
 
 /// A whole sheet that has passed every check.
+///
+/// ```
+/// use sheet::{FleetSheet, IndexPart, SheetIndex};
+///
+/// let text = String::from(
+///     r#"
+///     [[pipeline]]
+///     name = "posting"
+///     deadline = "2s"
+///     stage = [{ pool = "ledger", call = "post", expected = "50ms" }]
+///     [[pool]]
+///     name = "ledger"
+///     kind = "plain"
+///     non_idempotent = ["post"]
+///     [[target]]
+///     name = "ledger-1"
+///     pool = "ledger"
+///     data_centre = "erie"
+///     address = "10.0.0.1:9000"
+///     capacity = 4
+///     "#,
+/// );
+/// let part = IndexPart { key: "fleet".into(), digest: SheetIndex::part_digest(&text) };
+/// let index = SheetIndex { version: 7, part: vec![part] };
+/// let sheet = FleetSheet::assemble(index, &[text]).unwrap();
+/// assert_eq!(sheet.version(), 7);
+/// assert!(!sheet.is_idempotent("ledger", "post"));
+/// assert!(!sheet.is_engine_pool("ledger"));
+/// assert_eq!(sheet.pool_targets("ledger").count(), 1);
+/// ```
 #[derive(Debug, Clone, PartialEq)]
 pub struct FleetSheet {
     /// Index that the sheet was assembled from.
@@ -24,35 +55,38 @@
 impl FleetSheet {
     /// Puts the parts together and checks them; `texts` holds the parts in the index's order.
     ///
+    /// ```
+    /// use sheet::{FleetSheet, SheetIndex};
+    ///
+    /// let index = SheetIndex { version: 1, part: Vec::new() };
+    /// let errors = FleetSheet::assemble(index, &[String::new()]).unwrap_err();
+    /// assert_eq!(errors[0].part, "index");
+    /// ```
+    ///
     /// # Errors
     ///
-    /// Returns every fault that was found; no part of such a sheet may be put in force.
+    /// Returns every fault that was found, ordered by part and line; no part of such a sheet may
+    /// be put in force. Checks across parts need every part to be readable and are left out
+    /// otherwise, since a row that they miss may stand in the part that cannot be read.
     pub fn assemble(index: SheetIndex, texts: &[String]) -> Result<Self, Vec<SheetError>> {
-        let mut sheet = Self {
-            index,
-            pipelines: BTreeMap::new(),
-            customers: BTreeMap::new(),
-            pools: BTreeMap::new(),
-            targets: BTreeMap::new(),
-        };
-        let mut errors = Vec::new();
-        let parts = sheet.index.part.clone();
-        for (part, text) in parts.iter().zip(texts) {
-            match toml::from_str::<SheetPart>(text) {
-                Ok(rows) => sheet.absorb(rows),
-                Err(error) => errors.push(SheetError {
-                    part: part.key.clone(),
-                    line: 0,
-                    key: String::new(),
-                    message: error.message().to_string(),
-                }),
-            }
+        let mut draft = SheetDraft::new();
+        let mut readable = index.check(texts, &mut draft.errors);
+        for (part, text) in index.part.iter().zip(texts) {
+            readable &= draft.read_part(&part.key, text);
+        }
+        if readable {
+            draft.check_references();
         }
-        if errors.is_empty() {
-            Ok(sheet)
-        } else {
-            Err(errors)
+        if !draft.errors.is_empty() {
+            return Err(index.in_order(draft.errors));
         }
+        Ok(Self {
+            index,
+            pipelines: draft.pipelines.into_map(),
+            customers: draft.customers.into_map(),
+            pools: draft.pools.into_map(),
+            targets: draft.targets.into_map(),
+        })
     }
 
     /// Version of the sheet.
@@ -81,15 +115,4 @@
             .values()
             .filter(move |row| row.pool == pool && !row.leaving)
     }
-
-    fn absorb(&mut self, rows: SheetPart) {
-        let pipelines = rows.pipeline.into_iter().map(|row| (row.name.clone(), row));
-        self.pipelines.extend(pipelines);
-        let customers = rows.customer.into_iter().map(|row| (row.name.clone(), row));
-        self.customers.extend(customers);
-        let pools = rows.pool.into_iter().map(|row| (row.name.clone(), row));
-        self.pools.extend(pools);
-        let targets = rows.target.into_iter().map(|row| (row.name.clone(), row));
-        self.targets.extend(targets);
-    }
 }
--- a/crates/sheet/src/sheet_error.rs
+++ b/crates/sheet/src/sheet_error.rs
@@ -13,6 +13,28 @@
     pub message: String,
 }
 
+impl SheetError {
+    /// A fault at a line of a part.
+    ///
+    /// ```
+    /// let error = sheet::SheetError::new("fleet", 3, "target.capacity", "is zero");
+    /// assert_eq!(error.to_string(), "fleet:3: target.capacity: is zero");
+    /// ```
+    pub fn new(
+        part: impl Into<String>,
+        line: usize,
+        key: impl Into<String>,
+        message: impl Into<String>,
+    ) -> Self {
+        Self {
+            part: part.into(),
+            line,
+            key: key.into(),
+            message: message.into(),
+        }
+    }
+}
+
 impl fmt::Display for SheetError {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
--- /dev/null
+++ b/crates/sheet/tests/fleet_sheet.rs
@@ -0,0 +1,281 @@
+//! Checks of a whole sheet: each fault is found, with part, line and key.
+
+mod common;
+
+use {
+    common::{CUSTOMERS, FLEET, index_of},
+    sheet::{FleetSheet, SheetError},
+};
+
+fn assemble(texts: &[String]) -> Result<FleetSheet, Vec<SheetError>> {
+    FleetSheet::assemble(index_of(1, texts), texts)
+}
+
+/// Faults of the sample sheet after one replacement, as `part:line: key`.
+fn faults_after(old: &str, new: &str) -> Vec<String> {
+    let fleet = FLEET.replacen(old, new, 1);
+    let customers = CUSTOMERS.replacen(old, new, 1);
+    assert!(
+        (fleet.as_str(), customers.as_str()) != (FLEET, CUSTOMERS),
+        "`{old}` is not in the sample"
+    );
+    let errors = assemble(&[fleet, customers]).expect_err(new);
+    errors.iter().map(place).collect()
+}
+
+fn place(error: &SheetError) -> String {
+    format!("{}:{}: {}", error.part, error.line, error.key)
+}
+
+#[test]
+fn a_good_sheet_is_assembled() {
+    let sheet = assemble(&[FLEET.to_string(), CUSTOMERS.to_string()]).unwrap();
+    assert_eq!(sheet.version(), 1);
+    assert_eq!(sheet.pipelines["receipts"].stage.len(), 2);
+    assert_eq!(sheet.customers["co-op"].weight, 3);
+    assert!(!sheet.is_idempotent("ledger", "post"));
+    assert!(sheet.is_engine_pool("readers"));
+    assert!(sheet.targets["reader-1"].checks_orders);
+    assert_eq!(sheet.pool_targets("ledger").count(), 1);
+}
+
+#[test]
+fn each_fault_is_placed() {
+    let cases = [
+        (
+            "deadline = \"3s\"",
+            "deadline = \"0s\"",
+            "part-0:3: pipeline.deadline",
+        ),
+        (
+            "deadline = \"3s\"",
+            "deadline = \"850ms\"",
+            "part-0:3: pipeline.deadline",
+        ),
+        (
+            "deadline = \"3s\"",
+            "deadline = 3",
+            "part-0:3: pipeline.deadline",
+        ),
+        (
+            "deadline = \"3s\"",
+            "dead_line = \"3s\"\ndeadline = \"3s\"",
+            "part-0:3: pipeline.dead_line",
+        ),
+        (
+            "expected = \"800ms\"",
+            "expected = \"0s\"",
+            "part-0:8: pipeline.stage.expected",
+        ),
+        (
+            "expected = \"800ms\"",
+            "expect = 1\nexpected = \"1s\"",
+            "part-0:8: pipeline.stage.expect",
+        ),
+        (
+            "pool = \"ledger\"",
+            "pool = \"ledgers\"\nmodel = \"m\"",
+            "part-0:10: pipeline.stage.pool",
+        ),
+        (
+            "call = \"post\"",
+            "call = \"post\"\nmodel = \"m\"",
+            "part-0:12: pipeline.stage.model",
+        ),
+        (
+            "name = \"readers\"",
+            "name = \"rea ders\"",
+            "part-0:14: pool.name",
+        ),
+        (
+            "kind = \"engine\"",
+            "kind = \"motor\"",
+            "part-0:15: pool.kind",
+        ),
+        ("kind = \"engine\"", "", "part-0:13: pool.kind"),
+        (
+            "[\"post\"]",
+            "[\"post\", \"pots\"]",
+            "part-0:19: pool.non_idempotent",
+        ),
+        ("capacity = 8", "capacity = 0", "part-0:25: target.capacity"),
+        (
+            "capacity = 8",
+            "capacity = -8",
+            "part-0:25: target.capacity",
+        ),
+        ("capacity = 8", "", "part-0:20: target.capacity"),
+        (
+            "127.0.0.1:9001",
+            "reader-1.local:9001",
+            "part-0:24: target.address",
+        ),
+        ("127.0.0.1:9001", "127.0.0.1", "part-0:24: target.address"),
+        ("127.0.0.1:9001", "127.0.0.1:0", "part-0:24: target.address"),
+        (
+            "name = \"ledger-1\"",
+            "name = \"reader-1\"",
+            "part-0:29: target.name",
+        ),
+        (
+            "capacity = 4",
+            "capacity = 4\nmodels = [\"m\"]",
+            "part-0:34: target.models",
+        ),
+        ("weight = 3", "weight = 0", "part-1:3: customer.weight"),
+        (
+            "weight = 3",
+            "weight = 3\nentries = 0",
+            "part-1:4: customer.entries",
+        ),
+        (
+            "weight = 3",
+            "weight = 3\npriority = \"fast\"",
+            "part-1:4: customer.priority",
+        ),
+        ("\"aaaa", "\"gggg", "part-1:4: customer.credential"),
+        ("\"aaaa", "\"aaa", "part-1:4: customer.credential"),
+        ("[[customer]]", "[customer]", "part-1:1: customer"),
+        (
+            "[[customer]]",
+            "version = 1\n[[customer]]",
+            "part-1:1: version",
+        ),
+    ];
+    for (old, new, wanted) in cases {
+        let found = faults_after(old, new);
+        assert!(
+            found.iter().any(|fault| fault == wanted),
+            "{new}: {found:?}"
+        );
+    }
+}
+
+#[test]
+fn one_fault_is_reported_once() {
+    assert_eq!(faults_after("capacity = 8", "capacity = 0").len(), 1);
+    assert_eq!(faults_after("capacity = 8", "capacity = \"x\"").len(), 1);
+    assert_eq!(faults_after("kind = \"engine\"", "kind = 1").len(), 1);
+    assert_eq!(faults_after("[\"post\"]", "[\"pots\"]").len(), 1);
+}
+
+#[test]
+fn all_faults_of_all_parts_are_listed_in_order() {
+    let fleet = FLEET
+        .replace("capacity = 8", "capacity = 0\nspeed = 2")
+        .replace("pool = \"ledger\"\ndata", "pool = \"ledgers\"\ndata");
+    let customers = format!("{CUSTOMERS}{CUSTOMERS}").replace("weight = 3", "weight = 0");
+    let errors = assemble(&[fleet, customers]).unwrap_err();
+    let found: Vec<String> = errors.iter().map(place).collect();
+    let wanted = [
+        "part-0:17: pool.name",
+        "part-0:25: target.capacity",
+        "part-0:26: target.speed",
+        "part-0:31: target.pool",
+        "part-1:3: customer.weight",
+        "part-1:6: customer.name",
+        "part-1:7: customer.weight",
+    ];
+    assert_eq!(found, wanted);
+    assert!(errors[5].message.contains("part-1:2"), "{}", errors[5]);
+}
+
+#[test]
+fn duplicates_across_parts_name_both_places() {
+    let texts = [FLEET, CUSTOMERS, CUSTOMERS].map(String::from);
+    let errors = assemble(&texts).unwrap_err();
+    assert_eq!(errors.len(), 1);
+    assert_eq!(place(&errors[0]), "part-2:2: customer.name");
+    assert!(errors[0].message.contains("part-1:2"), "{}", errors[0]);
+}
+
+#[test]
+fn every_fault_of_syntax_is_listed_and_hides_no_other_part() {
+    let fleet = FLEET
+        .replace("capacity = 8", "capacity 8")
+        .replace("deadline = \"3s\"", "deadline = 3s");
+    let customers = CUSTOMERS.replace("weight = 3", "weight = 0");
+    let errors = assemble(&[fleet, customers]).unwrap_err();
+    let lines: Vec<(&str, usize)> = errors
+        .iter()
+        .map(|error| (error.part.as_str(), error.line))
+        .collect();
+    for wanted in [("part-0", 3), ("part-0", 25), ("part-1", 3)] {
+        assert!(lines.contains(&wanted), "{errors:?}");
+    }
+}
+
+#[test]
+fn stages_are_bounded() {
+    let stage = "[[pipeline.stage]]\npool = \"ledger\"\ncall = \"post\"\nexpected = \"1ms\"\n";
+    let pipeline = |count: usize| {
+        let head = "[[pipeline]]\nname = \"long\"\ndeadline = \"1s\"\n";
+        format!("{head}{}", stage.repeat(count))
+    };
+    for (count, good) in [(0, false), (1, true), (6, true), (7, false)] {
+        let outcome = assemble(&[FLEET.to_string(), pipeline(count)]);
+        let keys = outcome.map_err(|errors| errors.iter().map(place).collect::<Vec<_>>());
+        match keys {
+            Ok(_) => assert!(good, "{count} stages"),
+            Err(keys) => assert_eq!(
+                (keys, good),
+                (vec!["part-1:1: pipeline.stage".into()], false)
+            ),
+        }
+    }
+}
+
+#[test]
+fn texts_must_be_those_of_the_index() {
+    let texts = [FLEET, CUSTOMERS].map(String::from);
+    let mut index = index_of(1, &texts);
+    index.part[1].digest = index.part[0].digest.clone();
+    let errors = FleetSheet::assemble(index.clone(), &texts).unwrap_err();
+    assert_eq!(place(&errors[0]), "index:0: part.digest");
+    assert!(errors[0].message.contains("part-1"), "{}", errors[0]);
+
+    index.part.pop();
+    let errors = FleetSheet::assemble(index, &texts).unwrap_err();
+    assert_eq!(place(&errors[0]), "index:0: part");
+
+    let mut index = index_of(0, &texts);
+    index.part[1].key = index.part[0].key.clone();
+    let errors = FleetSheet::assemble(index, &texts).unwrap_err();
+    let found: Vec<String> = errors.iter().map(place).collect();
+    assert_eq!(found, ["index:0: version", "index:0: part.key"]);
+}
+
+#[test]
+fn a_part_is_at_most_a_megabyte() {
+    let long = format!("{CUSTOMERS}#{}", "x".repeat(1 << 20));
+    let errors = assemble(&[FLEET.to_string(), long]).unwrap_err();
+    assert_eq!(errors.len(), 1);
+    assert_eq!((errors[0].part.as_str(), errors[0].line), ("part-1", 0));
+}
+
+#[test]
+fn a_sheet_of_the_design_size_is_assembled() {
+    let mut texts = vec![FLEET.to_string(), String::new()];
+    for number in 0..600 {
+        texts[1].push_str(&format!(
+            "[[target]]\nname = \"t{number}\"\npool = \"readers\"\ndata_centre = \"erie\"\n\
+             address = \"10.0.{}.{}:9001\"\ncapacity = 8\nmodels = [\"reader@3\"]\n",
+            number / 250,
+            number % 250 + 1
+        ));
+    }
+    for chunk in 0..31 {
+        let row = |number: usize| {
+            let name = format!("organisation-{chunk}-{number}");
+            CUSTOMERS.replace("co-op", &name)
+        };
+        texts.push((0..1_000).map(row).collect());
+    }
+    let sheet = assemble(&texts).unwrap();
+    assert_eq!((sheet.customers.len(), sheet.targets.len()), (31_000, 602));
+    let bytes: usize = texts.iter().map(String::len).sum();
+    assert!(bytes < 5_000_000, "{bytes}");
+
+    texts[20] = texts[20].replace("weight = 3", "weight = 0");
+    assert_eq!(assemble(&texts).unwrap_err().len(), 1_000);
+}
