Decide which sheet is in force and where to get the next one

A daemon needs one place that says which sheet it runs, also when the service is stale or down, a text is torn, a peer is paused or the daemon was just replaced. SheetKeeper is that state machine: only a whole, checked sheet with a version above the one in force is adopted, a bad one is reported once and not fetched again, and a starting daemon asks peers first and stays not ready below a version that was in force elsewhere.

Ruled out: settling two sheets of one version by taking back the one in force, or by a hold-down before adoption, which only narrows the window.

--- /dev/null
+++ b/crates/sheet/src/sheet_bundle.rs
@@ -0,0 +1,31 @@
+use {
+    crate::SheetIndex,
+    serde::{Deserialize, Serialize},
+};
+
+/// A sheet as it travels: the index and the texts of its parts in the index's order.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SheetBundle {
+    /// Index of the sheet.
+    pub index: SheetIndex,
+    /// Texts of the parts.
+    pub parts: Vec<String>,
+}
+
+impl SheetBundle {
+    /// True if the texts are those that the index names. Texts read while an operator publishes
+    /// may not be, which is no fault of the sheet.
+    ///
+    /// ```
+    /// use sheet::{SheetBundle, SheetIndex};
+    ///
+    /// let index = SheetIndex { version: 1, part: Vec::new() };
+    /// assert!(SheetBundle { index, parts: Vec::new() }.is_whole());
+    /// ```
+    pub fn is_whole(&self) -> bool {
+        let mut pairs = self.index.part.iter().zip(&self.parts);
+        self.index.part.len() == self.parts.len()
+            && pairs.all(|(part, text)| part.digest == SheetIndex::part_digest(text))
+    }
+}
--- a/crates/sheet/tests/common/mod.rs
+++ b/crates/sheet/tests/common/mod.rs
@@ -1,4 +1,6 @@
-use sheet::{IndexPart, SheetIndex};
+#![allow(dead_code)]
+
+use sheet::{IndexPart, SheetBundle, SheetIndex};
 
 /// A sheet of one pipeline, one customer, two pools and two targets; one key a line.
 pub const FLEET: &str = r#"[[pipeline]]
@@ -54,3 +56,17 @@
         part: parts.collect(),
     }
 }
+
+/// A sheet whose text says which one it is; a bad one has a pool without a target.
+pub fn bundle_of(version: u64, mark: u8, good: bool) -> SheetBundle {
+    let extra = if good {
+        ""
+    } else {
+        "[[pool]]\nname = \"idle\"\nkind = \"plain\"\n"
+    };
+    let parts = vec![format!("# {version} {mark}\n{FLEET}{extra}")];
+    SheetBundle {
+        index: index_of(version, &parts),
+        parts,
+    }
+}
--- /dev/null
+++ b/crates/sheet/tests/sheet_keeper.rs
@@ -0,0 +1,323 @@
+//! Adoption of sheets by one keeper: chosen cases and random orders of events.
+
+mod common;
+
+use {
+    common::bundle_of,
+    proptest::{prelude::*, test_runner::RngSeed},
+    sheet::{SheetAction, SheetBundle, SheetEvent, SheetKeeper, SheetReport, SheetSource},
+    std::{
+        collections::BTreeSet,
+        time::{Duration, Instant},
+    },
+};
+
+/// Longer than any wait or pause of a keeper.
+const LONG: Duration = Duration::from_secs(5);
+
+fn index_read(bundle: &SheetBundle) -> SheetEvent {
+    SheetEvent::IndexRead {
+        index: bundle.index.clone(),
+    }
+}
+
+fn peer_has(host: &str, bundle: &SheetBundle) -> SheetEvent {
+    SheetEvent::PeerHas {
+        host: host.into(),
+        version: bundle.index.version,
+        digest: bundle.index.digest(),
+    }
+}
+
+fn fetched(source: SheetSource, bundle: &SheetBundle) -> SheetEvent {
+    SheetEvent::PartsFetched {
+        source,
+        bundle: bundle.clone(),
+    }
+}
+
+fn from_service(bundle: &SheetBundle) -> SheetEvent {
+    fetched(SheetSource::Service, bundle)
+}
+
+fn reports(actions: &[SheetAction]) -> Vec<&SheetReport> {
+    let reports = actions.iter().filter_map(|action| match action {
+        SheetAction::Report { report } => Some(report),
+        _ => None,
+    });
+    reports.collect()
+}
+
+fn fetches(actions: &[SheetAction]) -> usize {
+    let is_fetch = |action: &&SheetAction| {
+        matches!(
+            action,
+            SheetAction::FetchParts { .. } | SheetAction::FetchFromPeer { .. }
+        )
+    };
+    actions.iter().filter(is_fetch).count()
+}
+
+/// A keeper without peers that has put the bundle in force.
+fn keeper_with(bundle: &SheetBundle, now: Instant) -> SheetKeeper {
+    let mut keeper = SheetKeeper::new("h0", now);
+    keeper.handle(SheetEvent::PeersListed { hosts: Vec::new() }, now);
+    keeper.handle(index_read(bundle), now);
+    keeper.handle(from_service(bundle), now);
+    assert_eq!(keeper.version(), bundle.index.version);
+    keeper
+}
+
+#[test]
+fn a_bad_sheet_is_reported_once_and_not_fetched_again() {
+    let now = Instant::now();
+    let mut keeper = keeper_with(&bundle_of(1, 0, true), now);
+    let bad = bundle_of(2, 0, false);
+    assert_eq!(fetches(&keeper.handle(index_read(&bad), now)), 1);
+    let actions = keeper.handle(from_service(&bad), now);
+    assert!(
+        matches!(reports(&actions)[..], [SheetReport::Refused { version: 2, errors, .. }]
+        if errors.len() == 1)
+    );
+    for step in 1..20 {
+        let later = now + LONG * step;
+        assert_eq!(keeper.handle(index_read(&bad), later), []);
+        assert_eq!(keeper.handle(from_service(&bad), later), []);
+    }
+    let mended = bundle_of(2, 1, true);
+    assert_eq!(
+        fetches(&keeper.handle(index_read(&mended), now + LONG * 30)),
+        1
+    );
+    keeper.handle(from_service(&mended), now + LONG * 30);
+    assert_eq!(keeper.version(), 2);
+}
+
+#[test]
+fn texts_of_another_version_are_read_again() {
+    let now = Instant::now();
+    let mut keeper = keeper_with(&bundle_of(1, 0, true), now);
+    let next = bundle_of(2, 0, true);
+    let torn = SheetBundle {
+        index: next.index.clone(),
+        parts: bundle_of(3, 0, true).parts,
+    };
+    keeper.handle(index_read(&next), now);
+    let actions = keeper.handle(from_service(&torn), now);
+    assert!(matches!(
+        reports(&actions)[..],
+        [SheetReport::Torn { version: 2, .. }]
+    ));
+    assert_eq!(keeper.version(), 1);
+    let wakeup = keeper.next_wakeup(now).unwrap();
+    assert_eq!(fetches(&keeper.handle(SheetEvent::Tick, wakeup)), 1);
+    keeper.handle(from_service(&next), wakeup);
+    assert_eq!(keeper.version(), 2);
+}
+
+#[test]
+fn a_stale_service_and_a_second_digest_change_nothing() {
+    let now = Instant::now();
+    let mut keeper = keeper_with(&bundle_of(5, 1, true), now);
+    let (stale, other) = (bundle_of(4, 0, true), bundle_of(5, 0, true));
+    let actions = keeper.handle(index_read(&stale), now);
+    let wanted = SheetReport::StaleService {
+        served: 4,
+        in_force: 5,
+    };
+    assert_eq!(reports(&actions), [&wanted]);
+    assert_eq!(keeper.handle(index_read(&stale), now), []);
+    let actions = keeper.handle(index_read(&other), now);
+    assert!(matches!(
+        reports(&actions)[..],
+        [SheetReport::Conflict { version: 5, .. }]
+    ));
+    let digest = keeper.digest().to_string();
+    assert_eq!(keeper.handle(from_service(&other), now), []);
+    assert_eq!((keeper.version(), keeper.digest()), (5, digest.as_str()));
+    let next = bundle_of(6, 0, true);
+    keeper.handle(index_read(&next), now);
+    keeper.handle(from_service(&next), now);
+    assert_eq!(keeper.version(), 6);
+}
+
+#[test]
+fn a_starting_daemon_prefers_the_smaller_of_two_digests() {
+    let now = Instant::now();
+    let both = [bundle_of(3, 0, true), bundle_of(3, 1, true)];
+    let smaller = both
+        .iter()
+        .min_by_key(|bundle| bundle.index.digest())
+        .unwrap();
+    for order in [[0, 1], [1, 0]] {
+        let mut keeper = SheetKeeper::new("h0", now);
+        let hosts = vec!["h1".to_string(), "h2".to_string()];
+        keeper.handle(SheetEvent::PeersListed { hosts }, now);
+        keeper.handle(peer_has("h1", &both[order[0]]), now);
+        let actions = keeper.handle(peer_has("h2", &both[order[1]]), now);
+        let holder = if both[order[0]] == *smaller {
+            "h1"
+        } else {
+            "h2"
+        };
+        let wanted = SheetAction::FetchFromPeer {
+            host: holder.into(),
+        };
+        assert_eq!(actions, [wanted]);
+    }
+}
+
+#[test]
+fn a_starting_daemon_waits_for_the_version_that_was_seen() {
+    let now = Instant::now();
+    let (stale, newest) = (bundle_of(5, 0, true), bundle_of(7, 0, true));
+    let mut keeper = SheetKeeper::new("h0", now);
+    keeper.handle(SheetEvent::PeersListed { hosts: Vec::new() }, now);
+    keeper.handle(SheetEvent::SeenVersion { version: 7 }, now);
+    let actions = keeper.handle(index_read(&stale), now);
+    assert_eq!(reports(&actions), [&SheetReport::HeldBack { heard: 7 }]);
+    assert_eq!(fetches(&actions), 0);
+    assert_eq!(keeper.handle(from_service(&stale), now + LONG), []);
+    assert!(!keeper.is_ready());
+    keeper.handle(index_read(&newest), now + LONG);
+    keeper.handle(from_service(&newest), now + LONG);
+    assert!(keeper.is_ready());
+}
+
+#[test]
+fn an_unconfirmed_start_ends_when_a_later_version_is_seen() {
+    let now = Instant::now();
+    let mut keeper = keeper_with(&bundle_of(5, 0, true), now);
+    assert!(keeper.is_ready());
+    keeper.handle(SheetEvent::SeenVersion { version: 7 }, now);
+    assert!(!keeper.is_ready());
+    let newest = bundle_of(7, 0, true);
+    keeper.handle(fetched(SheetSource::Peer("h1".into()), &newest), now);
+    assert!(keeper.is_ready());
+    keeper.handle(SheetEvent::SeenVersion { version: 8 }, now);
+    assert!(keeper.is_ready(), "a daemon that keeps up serves on");
+}
+
+#[test]
+fn the_service_is_believed_only_after_the_peers_were_asked() {
+    let now = Instant::now();
+    let (stale, newest) = (bundle_of(5, 0, true), bundle_of(7, 0, true));
+    let mut keeper = SheetKeeper::new("h0", now);
+    let hosts = vec!["h1".to_string(), "h2".to_string()];
+    let actions = keeper.handle(SheetEvent::PeersListed { hosts }, now);
+    assert!(matches!(&actions[..], [SheetAction::AskPeers { hosts }] if hosts.len() == 2));
+    assert_eq!(keeper.handle(index_read(&stale), now), []);
+    assert_eq!(keeper.handle(peer_has("h1", &stale), now), []);
+    let actions = keeper.handle(peer_has("h2", &newest), now);
+    assert_eq!(actions, [SheetAction::FetchFromPeer { host: "h2".into() }]);
+}
+
+/// One step of a random run.
+#[derive(Debug, Clone)]
+enum Step {
+    Event(SheetEvent),
+    Wait(u64),
+}
+
+fn any_bundle() -> impl Strategy<Value = SheetBundle> {
+    (1..6_u64, 0..2_u8, prop::bool::weighted(0.8))
+        .prop_map(|(version, mark, good)| bundle_of(version, mark, good))
+}
+
+fn any_source() -> impl Strategy<Value = SheetSource> {
+    prop_oneof![
+        Just(SheetSource::Service),
+        (0..4_u8).prop_map(|number| SheetSource::Peer(format!("p{number}")))
+    ]
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    let host = || (0..4_u8).prop_map(|number| format!("p{number}"));
+    prop_oneof![
+        (0..1_500_u64).prop_map(Step::Wait),
+        prop::collection::vec(host(), 0..4)
+            .prop_map(|hosts| Step::Event(SheetEvent::PeersListed { hosts })),
+        (host(), any_bundle()).prop_map(|(host, bundle)| Step::Event(peer_has(&host, &bundle))),
+        host().prop_map(|host| Step::Event(SheetEvent::PeerFailed { host })),
+        any_bundle().prop_map(|bundle| Step::Event(index_read(&bundle))),
+        Just(Step::Event(SheetEvent::ServiceFailed)),
+        (1..6_u64).prop_map(|version| Step::Event(SheetEvent::SeenVersion { version })),
+        (any_source(), any_bundle(), any_bundle(), any::<bool>()).prop_map(
+            |(source, mut bundle, other, whole)| {
+                if !whole {
+                    bundle.parts = other.parts;
+                }
+                Step::Event(fetched(source, &bundle))
+            }
+        ),
+    ]
+}
+
+/// Checks the promises of a keeper after one event.
+fn check_step(
+    before: u64,
+    heard: u64,
+    actions: &[SheetAction],
+    keeper: &SheetKeeper,
+    refused: &BTreeSet<(u64, String)>,
+) {
+    for action in actions {
+        match action {
+            SheetAction::PutInForce { sheet } => {
+                assert!(sheet.version() > before);
+                assert!(before > 0 || sheet.version() >= heard);
+                let good = [0, 1].map(|mark| bundle_of(sheet.version(), mark, true).index);
+                assert!(good.contains(&sheet.index));
+            }
+            SheetAction::FetchParts { index } => {
+                assert!(index.version > before);
+                assert!(!refused.contains(&(index.version, index.digest())));
+            }
+            SheetAction::Report {
+                report: SheetReport::Refused { version, .. },
+            } => assert!(*version > before),
+            _ => {}
+        }
+    }
+    assert!(keeper.version() >= before);
+    assert!(keeper.bundle().is_none_or(|bundle| bundle.is_whole()));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: std::env::var("PROPTEST_CASES").ok().and_then(|text| text.parse().ok()).unwrap_or(256),
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn versions_never_go_back_in_any_order_of_events(
+        steps in prop::collection::vec(any_step(), 1..80),
+    ) {
+        let mut now = Instant::now();
+        let mut keeper = SheetKeeper::new("h0", now);
+        let mut refused = BTreeSet::new();
+        for step in steps {
+            let event = match step {
+                Step::Wait(millis) => {
+                    now += Duration::from_millis(millis);
+                    SheetEvent::Tick
+                }
+                Step::Event(event) => event,
+            };
+            let came = match &event {
+                SheetEvent::PartsFetched { bundle, .. } => Some(bundle.index.clone()),
+                _ => None,
+            };
+            let before = keeper.version();
+            let actions = keeper.handle(event, now);
+            check_step(before, keeper.heard(), &actions, &keeper, &refused);
+            let is_refusal = |report: &&&SheetReport| matches!(report, SheetReport::Refused { .. });
+            if reports(&actions).iter().find(is_refusal).is_some() {
+                let index = came.expect("a refusal follows a fetch");
+                prop_assert!(refused.insert((index.version, index.digest())));
+            }
+        }
+    }
+}
