--- /dev/null
+++ b/crates/once/src/ticket_book.rs
@@ -0,0 +1,226 @@
+use {
+    crate::{RecordedAnswer, TicketBody},
+    base::{CustomerId, FailureReason, RequestId},
+    std::{
+        collections::{BTreeMap, HashMap, VecDeque},
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+/// Bounds of the memory that a book may take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BookLimits {
+    /// Tickets that may be spent and not yet forgotten.
+    pub rows: usize,
+    /// Bytes of recorded answers that are kept.
+    pub answer_bytes: usize,
+}
+
+impl Default for BookLimits {
+    fn default() -> Self {
+        Self {
+            rows: 65_536,
+            answer_bytes: 32 * 1024 * 1024,
+        }
+    }
+}
+
+/// What an entry should do with a request under one of its own tickets.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SpendOutcome {
+    /// First send: run it.
+    First,
+    /// The request runs: wait for its answer.
+    Join,
+    /// The request has ended: give its answer again.
+    Recorded(Arc<RecordedAnswer>),
+    /// The request has ended, and its answer is no longer kept.
+    Forgotten,
+    /// Nothing may run under this ticket.
+    Refused(FailureReason),
+}
+
+#[derive(Debug)]
+enum RowState {
+    Running,
+    Ended(Arc<RecordedAnswer>),
+    Forgotten,
+}
+
+#[derive(Debug)]
+struct BookRow {
+    customer: CustomerId,
+    request: RequestId,
+    expires: Duration,
+    state: RowState,
+}
+
+/// The tickets that were spent at this incarnation; times count from its start.
+#[derive(Debug, Default)]
+pub struct TicketBook {
+    limits: BookLimits,
+    rows: HashMap<u64, BookRow>,
+    by_request: HashMap<(CustomerId, RequestId), u64>,
+    by_expiry: BTreeMap<(Duration, u64), ()>,
+    ended: VecDeque<u64>,
+    answer_bytes: usize,
+}
+
+impl TicketBook {
+    /// Book in which no ticket was spent.
+    pub fn new(limits: BookLimits) -> Self {
+        Self {
+            limits,
+            ..Self::default()
+        }
+    }
+
+    /// Spends a ticket for a request, or says what became of the earlier send.
+    ///
+    /// ```
+    /// use {once::{SpendOutcome, TicketBody, TicketBook}, std::time::Duration};
+    ///
+    /// let mut book = TicketBook::default();
+    /// let ticket = TicketBody {
+    ///     host: String::from("h1"),
+    ///     incarnation: 1,
+    ///     address: String::from("127.0.0.1:80"),
+    ///     expires: Duration::from_secs(60),
+    ///     nonce: 9,
+    /// };
+    /// let now = Duration::from_secs(1);
+    /// assert_eq!(book.spend(&ticket, "farm", "r1", now), SpendOutcome::First);
+    /// assert_eq!(book.spend(&ticket, "farm", "r1", now), SpendOutcome::Join);
+    /// ```
+    pub fn spend(
+        &mut self,
+        ticket: &TicketBody,
+        customer: &str,
+        request: &str,
+        now: Duration,
+    ) -> SpendOutcome {
+        self.forget_expired(now);
+        if let Some(row) = self.rows.get(&ticket.nonce) {
+            return Self::repeat(row, customer, request);
+        }
+        if ticket.expires <= now {
+            return SpendOutcome::Refused(FailureReason::TicketExpired);
+        }
+        let key = (customer.to_string(), request.to_string());
+        if let Some(row) = self
+            .by_request
+            .get(&key)
+            .and_then(|nonce| self.rows.get(nonce))
+        {
+            return Self::repeat(row, customer, request);
+        }
+        if self.rows.len() >= self.limits.rows {
+            return SpendOutcome::Refused(FailureReason::Overloaded);
+        }
+        self.insert(ticket, key);
+        SpendOutcome::First
+    }
+
+    /// Records the final answer of a request that ran or may have run.
+    pub fn finish(&mut self, nonce: u64, answer: RecordedAnswer) {
+        let Some(row) = self.rows.get_mut(&nonce) else {
+            return;
+        };
+        self.answer_bytes += answer.body.len();
+        row.state = RowState::Ended(Arc::new(answer));
+        self.ended.push_back(nonce);
+        self.trim_answers();
+    }
+
+    /// Takes back a spend whose request is known not to have run, so that the ticket is good
+    /// again.
+    pub fn unspend(&mut self, nonce: u64) {
+        let running = self
+            .rows
+            .get(&nonce)
+            .is_some_and(|row| matches!(row.state, RowState::Running));
+        if running {
+            self.remove(nonce);
+        }
+    }
+
+    /// Number of tickets that are spent and not yet forgotten.
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// True if no spent ticket is known.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    fn repeat(row: &BookRow, customer: &str, request: &str) -> SpendOutcome {
+        if row.customer != customer || row.request != request {
+            return SpendOutcome::Refused(FailureReason::TicketInvalid);
+        }
+        match &row.state {
+            RowState::Running => SpendOutcome::Join,
+            RowState::Ended(answer) => SpendOutcome::Recorded(Arc::clone(answer)),
+            RowState::Forgotten => SpendOutcome::Forgotten,
+        }
+    }
+
+    fn insert(&mut self, ticket: &TicketBody, key: (CustomerId, RequestId)) {
+        let row = BookRow {
+            customer: key.0.clone(),
+            request: key.1.clone(),
+            expires: ticket.expires,
+            state: RowState::Running,
+        };
+        self.rows.insert(ticket.nonce, row);
+        self.by_request.insert(key, ticket.nonce);
+        self.by_expiry.insert((ticket.expires, ticket.nonce), ());
+    }
+
+    /// A running request keeps its row past the ticket's time.
+    fn forget_expired(&mut self, now: Duration) {
+        let expired: Vec<u64> = self
+            .by_expiry
+            .range(..=(now, u64::MAX))
+            .map(|((_, nonce), ())| *nonce)
+            .filter(|nonce| !self.is_running(*nonce))
+            .collect();
+        for nonce in expired {
+            self.remove(nonce);
+        }
+    }
+
+    fn is_running(&self, nonce: u64) -> bool {
+        self.rows
+            .get(&nonce)
+            .is_some_and(|row| matches!(row.state, RowState::Running))
+    }
+
+    fn remove(&mut self, nonce: u64) {
+        let Some(row) = self.rows.remove(&nonce) else {
+            return;
+        };
+        if let RowState::Ended(answer) = &row.state {
+            self.answer_bytes -= answer.body.len();
+        }
+        self.by_expiry.remove(&(row.expires, nonce));
+        self.by_request.remove(&(row.customer, row.request));
+        self.ended.retain(|other| *other != nonce);
+    }
+
+    fn trim_answers(&mut self) {
+        while self.answer_bytes > self.limits.answer_bytes {
+            let Some(nonce) = self.ended.pop_front() else {
+                return;
+            };
+            let Some(row) = self.rows.get_mut(&nonce) else {
+                continue;
+            };
+            if let RowState::Ended(answer) = &row.state {
+                self.answer_bytes -= answer.body.len();
+            }
+            row.state = RowState::Forgotten;
+        }
+    }
+}
--- /dev/null
+++ b/crates/once/tests/ticket_book.rs
@@ -0,0 +1,136 @@
+//! Properties of tickets over random orders of sends, ends, refusals and time.
+
+use {
+    once::{BookLimits, RecordedAnswer, SpendOutcome, TicketBody, TicketBook, TicketMint},
+    proptest::{prelude::*, test_runner::RngSeed},
+    rand_chacha::rand_core::SeedableRng,
+    std::{collections::HashMap, time::Duration},
+};
+
+const SEED: u64 = 0x0ce;
+const TICKETS: u64 = 4;
+const REQUESTS: u8 = 3;
+
+#[derive(Debug, Clone)]
+enum BookStep {
+    Send {
+        nonce: u64,
+        customer: u8,
+        request: u8,
+    },
+    Finish {
+        nonce: u64,
+    },
+    Refuse {
+        nonce: u64,
+    },
+    Wait {
+        seconds: u64,
+    },
+}
+
+fn steps() -> impl Strategy<Value = Vec<BookStep>> {
+    let step = prop_oneof![
+        4 => (0..TICKETS, 0..2_u8, 0..REQUESTS)
+            .prop_map(|(nonce, customer, request)| BookStep::Send { nonce, customer, request }),
+        2 => (0..TICKETS).prop_map(|nonce| BookStep::Finish { nonce }),
+        1 => (0..TICKETS).prop_map(|nonce| BookStep::Refuse { nonce }),
+        1 => (1..40_u64).prop_map(|seconds| BookStep::Wait { seconds }),
+    ];
+    prop::collection::vec(step, 1..60)
+}
+
+fn ticket(nonce: u64) -> TicketBody {
+    TicketBody {
+        host: String::from("h1"),
+        incarnation: 1,
+        address: String::from("127.0.0.1:80"),
+        expires: Duration::from_secs(60),
+        nonce,
+    }
+}
+
+fn answer(text: &str) -> RecordedAnswer {
+    RecordedAnswer {
+        status: 200,
+        content_type: String::from("text/plain"),
+        body: text.into(),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// No ticket starts a second run unless the first is known not to have run, and nobody but
+    /// its own sender gets a recorded answer.
+    #[test]
+    fn ticket_runs_at_most_once(steps in steps()) {
+        let mut book = TicketBook::new(BookLimits { rows: 16, answer_bytes: 12 });
+        let mut now = Duration::ZERO;
+        let mut running: HashMap<u64, String> = HashMap::new();
+        let mut ran: HashMap<u64, String> = HashMap::new();
+        for step in steps {
+            match step {
+                BookStep::Send { nonce, customer, request } => {
+                    let (customer, request) = (format!("c{customer}"), format!("r{request}"));
+                    let who = format!("{customer}/{request}");
+                    match book.spend(&ticket(nonce), &customer, &request, now) {
+                        SpendOutcome::First => {
+                            prop_assert!(!running.contains_key(&nonce));
+                            prop_assert!(!ran.contains_key(&nonce));
+                            prop_assert!(!running.values().any(|other| *other == who));
+                            running.insert(nonce, who);
+                        }
+                        SpendOutcome::Join => {
+                            prop_assert!(running.values().any(|other| *other == who));
+                        }
+                        SpendOutcome::Recorded(answer) => {
+                            prop_assert_eq!(&answer.body, who.as_bytes());
+                        }
+                        SpendOutcome::Forgotten | SpendOutcome::Refused(_) => {}
+                    }
+                }
+                BookStep::Finish { nonce } => {
+                    if let Some(who) = running.remove(&nonce) {
+                        book.finish(nonce, answer(&who));
+                        ran.insert(nonce, who);
+                    }
+                }
+                BookStep::Refuse { nonce } => {
+                    if running.remove(&nonce).is_some() {
+                        book.unspend(nonce);
+                    }
+                }
+                BookStep::Wait { seconds } => now += Duration::from_secs(seconds),
+            }
+        }
+    }
+
+    /// No change of a ticket's text goes unseen.
+    #[test]
+    fn changed_ticket_is_refused(position in 0..80_usize, letter in "[A-Za-z0-9_-]") {
+        let mint = TicketMint::new("h1", 1, "127.0.0.1:80", Duration::from_secs(60), &[7; 32]);
+        let mut random = rand_chacha::ChaCha8Rng::from_seed([3; 32]);
+        let text = mint.mint(Duration::ZERO, &mut random);
+        let position = position % text.len();
+        let mut changed = text.clone();
+        changed.replace_range(position..=position, &letter);
+        if changed != text {
+            prop_assert!(mint.read(&changed).is_err());
+        }
+    }
+}
+
+#[test]
+fn another_key_reads_no_ticket() {
+    let mint = TicketMint::new("h1", 1, "127.0.0.1:80", Duration::from_secs(60), &[7; 32]);
+    let other = TicketMint::new("h1", 1, "127.0.0.1:80", Duration::from_secs(60), &[8; 32]);
+    let mut random = rand_chacha::ChaCha8Rng::from_seed([3; 32]);
+    let text = mint.mint(Duration::ZERO, &mut random);
+    assert!(other.read(&text).is_err());
+    assert!(mint.read(&text).is_ok());
+}
