--- /dev/null
+++ b/crates/entry/src/data/caller_server.rs
@@ -0,0 +1,168 @@
+use {
+    crate::{
+        data::{
+            AddressAnswer, EntryCore, RequestDraft, RequestHead, failure_answer::failure_reply,
+            run_driver::start_run,
+        },
+        filters::{FilterChain, FilterEnd, is_customer},
+        shared::ControlNote,
+    },
+    actix_http::{HttpMessage, Method, Request, StatusCode},
+    base::{CREDENTIAL_HEADER, FailureReason, FailureReport, RunClaim},
+    bytes::Bytes,
+    pipe::RunPlan,
+    setup::{HttpReply, json_reply, read_body, text_reply},
+    slog::info,
+    std::{rc::Rc, time::Instant},
+};
+
+/// Path under which pipelines are run.
+const RUN_PATH: &str = "/run/";
+/// Path of the address answer.
+const ADDRESS_PATH: &str = "/addresses";
+
+/// Answers one request of a caller.
+pub async fn answer_caller(
+    core: Rc<EntryCore>,
+    chain: Rc<FilterChain>,
+    request: Request,
+) -> HttpReply {
+    let path = request.path().to_string();
+    match (request.method(), path.strip_prefix(RUN_PATH)) {
+        (&Method::POST, Some(pipeline)) => run_request(core, chain, pipeline, request).await,
+        (&Method::GET, None) if path == ADDRESS_PATH => answer_addresses(&core, &request),
+        _ => text_reply(
+            StatusCode::NOT_FOUND,
+            "paths: GET /addresses, POST /run/{pipeline}\n",
+        ),
+    }
+}
+
+fn answer_addresses(core: &EntryCore, request: &Request) -> HttpReply {
+    let query = request.uri().query().unwrap_or("");
+    let customer = query
+        .split('&')
+        .find_map(|pair| pair.strip_prefix("customer="));
+    let fleet = core.fleet();
+    let Some(sheet) = &fleet.sheet else {
+        let report = RunClaim::new().refuse(FailureReason::NoSheet, "no sheet is in force yet");
+        return failure_reply(&report);
+    };
+    let credential = request.headers().get(CREDENTIAL_HEADER);
+    let credential = credential
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or("");
+    let customer = customer.unwrap_or("");
+    if !is_customer(sheet, customer, credential) {
+        core.metrics.count("refused.credential", 1);
+        let detail = "customer unknown or credential wrong";
+        return failure_reply(&RunClaim::new().refuse(FailureReason::BadCredential, detail));
+    }
+    json_reply(StatusCode::OK, &AddressAnswer::new(core, &fleet, customer))
+}
+
+async fn run_request(
+    core: Rc<EntryCore>,
+    chain: Rc<FilterChain>,
+    pipeline: &str,
+    mut request: Request,
+) -> HttpReply {
+    let arrived = Instant::now();
+    let head = match RequestHead::read(request.headers()) {
+        Ok(head) => head,
+        Err(text) => return refuse(&core, None, FailureReason::BadRequest, text),
+    };
+    let limits = &core.settings.limits;
+    let body = read_body(request.take_payload(), limits.body_bytes, limits.body_time).await;
+    let Some(body) = body else {
+        let detail = format!("the body is cut, late, or over {} bytes", limits.body_bytes);
+        return refuse(&core, Some(&head), FailureReason::BodyTooLarge, detail);
+    };
+    let draft = match open_draft(&core, head, pipeline, body, arrived) {
+        Ok(draft) => draft,
+        Err(reply) => return *reply,
+    };
+    let head = draft.head.clone();
+    match chain.apply(&core, draft).await {
+        Ok(draft) => match start_run(&core, draft).await {
+            Ok(reply) => reply,
+            Err(_) => lost_run(),
+        },
+        Err(end) => match *end {
+            FilterEnd::Answered(reply) => reply,
+            FilterEnd::Refused(report) => {
+                log_refusal(&core, Some(&head), &report);
+                failure_reply(&report)
+            }
+        },
+    }
+}
+
+fn open_draft(
+    core: &EntryCore,
+    head: RequestHead,
+    pipeline: &str,
+    body: Bytes,
+    arrived: Instant,
+) -> Result<RequestDraft, Box<HttpReply>> {
+    let fleet = core.fleet();
+    let end = |reason, detail: &str| Err(Box::new(refuse(core, Some(&head), reason, detail)));
+    let Some(sheet) = fleet.sheet.clone() else {
+        core.note(ControlNote::SheetSeen(head.sheet_seen));
+        return end(FailureReason::NoSheet, "no sheet is in force yet");
+    };
+    let Some(plan) = RunPlan::new(&sheet, pipeline, head.idempotent) else {
+        return end(
+            FailureReason::UnknownPipeline,
+            "the sheet has no such pipeline",
+        );
+    };
+    let longest = sheet.pipelines[pipeline].deadline;
+    let remaining = head.remaining.unwrap_or(longest).min(longest);
+    let weight = sheet
+        .customers
+        .get(&head.customer)
+        .map_or(1, |row| row.weight);
+    Ok(RequestDraft {
+        head,
+        pipeline: pipeline.to_string(),
+        body,
+        arrived,
+        deadline: arrived + remaining,
+        sheet,
+        plan,
+        weight,
+        claim: RunClaim::new(),
+        spend: None,
+    })
+}
+
+fn refuse(
+    core: &EntryCore,
+    head: Option<&RequestHead>,
+    reason: FailureReason,
+    detail: impl Into<String>,
+) -> HttpReply {
+    let report = RunClaim::new().refuse(reason, detail);
+    log_refusal(core, head, &report);
+    failure_reply(&report)
+}
+
+fn log_refusal(core: &EntryCore, head: Option<&RequestHead>, report: &FailureReport) {
+    core.metrics
+        .count(&format!("requests.{}", report.verdict), 1);
+    core.metrics.count(&format!("refused.{}", report.reason), 1);
+    info!(core.log, "request";
+        "customer" => head.map(|head| head.customer.clone()),
+        "request" => head.map(|head| head.request.clone()),
+        "stages" => 0,
+        "outcome" => report.verdict.to_string(),
+        "reason" => report.reason.name(),
+    );
+}
+
+/// The run ended without a reply, which only a fault of the daemon can cause.
+fn lost_run() -> HttpReply {
+    let claim = RunClaim::new().into_sent();
+    failure_reply(&claim.lost(FailureReason::TargetLost, "the run ended without an answer"))
+}
--- /dev/null
+++ b/crates/entry/src/data/entry_core.rs
@@ -0,0 +1,124 @@
+use {
+    crate::{
+        EntrySettings,
+        data::{JoinDesk, pool_desk::PoolDesk, target_client::TargetClient},
+        shared::{ControlNote, FleetView},
+    },
+    base::Incarnation,
+    once::{BookLimits, TicketBook, TicketMint},
+    rand::SeedableRng,
+    rand_chacha::ChaCha8Rng,
+    setup::MetricBoard,
+    slog::Logger,
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::sync::{mpsc, watch},
+};
+
+/// What the data path owns. All of it lives on one thread.
+pub struct EntryCore {
+    pub settings: EntrySettings,
+    pub view: watch::Receiver<Arc<FleetView>>,
+    pub notes: mpsc::UnboundedSender<ControlNote>,
+    pub metrics: MetricBoard,
+    pub log: Logger,
+    pub mint: TicketMint,
+    pub book: RefCell<TicketBook>,
+    pub joins: JoinDesk,
+    pub pools: RefCell<PoolDesk>,
+    pub client: TargetClient,
+    pub random: RefCell<ChaCha8Rng>,
+    pub running: Cell<usize>,
+    started: Instant,
+}
+
+/// What a core is made from besides the settings.
+pub struct CoreParts {
+    pub view: watch::Receiver<Arc<FleetView>>,
+    pub notes: mpsc::UnboundedSender<ControlNote>,
+    pub metrics: MetricBoard,
+    pub log: Logger,
+    pub incarnation: Incarnation,
+    pub callers: String,
+}
+
+impl EntryCore {
+    pub fn new(settings: EntrySettings, parts: CoreParts) -> Self {
+        let key = settings.fleet_key().unwrap_or_default();
+        let lifetime = settings.tickets.lifetime;
+        let mint = TicketMint::new(
+            &settings.host,
+            parts.incarnation,
+            &parts.callers,
+            lifetime,
+            &key,
+        );
+        let limits = BookLimits {
+            rows: settings.tickets.rows,
+            answer_bytes: settings.tickets.answer_bytes,
+        };
+        Self {
+            view: parts.view,
+            notes: parts.notes,
+            metrics: parts.metrics,
+            log: parts.log,
+            mint,
+            book: RefCell::new(TicketBook::new(limits)),
+            joins: JoinDesk::default(),
+            pools: RefCell::new(PoolDesk::new(&settings.data_centre, parts.incarnation)),
+            client: TargetClient::new(settings.limits.answer_bytes),
+            random: RefCell::new(ChaCha8Rng::from_os_rng()),
+            running: Cell::new(0),
+            started: Instant::now(),
+            settings,
+        }
+    }
+
+    /// Latest snapshot of what the controllers know.
+    pub fn fleet(&self) -> Arc<FleetView> {
+        Arc::clone(&self.view.borrow())
+    }
+
+    /// Age of this incarnation.
+    pub fn uptime(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Mints tickets for an answer.
+    pub fn tickets(&self, count: u32) -> Vec<String> {
+        let uptime = self.uptime();
+        let mut random = self.random.borrow_mut();
+        (0..count)
+            .map(|_| self.mint.mint(uptime, &mut *random))
+            .collect()
+    }
+
+    /// Tells the controllers something.
+    pub fn note(&self, note: ControlNote) {
+        let _ = self.notes.send(note);
+    }
+}
+
+/// Counts a running request for as long as it lives.
+pub struct RunningPlace {
+    core: Rc<EntryCore>,
+}
+
+impl RunningPlace {
+    pub fn take(core: &Rc<EntryCore>) -> Self {
+        core.running.set(core.running.get() + 1);
+        Self {
+            core: Rc::clone(core),
+        }
+    }
+}
+
+impl Drop for RunningPlace {
+    fn drop(&mut self) {
+        self.core.running.set(self.core.running.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/data/mod.rs
@@ -0,0 +1,29 @@
+mod address_answer;
+mod answer_sink;
+mod caller_server;
+mod entry_core;
+mod failure_answer;
+mod join_desk;
+mod line_buffer;
+mod peer_forward;
+mod pool_desk;
+mod request_draft;
+mod request_head;
+mod run_driver;
+mod spend_guard;
+mod start_entry;
+mod target_call;
+mod target_client;
+
+pub use {
+    address_answer::{AddressAnswer, entry_addresses},
+    answer_sink::AnswerSink,
+    entry_core::EntryCore,
+    failure_answer::recorded_reply,
+    join_desk::JoinDesk,
+    peer_forward::forward_request,
+    request_draft::RequestDraft,
+    request_head::RequestHead,
+    spend_guard::{HeldSpend, RunningSpend},
+    start_entry::run_entry,
+};
--- /dev/null
+++ b/crates/entry/src/data/request_draft.rs
@@ -0,0 +1,33 @@
+use {
+    crate::data::{HeldSpend, RequestHead},
+    base::{FailureReason, FailureReport, PipelineId, RunClaim, Unsent},
+    bytes::Bytes,
+    pipe::RunPlan,
+    sheet::FleetSheet,
+    std::{sync::Arc, time::Instant},
+};
+
+/// A request on its way through the filters; no target has seen it.
+pub struct RequestDraft {
+    pub head: RequestHead,
+    pub pipeline: PipelineId,
+    pub body: Bytes,
+    pub arrived: Instant,
+    pub deadline: Instant,
+    pub sheet: Arc<FleetSheet>,
+    pub plan: RunPlan,
+    pub weight: u32,
+    pub claim: RunClaim<Unsent>,
+    pub spend: Option<HeldSpend>,
+}
+
+impl RequestDraft {
+    /// Ends the request as not run, and gives its ticket back.
+    pub fn refuse(self, reason: FailureReason, detail: impl Into<String>) -> FailureReport {
+        let report = self.claim.refuse(reason, detail);
+        if let Some(spend) = self.spend {
+            spend.release(&report);
+        }
+        report
+    }
+}
--- /dev/null
+++ b/crates/entry/src/filters/credential_filter.rs
@@ -0,0 +1,35 @@
+use {
+    crate::{
+        data::{EntryCore, RequestDraft},
+        filters::{FilterStep, RequestFilter, filter_chain::refused},
+    },
+    base::FailureReason,
+    futures_util::future::LocalBoxFuture,
+    std::rc::Rc,
+};
+
+/// Refuses who is not the customer that it says it is.
+pub struct CredentialFilter;
+
+impl RequestFilter for CredentialFilter {
+    fn apply(&self, core: Rc<EntryCore>, draft: RequestDraft) -> LocalBoxFuture<'_, FilterStep> {
+        Box::pin(async move {
+            let credential = &draft.head.credential;
+            if is_customer(&draft.sheet, &draft.head.customer, credential) {
+                return Ok(draft);
+            }
+            core.metrics.count("refused.credential", 1);
+            let detail = "customer unknown or credential wrong";
+            refused(draft.refuse(FailureReason::BadCredential, detail))
+        })
+    }
+}
+
+/// True if the credential is the customer's; the comparison takes the same time for all.
+pub fn is_customer(sheet: &sheet::FleetSheet, customer: &str, credential: &str) -> bool {
+    let digest = blake3::hash(credential.as_bytes());
+    let Some(row) = sheet.customers.get(customer) else {
+        return false;
+    };
+    blake3::Hash::from_hex(&row.credential).is_ok_and(|expected| expected == digest)
+}
--- /dev/null
+++ b/crates/entry/src/filters/life_filter.rs
@@ -0,0 +1,27 @@
+use {
+    crate::{
+        data::{EntryCore, RequestDraft, entry_addresses},
+        filters::{FilterStep, RequestFilter, filter_chain::refused},
+        shared::EntryLife,
+    },
+    base::FailureReason,
+    futures_util::future::LocalBoxFuture,
+    std::rc::Rc,
+};
+
+/// Refuses new requests once no caller can hold an answer in which this entry stands.
+pub struct LifeFilter;
+
+impl RequestFilter for LifeFilter {
+    fn apply(&self, core: Rc<EntryCore>, draft: RequestDraft) -> LocalBoxFuture<'_, FilterStep> {
+        Box::pin(async move {
+            let fleet = core.fleet();
+            if fleet.life < EntryLife::Refusing {
+                return Ok(draft);
+            }
+            let addresses = entry_addresses(&core, &fleet, &draft.head.customer);
+            let report = draft.refuse(FailureReason::Leaving, "this entry is shutting down");
+            refused(report.with_addresses(addresses))
+        })
+    }
+}
--- /dev/null
+++ b/crates/entry/src/filters/mod.rs
@@ -0,0 +1,10 @@
+mod credential_filter;
+mod filter_chain;
+mod life_filter;
+mod sheet_filter;
+mod ticket_filter;
+
+pub use {
+    credential_filter::is_customer,
+    filter_chain::{FilterChain, FilterEnd, FilterStep, RequestFilter},
+};
--- /dev/null
+++ b/crates/entry/src/filters/sheet_filter.rs
@@ -0,0 +1,28 @@
+use {
+    crate::{
+        data::{EntryCore, RequestDraft},
+        filters::{FilterStep, RequestFilter, filter_chain::refused},
+        shared::ControlNote,
+    },
+    base::FailureReason,
+    futures_util::future::LocalBoxFuture,
+    std::rc::Rc,
+};
+
+/// Refuses who has seen a later sheet than the one in force here: running the request under
+/// the older one would take the later one back.
+pub struct SheetFilter;
+
+impl RequestFilter for SheetFilter {
+    fn apply(&self, core: Rc<EntryCore>, draft: RequestDraft) -> LocalBoxFuture<'_, FilterStep> {
+        Box::pin(async move {
+            let seen = draft.head.sheet_seen;
+            if seen <= draft.sheet.version() {
+                return Ok(draft);
+            }
+            core.note(ControlNote::SheetSeen(seen));
+            let detail = format!("caller has seen sheet version {seen}");
+            refused(draft.refuse(FailureReason::SheetBehind, detail))
+        })
+    }
+}
--- /dev/null
+++ b/crates/entry/src/filters/ticket_filter.rs
@@ -0,0 +1,96 @@
+use {
+    crate::{
+        data::{EntryCore, HeldSpend, RequestDraft, forward_request, recorded_reply},
+        filters::{FilterEnd, FilterStep, RequestFilter, filter_chain::refused},
+    },
+    base::{FailureReason, RunClaim},
+    futures_util::future::LocalBoxFuture,
+    once::{SpendOutcome, TicketBody},
+    std::{rc::Rc, time::Instant},
+};
+
+/// Lets a request that may not be repeated pass only under a ticket of its own; repeats join
+/// the first send or get its recorded answer.
+pub struct TicketFilter;
+
+impl RequestFilter for TicketFilter {
+    fn apply(&self, core: Rc<EntryCore>, draft: RequestDraft) -> LocalBoxFuture<'_, FilterStep> {
+        Box::pin(check_ticket(core, draft))
+    }
+}
+
+async fn check_ticket(core: Rc<EntryCore>, draft: RequestDraft) -> FilterStep {
+    if draft.plan.is_idempotent() {
+        return Ok(draft);
+    }
+    let Some(text) = &draft.head.ticket else {
+        let report = draft.refuse(FailureReason::TicketMissing, "send it again under a ticket");
+        return refused(report.with_tickets(core.tickets(core.settings.answers.tickets)));
+    };
+    let ticket = match core.mint.read(text) {
+        Ok(ticket) => ticket,
+        Err(error) => {
+            return refused(draft.refuse(FailureReason::TicketInvalid, error.to_string()));
+        }
+    };
+    if !core.mint.is_own(&ticket) {
+        let reply = forward_request(core, draft, ticket).await;
+        return Err(Box::new(FilterEnd::Answered(reply)));
+    }
+    spend_ticket(core, draft, &ticket).await
+}
+
+async fn spend_ticket(
+    core: Rc<EntryCore>,
+    mut draft: RequestDraft,
+    ticket: &TicketBody,
+) -> FilterStep {
+    let key = (draft.head.customer.clone(), draft.head.request.clone());
+    let outcome = core
+        .book
+        .borrow_mut()
+        .spend(ticket, &key.0, &key.1, core.uptime());
+    match outcome {
+        SpendOutcome::First => {
+            draft.spend = Some(HeldSpend::new(core, ticket.nonce, key));
+            Ok(draft)
+        }
+        SpendOutcome::Join => join_run(core, draft).await,
+        SpendOutcome::Recorded(answer) => {
+            core.metrics.count("tickets.repeated", 1);
+            Err(Box::new(FilterEnd::Answered(recorded_reply(&answer))))
+        }
+        SpendOutcome::Forgotten => {
+            let claim = draft.claim.into_sent();
+            let detail = "it has ended, and its answer is no longer kept";
+            refused(claim.failed(FailureReason::AnswerBroken, detail))
+        }
+        SpendOutcome::Refused(reason) => {
+            let expired = reason == FailureReason::TicketExpired;
+            let report = draft.refuse(reason, "nothing was run under this ticket now");
+            let report = if expired {
+                report.with_earlier_doubt()
+            } else {
+                report
+            };
+            refused(report.with_tickets(core.tickets(1)))
+        }
+    }
+}
+
+async fn join_run(core: Rc<EntryCore>, draft: RequestDraft) -> FilterStep {
+    core.metrics.count("tickets.joined", 1);
+    let key = (draft.head.customer.clone(), draft.head.request.clone());
+    let answer = core.joins.join(key);
+    let remaining = draft.deadline.saturating_duration_since(Instant::now());
+    if let Ok(Ok(answer)) = actix_rt::time::timeout(remaining, answer).await {
+        return Err(Box::new(FilterEnd::Answered(recorded_reply(&answer))));
+    }
+    let claim = RunClaim::new().into_sent();
+    let detail = "an earlier send under the ticket still runs";
+    refused(
+        claim
+            .lost(FailureReason::DeadlinePassed, detail)
+            .with_earlier_doubt(),
+    )
+}
