Stand-ins for platform, plain services and engines, and a fleet harness

Cause: integration tests need real processes around the entries before the entries exist.

Change: `camphor-stand` serves the platform (values, watches, host list with lag, down and stale faults), plain services and engines (batch, prefix cache, priorities, orders with fencing numbers); `EchoRule` states what the right answer is. `proofs` starts a fleet, publishes sheet and host list, sends signals by process id, and checks that answers are whole.

Ruled out: `setup::serve_http` for the stand-ins, since tests must be able to close idle connections and to cut every reader of the platform.

--- /dev/null
+++ b/crates/proofs/src/fleet_harness.rs
@@ -0,0 +1,358 @@
+use {
+    crate::{ChildProcess, EntryPlan, FleetPlan, JsonProbe, TargetPlan, TestCaller, wait_until},
+    anyhow::Context,
+    base::{HostList, HostRow, HostState, SheetVersion, TargetMark},
+    serde::Serialize,
+    sheet::{PoolKind, SheetPart},
+    stand::{CallRecord, PlatformFault, SheetPublisher},
+    std::{collections::BTreeMap, fs, path::PathBuf, process::ExitStatus, time::Duration},
+    tempfile::TempDir,
+};
+
+/// Key that the peers of a test fleet share.
+const PEER_KEY: &str = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef";
+/// Name of the platform's process.
+const PLATFORM: &str = "platform";
+/// Time in which every entry must have the first sheet in force.
+const START_LIMIT: Duration = Duration::from_secs(20);
+
+/// A fleet of real processes with its platform and targets; everything ends when dropped.
+pub struct FleetHarness {
+    plan: FleetPlan,
+    /// Processes by the name of their host, target, proxy, or `platform`.
+    processes: BTreeMap<String, ChildProcess>,
+    /// Sheet as it was published last.
+    rows: SheetPart,
+    version: SheetVersion,
+    hosts: HostList,
+    probe: JsonProbe,
+    folder: TempDir,
+}
+
+impl FleetHarness {
+    /// Starts platform, targets and entries, publishes sheet 1 and the host list, and waits
+    /// until every entry answers with the sheet in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a process does not start or an entry has no sheet in time.
+    pub async fn start(plan: FleetPlan) -> anyhow::Result<Self> {
+        let mut harness = Self::start_stands(plan).await?;
+        for entry in harness.plan.entries.clone() {
+            harness.start_entry(&entry).await?;
+        }
+        harness.publish_hosts().await?;
+        for entry in harness.plan.entries.clone() {
+            harness.wait_sheet(&entry.host, 1, START_LIMIT).await?;
+        }
+        Ok(harness)
+    }
+
+    /// Starts platform and targets and publishes sheet 1, but starts no entry.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a process does not start.
+    pub async fn start_stands(plan: FleetPlan) -> anyhow::Result<Self> {
+        let mut harness = Self {
+            rows: plan.rows.clone(),
+            plan,
+            processes: BTreeMap::new(),
+            version: 0,
+            hosts: HostList::default(),
+            probe: JsonProbe::new(),
+            folder: TempDir::new()?,
+        };
+        harness.start_stand(PLATFORM, &["platform"]).await?;
+        for target in harness.plan.targets.clone() {
+            harness.start_target(&target, None).await?;
+        }
+        harness.publish(|_| {}).await?;
+        Ok(harness)
+    }
+
+    /// Publishes the next sheet after a change; returns its version.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does not take it.
+    pub async fn publish(
+        &mut self,
+        change: impl FnOnce(&mut SheetPart),
+    ) -> anyhow::Result<SheetVersion> {
+        change(&mut self.rows);
+        self.version += 1;
+        let parts = [toml::to_string(&self.rows)?];
+        self.publisher().publish(self.version, &parts).await?;
+        Ok(self.version)
+    }
+
+    /// Publishes the host list as it stands.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does not take it.
+    pub async fn publish_hosts(&self) -> anyhow::Result<()> {
+        self.publisher().put_hosts(&self.hosts).await
+    }
+
+    /// Host list that is published; change it and publish it again.
+    pub fn hosts_mut(&mut self) -> &mut HostList {
+        &mut self.hosts
+    }
+
+    /// Publishes that a target is live or leaving, by the host list.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does not take it.
+    pub async fn mark_target(&mut self, name: &str, state: HostState) -> anyhow::Result<()> {
+        self.hosts.targets.retain(|mark| mark.target != name);
+        self.hosts.targets.push(TargetMark {
+            target: name.to_string(),
+            state,
+        });
+        self.publish_hosts().await
+    }
+
+    /// Waits until an entry answers with this sheet version, or a later one, in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not within the limit.
+    pub async fn wait_sheet(
+        &self,
+        host: &str,
+        version: SheetVersion,
+        limit: Duration,
+    ) -> anyhow::Result<()> {
+        let caller = TestCaller::new();
+        let entry = self.callers(host);
+        let customer = self.rows.customer.first().map(|row| row.name.clone());
+        let customer = customer.unwrap_or_default();
+        let what = format!("{host} has sheet {version}, see {}", self.log_text(host));
+        wait_until(&what, limit, async || {
+            let answer = caller.addresses(&entry, &customer).await;
+            answer.is_ok_and(|answer| answer.sheet_version >= version)
+        })
+        .await
+    }
+
+    /// Address of an entry for callers.
+    pub fn callers(&self, host: &str) -> String {
+        self.process(host).address("callers")
+    }
+
+    /// Base URL of an entry's operators' interface.
+    pub fn operators(&self, host: &str) -> String {
+        format!("http://{}", self.process(host).address("operators"))
+    }
+
+    /// Address of a target itself, without a proxy before it.
+    pub fn target_address(&self, name: &str) -> String {
+        self.process(name).address("calls")
+    }
+
+    /// Process of a host, target or proxy, or of the `platform`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if nothing was started under this name.
+    pub fn process(&self, name: &str) -> &ChildProcess {
+        match self.processes.get(name) {
+            Some(process) => process,
+            None => panic!("nothing was started as `{name}`"),
+        }
+    }
+
+    /// Like [`Self::process`], for changes.
+    ///
+    /// # Panics
+    ///
+    /// Panics if nothing was started under this name.
+    pub fn process_mut(&mut self, name: &str) -> &mut ChildProcess {
+        match self.processes.get_mut(name) {
+            Some(process) => process,
+            None => panic!("nothing was started as `{name}`"),
+        }
+    }
+
+    /// Waits until a process has ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it has not within the limit.
+    pub async fn wait_exit(&mut self, name: &str, limit: Duration) -> anyhow::Result<ExitStatus> {
+        let process = self.process_mut(name);
+        let mut ended = None;
+        wait_until(&format!("{name} ends"), limit, || {
+            ended = process.ended();
+            let has_ended = ended.is_some();
+            async move { has_ended }
+        })
+        .await?;
+        ended.context("it has ended")
+    }
+
+    /// Starts an entry again under its old host name at new addresses, and publishes them.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not start.
+    pub async fn restart_entry(&mut self, host: &str) -> anyhow::Result<()> {
+        let plans = &self.plan.entries;
+        let entry = plans.iter().find(|entry| entry.host == host).cloned();
+        self.processes.remove(host);
+        self.start_entry(&entry.context("no such entry")?).await?;
+        self.publish_hosts().await
+    }
+
+    /// Starts a target again at its old address; its postings live on.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not start.
+    pub async fn restart_target(&mut self, name: &str) -> anyhow::Result<()> {
+        let address = self.target_address(name);
+        let plans = &self.plan.targets;
+        let target = plans.iter().find(|target| target.row.name == name);
+        let target = target.cloned().context("no such target")?;
+        self.processes.remove(name);
+        self.start_target(&target, Some(address)).await
+    }
+
+    /// Changes the behaviour of a target; see [`stand::StandControl`] for the keys.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the target does not take it.
+    pub async fn control(&self, target: &str, patch: &impl Serialize) -> anyhow::Result<()> {
+        let url = format!("http://{}/control", self.target_address(target));
+        self.probe.post(&url, patch).await?;
+        Ok(())
+    }
+
+    /// Sets the platform's fault.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does not take it.
+    pub async fn platform_fault(&self, fault: &PlatformFault) -> anyhow::Result<()> {
+        let operators = self.process(PLATFORM).address("operators");
+        let url = format!("http://{operators}/fault");
+        self.probe.post(&url, fault).await?;
+        Ok(())
+    }
+
+    /// Calls that a target saw since it started.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the target does not answer.
+    pub async fn records(&self, target: &str) -> anyhow::Result<Vec<CallRecord>> {
+        let url = format!("http://{}/records", self.target_address(target));
+        self.probe.get(&url).await
+    }
+
+    /// How often each posting was applied, over all targets, read from what outlives them.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a journal can't be read.
+    pub fn postings(&self) -> anyhow::Result<BTreeMap<String, u64>> {
+        let mut postings = BTreeMap::new();
+        for target in &self.plan.targets {
+            let path = self.journal(&target.row.name);
+            for line in fs::read_to_string(path)?.lines() {
+                *postings.entry(line.to_string()).or_default() += 1;
+            }
+        }
+        Ok(postings)
+    }
+
+    /// Probe for operators' interfaces.
+    pub fn probe(&self) -> &JsonProbe {
+        &self.probe
+    }
+
+    /// Standard error of a process so far.
+    pub fn log_text(&self, name: &str) -> String {
+        fs::read_to_string(self.log(name)).unwrap_or_default()
+    }
+
+    async fn start_entry(&mut self, entry: &EntryPlan) -> anyhow::Result<()> {
+        let settings = self.folder.path().join(format!("{}.toml", entry.host));
+        fs::write(&settings, self.settings(entry))?;
+        let arguments = [PathBuf::from("--settings"), settings];
+        let log = self.log(&entry.host);
+        let process = ChildProcess::start("camphor-entry", arguments, &log).await?;
+        let row = HostRow {
+            host: entry.host.clone(),
+            data_centre: entry.data_centre.clone(),
+            callers: process.address("callers"),
+            peers: process.address("peers"),
+            size: entry.size,
+            state: HostState::Live,
+        };
+        self.processes.insert(entry.host.clone(), process);
+        self.hosts.hosts.retain(|old| old.host != entry.host);
+        self.hosts.hosts.push(row);
+        Ok(())
+    }
+
+    fn settings(&self, entry: &EntryPlan) -> String {
+        let platform = self.process(PLATFORM).address("service");
+        let (host, data_centre, size) = (&entry.host, &entry.data_centre, entry.size);
+        format!(
+            "host = \"{host}\"\ndata_centre = \"{data_centre}\"\nsize = {size}\n\n\
+             [listen]\ncallers = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
+             operators = \"127.0.0.1:0\"\n\n\
+             [platform]\naddress = \"{platform}\"\n\n\
+             [peers]\nkey = \"{PEER_KEY}\"\n\n\
+             [log]\nlevel = \"info\"\n"
+        )
+    }
+
+    async fn start_target(
+        &mut self,
+        target: &TargetPlan,
+        address: Option<String>,
+    ) -> anyhow::Result<()> {
+        let name = &target.row.name;
+        let kind = match target.kind {
+            PoolKind::Engine => "engine",
+            PoolKind::Plain => "plain",
+        };
+        let journal = self.journal(name).display().to_string();
+        let listen = address.unwrap_or_else(|| String::from("127.0.0.1:0"));
+        let slots = target.row.capacity.to_string();
+        let mut arguments = vec![kind, "--name", name, "--listen", &listen];
+        arguments.extend(["--slots", &slots, "--journal", &journal]);
+        arguments.extend(target.arguments.iter().map(String::as_str));
+        self.start_stand(name, &arguments).await?;
+        let mut row = target.row.clone();
+        row.address = self.target_address(name);
+        self.rows.target.retain(|old| old.name != row.name);
+        self.rows.target.push(row);
+        Ok(())
+    }
+
+    async fn start_stand(&mut self, name: &str, arguments: &[&str]) -> anyhow::Result<()> {
+        let log = self.log(name);
+        let process = ChildProcess::start("camphor-stand", arguments, &log).await?;
+        self.processes.insert(name.to_string(), process);
+        Ok(())
+    }
+
+    fn publisher(&self) -> SheetPublisher {
+        SheetPublisher::new(self.process(PLATFORM).address("operators"))
+    }
+
+    fn journal(&self, name: &str) -> PathBuf {
+        self.folder.path().join(format!("{name}.journal"))
+    }
+
+    fn log(&self, name: &str) -> PathBuf {
+        self.folder.path().join(format!("{name}.log"))
+    }
+}
--- /dev/null
+++ b/crates/proofs/src/fleet_plan.rs
@@ -0,0 +1,177 @@
+use {
+    base::{CentreId, HostId, RequestPriority},
+    sheet::{CustomerRow, PipelineRow, PoolKind, PoolRow, SheetPart, StageRow, TargetRow},
+    std::time::Duration,
+};
+
+/// An entry that a test starts.
+#[derive(Debug, Clone)]
+pub struct EntryPlan {
+    /// Name of the host.
+    pub host: HostId,
+    /// Data centre that it stands in.
+    pub data_centre: CentreId,
+    /// Size relative to the other hosts.
+    pub size: u32,
+    /// Whether peers reach it through a proxy that is named `{host}-proxy`.
+    pub proxied: bool,
+}
+
+/// A target that a test starts.
+#[derive(Debug, Clone)]
+pub struct TargetPlan {
+    /// Row of the sheet; the harness fills in the address.
+    pub row: TargetRow,
+    /// Whether it is a model engine.
+    pub kind: PoolKind,
+    /// Further arguments of the stand-in.
+    pub arguments: Vec<String>,
+    /// Whether entries reach it through a proxy that is named `{target}-proxy`.
+    pub proxied: bool,
+}
+
+/// What a test starts and publishes.
+#[derive(Debug, Clone, Default)]
+pub struct FleetPlan {
+    /// Entries.
+    pub entries: Vec<EntryPlan>,
+    /// Targets.
+    pub targets: Vec<TargetPlan>,
+    /// Pipelines, customers and pools of the sheet.
+    pub rows: SheetPart,
+}
+
+impl FleetPlan {
+    /// Plan of entries only.
+    ///
+    /// ```
+    /// let plan = proofs::FleetPlan::small(3);
+    /// assert_eq!(plan.entries.len(), 3);
+    /// assert_eq!(plan.targets.len(), 6);
+    /// ```
+    pub fn new(entries: usize) -> Self {
+        let centres = ["north", "south", "west"];
+        let rows = (0..entries).map(|number| EntryPlan {
+            host: format!("h{}", number + 1),
+            data_centre: centres[number % centres.len()].to_string(),
+            size: 1,
+            proxied: false,
+        });
+        Self {
+            entries: rows.collect(),
+            ..Self::default()
+        }
+    }
+
+    /// Plan with two targets each of the pools `encode`, `ledger` and `model`, the pipelines
+    /// `look` (encode), `read` (encode, generate) and `pay` (encode, post), and the customers
+    /// `farm` and `show`.
+    pub fn small(entries: usize) -> Self {
+        let mut plan = Self::new(entries)
+            .pool("encode", PoolKind::Plain, &[])
+            .pool("ledger", PoolKind::Plain, &["post"])
+            .pool("model", PoolKind::Engine, &[])
+            .pipeline("look", &[("encode", "encode")])
+            .pipeline("read", &[("encode", "encode"), ("model", "generate")])
+            .pipeline("pay", &[("encode", "encode"), ("ledger", "post")])
+            .customer("farm", 1)
+            .customer("show", 1);
+        for number in 1..=2 {
+            plan = plan
+                .target(format!("encode{number}"), "encode", 8, &[])
+                .target(format!("ledger{number}"), "ledger", 8, &[])
+                .target(format!("model{number}"), "model", 8, &[]);
+        }
+        plan
+    }
+
+    /// Adds a pool.
+    pub fn pool(mut self, name: &str, kind: PoolKind, non_idempotent: &[&str]) -> Self {
+        self.rows.pool.push(PoolRow {
+            name: name.to_string(),
+            kind,
+            non_idempotent: non_idempotent.iter().map(ToString::to_string).collect(),
+        });
+        self
+    }
+
+    /// Adds a pipeline with stages given as pool and kind of call.
+    pub fn pipeline(mut self, name: &str, stages: &[(&str, &str)]) -> Self {
+        let stage = stages.iter().map(|(pool, call)| StageRow {
+            pool: (*pool).to_string(),
+            call: (*call).to_string(),
+            model: None,
+            expected: Duration::from_millis(20),
+        });
+        self.rows.pipeline.push(PipelineRow {
+            name: name.to_string(),
+            deadline: Duration::from_secs(30),
+            stage: stage.collect(),
+        });
+        self
+    }
+
+    /// Adds a customer that may use every priority.
+    pub fn customer(mut self, name: &str, weight: u32) -> Self {
+        let credential = Self::credential(name);
+        self.rows.customer.push(CustomerRow {
+            name: name.to_string(),
+            weight,
+            priority: RequestPriority::Urgent,
+            credential: blake3::hash(credential.as_bytes()).to_hex().to_string(),
+            entries: None,
+        });
+        self
+    }
+
+    /// Adds a target of a pool that was added before, with arguments for its stand-in.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the plan has no such pool.
+    pub fn target(
+        mut self,
+        name: impl Into<String>,
+        pool: &str,
+        capacity: u32,
+        arguments: &[&str],
+    ) -> Self {
+        let rows = &self.rows.pool;
+        let row = rows.iter().find(|row| row.name == pool);
+        let kind = row.expect("the pool was added before").kind;
+        let centres = ["north", "south", "west"];
+        let centre = centres[self.targets.len() % centres.len()];
+        self.targets.push(TargetPlan {
+            row: TargetRow {
+                name: name.into(),
+                pool: pool.to_string(),
+                data_centre: centre.to_string(),
+                address: String::new(),
+                capacity,
+                leaving: false,
+                models: Vec::new(),
+                checks_orders: false,
+            },
+            kind,
+            arguments: arguments.iter().map(ToString::to_string).collect(),
+            proxied: false,
+        });
+        self
+    }
+
+    /// Changes the target that was added under this name.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the plan has no such target.
+    pub fn target_mut(&mut self, name: &str) -> &mut TargetPlan {
+        let mut targets = self.targets.iter_mut();
+        let target = targets.find(|target| target.row.name == name);
+        target.expect("the target was added before")
+    }
+
+    /// Credential of a customer.
+    pub fn credential(customer: &str) -> String {
+        format!("{customer}-secret")
+    }
+}
--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -1,1 +1,20 @@
-//! Stand-ins of the systems around camphorramp.
+//! Stand-ins of the systems around camphorramp, for tests and the demo only: what their
+//! answers hold, the types of their operators' interfaces, and a helper that publishes sheets.
+
+mod call_record;
+mod echo_rule;
+mod engine_order;
+mod platform_fault;
+mod proxy_fault;
+mod sheet_publisher;
+mod stand_control;
+
+pub use {
+    call_record::{CallOutcome, CallRecord, TargetHealth},
+    echo_rule::{EchoRule, EchoStage},
+    engine_order::{EngineOrder, EngineState},
+    platform_fault::{PlatformFault, PlatformMode},
+    proxy_fault::{FlowFault, ProxyFault},
+    sheet_publisher::SheetPublisher,
+    stand_control::StandControl,
+};
--- /dev/null
+++ b/crates/stand/src/proxy_fault.rs
@@ -0,0 +1,31 @@
+use serde::{Deserialize, Serialize};
+
+/// What the proxy does to bytes and datagrams of one direction.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct FlowFault {
+    /// Keep everything back; nothing is read and nothing is closed.
+    pub hold: bool,
+    /// Time by which everything is late, in milliseconds.
+    pub delay_ms: u64,
+    /// Share of the datagrams that are lost.
+    pub drop_share: f64,
+    /// Share of the datagrams that are sent twice.
+    pub duplicate_share: f64,
+    /// Tell the receiver of a connection that its sender will send no more.
+    pub half_close: bool,
+    /// Most bytes of a connection that pass in a second; 0 means no bound.
+    pub slow_bytes_per_s: u64,
+}
+
+/// Body of the proxy's `POST /fault`: the whole wanted behaviour.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ProxyFault {
+    /// Close all connections now and new ones at once; lose every datagram.
+    pub cut: bool,
+    /// What happens on the way to the server.
+    pub to: FlowFault,
+    /// What happens on the way from the server.
+    pub from: FlowFault,
+}
--- /dev/null
+++ b/crates/stand/src/serve/mod.rs
@@ -0,0 +1,21 @@
+mod call_ledger;
+mod connection_set;
+mod engine;
+mod engine_cache;
+mod engine_floor;
+mod engine_orders;
+mod engine_stream;
+mod plain;
+mod platform;
+mod platform_store;
+mod proxy;
+mod stand_server;
+mod target_call;
+mod target_core;
+
+pub use {
+    engine::{EngineArgs, run_engine},
+    plain::{PlainArgs, run_plain},
+    platform::{PlatformArgs, run_platform},
+    proxy::{ProxyArgs, run_proxy},
+};
--- /dev/null
+++ b/crates/stand/src/sheet_publisher.rs
@@ -0,0 +1,103 @@
+use {
+    anyhow::{Context, ensure},
+    awc::Client,
+    base::{HostList, SheetVersion},
+    sheet::{IndexPart, SheetIndex},
+};
+
+/// Key of the index value.
+const INDEX_KEY: &str = "sheet/index";
+
+/// Publishes sheets and host lists at the platform stand-in, as operators do.
+pub struct SheetPublisher {
+    client: Client,
+    operators: String,
+}
+
+impl SheetPublisher {
+    /// Publisher for the platform whose operators' address is given as `ip:port`.
+    ///
+    /// ```no_run
+    /// # async fn publish() -> anyhow::Result<()> {
+    /// let publisher = stand::SheetPublisher::new("127.0.0.1:4000");
+    /// let parts = [String::from("[[customer]]\n")];
+    /// let index = publisher.publish(7, &parts).await?;
+    /// assert_eq!(index.version, 7);
+    /// # Ok(())
+    /// # }
+    /// ```
+    pub fn new(operators: impl Into<String>) -> Self {
+        Self {
+            client: Client::default(),
+            operators: operators.into(),
+        }
+    }
+
+    /// Index of a sheet whose parts are stored under `sheet/{version}/{n}`.
+    ///
+    /// ```
+    /// let index = stand::SheetPublisher::index_of(7, &[String::from("part")]);
+    /// assert_eq!(index.part[0].key, "sheet/7/0");
+    /// ```
+    pub fn index_of(version: SheetVersion, parts: &[String]) -> SheetIndex {
+        let rows = parts.iter().enumerate().map(|(number, text)| IndexPart {
+            key: format!("sheet/{version}/{number}"),
+            digest: SheetIndex::part_digest(text),
+        });
+        SheetIndex {
+            version,
+            part: rows.collect(),
+        }
+    }
+
+    /// Puts the parts, then the index that names them.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform cannot be reached or refuses a value.
+    pub async fn publish(
+        &self,
+        version: SheetVersion,
+        parts: &[String],
+    ) -> anyhow::Result<SheetIndex> {
+        let index = Self::index_of(version, parts);
+        for (row, text) in index.part.iter().zip(parts) {
+            self.put(&format!("values/{}", row.key), text.clone())
+                .await?;
+        }
+        let text = toml::to_string(&index)?;
+        self.put(&format!("values/{INDEX_KEY}"), text).await?;
+        Ok(index)
+    }
+
+    /// Puts one value under any key.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform cannot be reached or refuses the value.
+    pub async fn put_value(&self, key: &str, text: impl Into<String>) -> anyhow::Result<()> {
+        self.put(&format!("values/{key}"), text.into()).await
+    }
+
+    /// Replaces the host list.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform cannot be reached or refuses the list.
+    pub async fn put_hosts(&self, list: &HostList) -> anyhow::Result<()> {
+        self.put("hosts", serde_json::to_string(list)?).await
+    }
+
+    async fn put(&self, path: &str, text: String) -> anyhow::Result<()> {
+        let url = format!("http://{}/{path}", self.operators);
+        let reply = self.client.put(&url).send_body(text).await;
+        let reply = reply.map_err(|error| anyhow::anyhow!("{error}"));
+        let reply = reply.with_context(|| format!("cannot put {path}"))?;
+        ensure!(
+            reply.status().is_success(),
+            "platform answered {} to {path}",
+            reply.status()
+        );
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/stand/tests/echo.rs
@@ -0,0 +1,35 @@
+//! What the stand-ins answer.
+
+use stand::{EchoRule, EchoStage};
+
+#[test]
+fn plain_answer_keeps_the_input_and_names_call_and_request() {
+    let answer = EchoRule::new("farm", "r1", b"hay").plain("encode");
+    let digest = blake3::hash(b"hay").to_hex();
+    let right = format!("hay\nencode farm/r1 {}", &digest[..16]);
+    assert_eq!(answer, right.into_bytes());
+}
+
+#[test]
+fn tokens_name_request_and_position() {
+    let rule = EchoRule::new("farm", "r1", b"hay");
+    let digest = blake3::hash(b"hay3").to_hex();
+    assert_eq!(rule.token(3), format!("farm/r1#3:{} ", &digest[..8]));
+}
+
+#[test]
+fn last_number_of_tokens_counts() {
+    let count = |input: &[u8]| EchoRule::new("farm", "r1", input).token_count();
+    assert_eq!(count(b"hay"), 16);
+    assert_eq!(count(b"tokens=3 tokens=40\n"), 40);
+    assert_eq!(count(b"tokens=none"), 16);
+    assert_eq!(count(b"tokens="), 16);
+    assert_eq!(count(b"tokens=0"), 0);
+}
+
+#[test]
+fn number_of_tokens_passes_through_plain_stages() {
+    let stages = [EchoStage::Plain(String::from("encode")), EchoStage::Engine];
+    let answer = EchoRule::pipeline("farm", "r1", b"hay tokens=5", &stages);
+    assert_eq!(answer.iter().filter(|byte| **byte == b'#').count(), 5);
+}
