Add entry ranking and the choice of targets

A customer's entries come from weighted rendezvous hashing over the live ones. The service time is busy time over finished calls, so that it grows while a call hangs and not only when it ends. Failures count as slowness, so that a target that fails fast draws no calls.

--- /dev/null
+++ b/crates/route/src/entry_ranking.rs
@@ -0,0 +1,91 @@
+use base::HostId;
+
+/// Entries that a customer is told to use unless it is large.
+pub const DEFAULT_ENTRIES: usize = 3;
+/// Part of its entries that a customer of exactly its share keeps busy.
+const ENTRY_FILL: f64 = 0.67;
+
+/// Ranks the live entries for a customer by weighted rendezvous hashing.
+///
+/// A change of the fleet moves only the customers of the entries that came or went.
+///
+/// ```
+/// use route::EntryRanking;
+///
+/// let hosts = ["h1", "h2", "h3", "h4"].map(|host| (host.to_string(), 1));
+/// let ranking = EntryRanking::new(hosts);
+/// let ranked = ranking.rank("farm", 3);
+/// assert_eq!(ranked.len(), 3);
+/// assert_eq!(ranked, ranking.rank("farm", 3));
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct EntryRanking {
+    entries: Vec<(HostId, u32)>,
+}
+
+impl EntryRanking {
+    /// Ranking over live entries with their sizes.
+    pub fn new(entries: impl IntoIterator<Item = (HostId, u32)>) -> Self {
+        Self {
+            entries: entries.into_iter().collect(),
+        }
+    }
+
+    /// The customer's entries, the preferred one first.
+    pub fn rank(&self, customer: &str, count: usize) -> Vec<HostId> {
+        let mut scored: Vec<(f64, &HostId)> = self
+            .entries
+            .iter()
+            .map(|(host, size)| (rendezvous_score(customer, host, f64::from(*size)), host))
+            .collect();
+        scored.sort_by(|left, right| right.0.total_cmp(&left.0).then(left.1.cmp(right.1)));
+        scored.truncate(count);
+        scored.into_iter().map(|(_, host)| host.clone()).collect()
+    }
+
+    /// How many entries a customer should use: what the sheet says, or enough for its share of
+    /// all weight.
+    ///
+    /// ```
+    /// let hosts = (0..100).map(|host| (format!("h{host}"), 1));
+    /// let ranking = route::EntryRanking::new(hosts);
+    /// assert_eq!(ranking.count_for(None, 1, 1_000), route::DEFAULT_ENTRIES);
+    /// assert_eq!(ranking.count_for(None, 200, 1_000), 30);
+    /// assert_eq!(ranking.count_for(Some(5), 200, 1_000), 5);
+    /// ```
+    pub fn count_for(&self, stated: Option<u32>, weight: u32, total_weight: u64) -> usize {
+        if let Some(stated) = stated {
+            return (stated as usize).max(1);
+        }
+        let share = f64::from(weight) / (total_weight.max(1) as f64);
+        let needed = (share * self.entries.len() as f64 / ENTRY_FILL).ceil() as usize;
+        needed.clamp(DEFAULT_ENTRIES, self.entries.len().max(DEFAULT_ENTRIES))
+    }
+}
+
+/// Weighted rendezvous score of a node for a key; the node with the highest one owns the key.
+fn rendezvous_score(key: &str, node: &str, weight: f64) -> f64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&(key.len() as u64).to_le_bytes());
+    hasher.update(key.as_bytes());
+    hasher.update(node.as_bytes());
+    weighted_score(first_word(&hasher.finalize()), weight)
+}
+
+/// Short hash of a name, the same on every entry.
+pub(crate) fn name_hash(name: &str) -> u64 {
+    first_word(&blake3::hash(name.as_bytes()))
+}
+
+/// Turns a uniform hash into a score that wins in proportion to the weight.
+pub(crate) fn weighted_score(hash: u64, weight: f64) -> f64 {
+    let steps = (1_u64 << 53) as f64;
+    let uniform = ((hash >> 11) as f64 + 0.5) / steps;
+    -weight / uniform.ln()
+}
+
+fn first_word(hash: &blake3::Hash) -> u64 {
+    let mut word = [0; 8];
+    word.copy_from_slice(&hash.as_bytes()[..8]);
+    u64::from_le_bytes(word)
+}
--- /dev/null
+++ b/crates/route/src/target_record.rs
@@ -0,0 +1,240 @@
+use {
+    crate::entry_ranking::name_hash,
+    base::{CentreId, TargetId},
+    std::time::{Duration, Instant},
+};
+
+/// Calls whose weight the pool's own figure has in a target's estimate.
+const PRIOR_CALLS: f64 = 3.0;
+/// Calls after which an older call has lost about two thirds of its weight.
+const MEMORY_CALLS: f64 = 32.0;
+/// Weight of the latest call in the failure rate.
+const FAILURE_WEIGHT: f64 = 0.15;
+/// How many times slower a target counts that fails every call.
+const FAILURE_COST: f64 = 20.0;
+/// Time after which a load report says half as much as when it came.
+const REPORT_HALF_LIFE: Duration = Duration::from_secs(2);
+/// How much a busy target that still has free places slows down its calls.
+const BATCH_SLOWDOWN: f64 = 0.5;
+/// Least part of its full share that a returning target gets.
+const LEAST_RAMP: f64 = 0.05;
+
+/// A target as the sheet and the platform state it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TargetSpec {
+    /// Name of the target.
+    pub target: TargetId,
+    /// Address in the form `ip:port`.
+    pub address: String,
+    /// Data centre that it stands in.
+    pub data_centre: CentreId,
+    /// Calls that it can run at once.
+    pub capacity: u32,
+    /// True if it is to receive no new work.
+    pub leaving: bool,
+}
+
+/// How a call to a target ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallOutcome {
+    /// The target answered whole.
+    Whole,
+    /// The target answered with an error.
+    FailedFast,
+    /// The target refused the call and ran nothing.
+    Refused,
+    /// The connection was lost or never made.
+    Lost,
+    /// The entry or the caller gave the call up for a reason of its own.
+    Cancelled,
+    /// The target did not answer in time.
+    TimedOut,
+}
+
+/// Whether a target gets calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TargetStanding {
+    /// It gets its share.
+    Usable,
+    /// It gets a growing part of its share since this time.
+    Returning(Instant),
+    /// It gets nothing until this time.
+    Ejected(Instant),
+}
+
+/// What a pool knows of a target, for operators.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TargetStatus {
+    /// Name of the target.
+    pub target: TargetId,
+    /// Calls of this entry that it runs.
+    pub in_flight: u32,
+    /// Measured time that it takes for a call once the call has a place.
+    pub service: Duration,
+    /// Share of its recent calls that failed.
+    pub failure_rate: f64,
+    /// Whether it gets calls.
+    pub standing: TargetStanding,
+    /// True if it is to receive no new work.
+    pub leaving: bool,
+}
+
+/// What one entry has measured of a target.
+#[derive(Debug, Clone)]
+pub(crate) struct TargetRecord {
+    pub spec: TargetSpec,
+    pub hash: u64,
+    pub listed: bool,
+    pub leaving_until: Option<Instant>,
+    pub in_flight: u32,
+    pub standing: TargetStanding,
+    pub ejections: u32,
+    pub ejected_at: Option<Instant>,
+    pub failure_rate: f64,
+    pub calls: f64,
+    busy: f64,
+    finished: f64,
+    others: f64,
+    reported: Instant,
+    advanced: Instant,
+}
+
+impl TargetRecord {
+    pub fn new(spec: TargetSpec, standing: TargetStanding, now: Instant) -> Self {
+        Self {
+            hash: name_hash(&spec.target),
+            spec,
+            listed: true,
+            leaving_until: None,
+            in_flight: 0,
+            standing,
+            ejections: 0,
+            ejected_at: None,
+            failure_rate: 0.0,
+            calls: 0.0,
+            busy: 0.0,
+            finished: 0.0,
+            others: 0.0,
+            reported: now,
+            advanced: now,
+        }
+    }
+
+    pub fn capacity(&self) -> f64 {
+        f64::from(self.spec.capacity.max(1))
+    }
+
+    /// True if no new work may go to the target, however it performs.
+    pub fn is_leaving(&self, now: Instant) -> bool {
+        let marked = self.leaving_until.is_some_and(|until| until > now);
+        !self.listed || self.spec.leaving || marked
+    }
+
+    pub fn is_ejected(&self) -> bool {
+        matches!(self.standing, TargetStanding::Ejected(_))
+    }
+
+    /// Calls that run or wait at the target, those of other entries included.
+    pub fn load(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.reported);
+        f64::from(self.in_flight) + self.others * decay(age, REPORT_HALF_LIFE)
+    }
+
+    /// Seconds that a call takes at the target once it has a place.
+    pub fn service(&self, pool_service: f64) -> f64 {
+        (self.busy + PRIOR_CALLS * pool_service) / (self.finished + PRIOR_CALLS)
+    }
+
+    /// Seconds until a further call would be answered, failures counted as slow.
+    pub fn wait(&self, service: f64, now: Instant) -> f64 {
+        let fill = (self.load(now) + 1.0) / self.capacity();
+        let slowness = 1.0 + FAILURE_COST * self.failure_rate;
+        service * slowness * (fill.max(1.0) + BATCH_SLOWDOWN * fill)
+    }
+
+    /// Part of its full share that the target may get.
+    pub fn ramp(&self, slow_start: Duration, now: Instant) -> f64 {
+        match self.standing {
+            TargetStanding::Usable => 1.0,
+            TargetStanding::Ejected(_) => 0.0,
+            TargetStanding::Returning(since) => {
+                let age = now.saturating_duration_since(since).as_secs_f64();
+                (age / slow_start.as_secs_f64().max(0.001)).clamp(LEAST_RAMP, 1.0)
+            }
+        }
+    }
+
+    /// Forgets what was measured, as if the target were new.
+    pub fn forget(&mut self) {
+        self.busy = 0.0;
+        self.finished = 0.0;
+        self.calls = 0.0;
+        self.failure_rate = 0.0;
+    }
+
+    /// Counts the time since the last event as busy for the calls that had a place in it.
+    pub fn advance(&mut self, half_life: Duration, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.advanced);
+        if elapsed.is_zero() {
+            return;
+        }
+        let load = self.load(now).max(1.0);
+        let placed = f64::from(self.in_flight) * (self.capacity() / load).min(1.0);
+        let kept = decay(elapsed, half_life);
+        self.busy = self.busy * kept + placed * elapsed.as_secs_f64();
+        self.finished *= kept;
+        self.calls *= kept;
+        self.failure_rate *= kept;
+        self.advanced = now;
+    }
+
+    pub fn start(&mut self) {
+        self.in_flight += 1;
+        self.calls += 1.0;
+    }
+
+    pub fn finish(&mut self, outcome: CallOutcome, elapsed: Duration, pool_service: f64) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        let kept = 1.0 - 1.0 / MEMORY_CALLS;
+        self.busy *= kept;
+        self.finished *= kept;
+        self.calls *= kept;
+        match outcome {
+            CallOutcome::Whole => self.finished += 1.0,
+            CallOutcome::TimedOut => {}
+            CallOutcome::Cancelled | CallOutcome::FailedFast | CallOutcome::Lost => {
+                self.finished += self.part_done(elapsed, pool_service);
+            }
+            CallOutcome::Refused => {
+                self.finished += self.part_done(elapsed, pool_service);
+                self.others = self.others.max(self.capacity());
+            }
+        }
+        self.count_failure(outcome);
+    }
+
+    pub fn report(&mut self, load: f64, now: Instant) {
+        let running = load.max(0.0) * self.capacity();
+        self.others = (running - f64::from(self.in_flight)).max(0.0);
+        self.reported = now;
+    }
+
+    /// Part of a whole call that a call did that ended early, so that it makes the target look
+    /// neither faster nor slower.
+    fn part_done(&self, elapsed: Duration, pool_service: f64) -> f64 {
+        (elapsed.as_secs_f64() / self.service(pool_service)).min(1.0)
+    }
+
+    fn count_failure(&mut self, outcome: CallOutcome) {
+        let failed = match outcome {
+            CallOutcome::Whole => 0.0,
+            CallOutcome::FailedFast | CallOutcome::Lost | CallOutcome::TimedOut => 1.0,
+            CallOutcome::Refused | CallOutcome::Cancelled => return,
+        };
+        self.failure_rate += FAILURE_WEIGHT * (failed - self.failure_rate);
+    }
+}
+
+fn decay(age: Duration, half_life: Duration) -> f64 {
+    (-age.as_secs_f64() / half_life.as_secs_f64().max(0.001)).exp2()
+}
