--- /dev/null
+++ b/crates/limit/src/concurrency_limit.rs
@@ -0,0 +1,179 @@
+use {
+    serde::{Deserialize, Serialize},
+    std::time::{Duration, Instant},
+};
+
+/// Shortest time between two changes of the limit.
+const WINDOW_TIME: Duration = Duration::from_millis(250);
+/// Calls that a window must have seen before its mean means anything.
+const WINDOW_CALLS: u32 = 10;
+/// Slowdown against the baseline that is taken for granted.
+const TOLERANCE: f64 = 1.5;
+/// Smallest factor of one change.
+const LEAST_FACTOR: f64 = 0.7;
+/// Factor after a refusal or timeout.
+const BACKOFF_FACTOR: f64 = 0.85;
+/// Part of the way to the baseline that one slower window moves it.
+const BASELINE_RISE: f64 = 0.01;
+/// Part of the limit that must be in use before it grows.
+const GROWTH_USE: f64 = 0.8;
+
+/// Bounds of a limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitRange {
+    /// Calls that may always run at once.
+    pub min: u32,
+    /// Calls that may run at once at most.
+    pub max: u32,
+}
+
+/// How a call that held a place ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReleaseOutcome {
+    /// It was answered whole.
+    Answered,
+    /// The target refused it because it was busy.
+    Refused,
+    /// It was not answered in time.
+    TimedOut,
+    /// It says nothing about load, for instance a cancelled call or a lost target.
+    Ignored,
+}
+
+/// Number of calls to a pool that may run at once; it follows what the targets can take.
+///
+/// The limit shrinks in proportion when calls take longer than the low baseline or are refused,
+/// and grows by its square root while it is in full use and calls are fast.
+///
+/// ```
+/// use std::time::{Duration, Instant};
+/// use limit::{ConcurrencyLimit, LimitRange, ReleaseOutcome};
+///
+/// let now = Instant::now();
+/// let mut limit = ConcurrencyLimit::new(LimitRange { min: 1, max: 2 }, now);
+/// assert!(limit.try_acquire());
+/// assert!(limit.try_acquire());
+/// assert!(!limit.try_acquire());
+/// limit.release(ReleaseOutcome::Answered, Duration::from_millis(5), now);
+/// assert!(limit.try_acquire());
+/// ```
+#[derive(Debug, Clone)]
+pub struct ConcurrencyLimit {
+    range: LimitRange,
+    limit: f64,
+    in_flight: u32,
+    baseline: Option<f64>,
+    window: LatencyWindow,
+}
+
+/// What was seen since the last change of the limit.
+#[derive(Debug, Clone)]
+struct LatencyWindow {
+    since: Instant,
+    calls: u32,
+    seconds: f64,
+    busiest: u32,
+    refused: bool,
+}
+
+impl LatencyWindow {
+    fn new(now: Instant) -> Self {
+        Self {
+            since: now,
+            calls: 0,
+            seconds: 0.0,
+            busiest: 0,
+            refused: false,
+        }
+    }
+}
+
+impl ConcurrencyLimit {
+    /// Limit that starts at its upper bound.
+    pub fn new(range: LimitRange, now: Instant) -> Self {
+        Self {
+            range,
+            limit: f64::from(range.max.max(range.min).max(1)),
+            in_flight: 0,
+            baseline: None,
+            window: LatencyWindow::new(now),
+        }
+    }
+
+    /// Takes over new bounds, for instance when targets came or went.
+    pub fn set_range(&mut self, range: LimitRange) {
+        let grown = range.max > self.range.max && self.limit() >= self.range.max;
+        self.range = range;
+        if grown {
+            self.limit = f64::from(range.max);
+        }
+        self.set_limit(self.limit);
+    }
+
+    /// Takes a place for a call; false if none is free.
+    pub fn try_acquire(&mut self) -> bool {
+        if self.in_flight >= self.limit() {
+            return false;
+        }
+        self.in_flight += 1;
+        self.window.busiest = self.window.busiest.max(self.in_flight);
+        true
+    }
+
+    /// Gives a place back.
+    pub fn release(&mut self, outcome: ReleaseOutcome, elapsed: Duration, now: Instant) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        match outcome {
+            ReleaseOutcome::Answered => {
+                self.window.calls += 1;
+                self.window.seconds += elapsed.as_secs_f64();
+            }
+            ReleaseOutcome::Refused | ReleaseOutcome::TimedOut => self.window.refused = true,
+            ReleaseOutcome::Ignored => {}
+        }
+        let age = now.saturating_duration_since(self.window.since);
+        let full = self.window.calls >= WINDOW_CALLS || self.window.refused;
+        if age >= WINDOW_TIME && full {
+            self.adjust(now);
+        }
+    }
+
+    /// Calls that may run at once.
+    pub fn limit(&self) -> u32 {
+        self.limit as u32
+    }
+
+    /// Calls that hold a place.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    fn adjust(&mut self, now: Instant) {
+        let next = LatencyWindow::new(now);
+        let window = std::mem::replace(&mut self.window, next);
+        self.window.busiest = self.in_flight;
+        if window.refused {
+            self.set_limit(self.limit * BACKOFF_FACTOR);
+            return;
+        }
+        let mean = (window.seconds / f64::from(window.calls)).max(0.000_001);
+        let baseline = match self.baseline {
+            Some(baseline) if mean > baseline => baseline + BASELINE_RISE * (mean - baseline),
+            _ => mean,
+        };
+        self.baseline = Some(baseline);
+        let factor = (TOLERANCE * baseline / mean).clamp(LEAST_FACTOR, 1.0);
+        let in_use = f64::from(window.busiest) >= GROWTH_USE * self.limit;
+        if factor < 1.0 {
+            self.set_limit(self.limit * factor + self.limit.sqrt() * factor.powi(2));
+        } else if in_use {
+            self.set_limit(self.limit + self.limit.sqrt());
+        }
+    }
+
+    fn set_limit(&mut self, limit: f64) {
+        let least = f64::from(self.range.min.max(1));
+        let most = f64::from(self.range.max).max(least);
+        self.limit = limit.clamp(least, most);
+    }
+}
