Serve a four-stage pipeline end to end by separate processes

The entry binds its addresses for callers, peers and operators, prints them on its ready line, and runs the controllers on a thread of their own. The test caller sends its credential when it asks for addresses.

--- /dev/null
+++ b/crates/entry/src/control/operator_server.rs
@@ -0,0 +1,108 @@
+use {
+    crate::{control::ControlState, shared::EntryLife},
+    actix_http::{Method, Request, StatusCode},
+    base::TargetId,
+    serde::Serialize,
+    setup::{HttpReply, json_reply, text_reply},
+    stamp::EventFilter,
+    std::{collections::BTreeMap, rc::Rc},
+};
+
+/// What `GET /status` answers.
+#[derive(Debug, Clone, Serialize)]
+struct StatusAnswer {
+    host: String,
+    incarnation: u64,
+    life: EntryLife,
+    sheet_version: u64,
+    sheet_digest: String,
+    latest_version: u64,
+    hosts: Vec<String>,
+    leaving_targets: Vec<TargetId>,
+    counters: BTreeMap<String, i64>,
+}
+
+/// Answers one request of an operator.
+pub async fn answer_operator(state: Rc<ControlState>, request: Request) -> HttpReply {
+    let path = request.path().to_string();
+    let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
+    match (request.method(), segments.as_slice()) {
+        (&Method::GET, ["status"]) => json_reply(StatusCode::OK, &status(&state)),
+        (&Method::GET, ["members"]) => json_reply(StatusCode::OK, &state.view.borrow().hosts),
+        (&Method::GET, ["sheet"]) => sheet(&state),
+        (&Method::GET, ["metrics"]) => json_reply(StatusCode::OK, &state.metrics.values()),
+        (&Method::GET, ["timeline"]) => timeline(&state, &request),
+        (&Method::POST, ["drain"]) => {
+            state.drain();
+            json_reply(StatusCode::OK, &status(&state))
+        }
+        (&Method::POST, ["targets", target, "leaving"]) => {
+            state.mark_target(target, true);
+            json_reply(StatusCode::OK, &status(&state))
+        }
+        (&Method::POST, ["targets", target, "live"]) => {
+            state.mark_target(target, false);
+            json_reply(StatusCode::OK, &status(&state))
+        }
+        _ => text_reply(
+            StatusCode::NOT_FOUND,
+            "paths: GET /status /members /sheet /metrics /timeline, POST /drain \
+             /targets/{name}/leaving /targets/{name}/live\n",
+        ),
+    }
+}
+
+fn status(state: &ControlState) -> StatusAnswer {
+    let view = state.view.borrow();
+    let digest = view.sheet.as_ref().map(|sheet| sheet.index.digest());
+    StatusAnswer {
+        host: state.settings.host.clone(),
+        incarnation: state.incarnation,
+        life: view.life,
+        sheet_version: view.version(),
+        sheet_digest: digest.unwrap_or_default(),
+        latest_version: view.latest_version,
+        hosts: view.hosts.iter().map(|row| row.host.clone()).collect(),
+        leaving_targets: view.leaving_targets.iter().cloned().collect(),
+        counters: state.metrics.values(),
+    }
+}
+
+fn sheet(state: &ControlState) -> HttpReply {
+    #[derive(Serialize)]
+    struct SheetAnswer<'a> {
+        index: &'a sheet::SheetIndex,
+        parts: &'a [String],
+    }
+    let view = state.view.borrow();
+    match &view.sheet {
+        Some(sheet) => {
+            let parts = state.texts.borrow();
+            json_reply(
+                StatusCode::OK,
+                &SheetAnswer {
+                    index: &sheet.index,
+                    parts: &parts,
+                },
+            )
+        }
+        None => text_reply(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no sheet is in force yet\n",
+        ),
+    }
+}
+
+fn timeline(state: &ControlState, request: &Request) -> HttpReply {
+    let query = request.uri().query().unwrap_or("");
+    let value = |name: &str| {
+        let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        let found = pairs.into_iter().find(|(key, _)| *key == name);
+        found.map(|(_, value)| value.to_string())
+    };
+    let filter = EventFilter {
+        request: value("request"),
+        customer: value("customer"),
+    };
+    json_reply(StatusCode::OK, &state.recorder.select(&filter))
+}
--- a/crates/entry/src/data/start_entry.rs
+++ b/crates/entry/src/data/start_entry.rs
@@ -4,18 +4,17 @@
         control::{ControlParts, run_control},
         data::{EntryCore, caller_server::answer_caller, entry_core::CoreParts},
         filters::FilterChain,
-        shared::FleetView,
+        shared::{EventRecorder, FleetView, wall_us},
     },
     actix_rt::Arbiter,
     setup::{HttpLimits, MetricBoard, ReadyLine, StartError, open_log, serve_http},
+    stamp::EventKind,
     std::{
-        net::SocketAddr,
+        net::{SocketAddr, TcpListener, UdpSocket},
         rc::Rc,
         sync::Arc,
-        time::{SystemTime, UNIX_EPOCH},
     },
     tokio::{
-        net::TcpListener,
         signal::unix::{SignalKind, signal},
         sync::{mpsc, watch},
     },
@@ -23,6 +22,8 @@
 
 /// Name of the program in logs and on the ready line.
 const PROGRAM: &str = "camphor-entry";
+/// Tries to get the same port number over UDP and TCP where the kernel chooses it.
+const PORT_TRIES: usize = 32;
 
 /// Runs an entry daemon until it is told to end.
 ///
@@ -31,42 +32,65 @@
 /// Fails if an address cannot be listened on.
 pub async fn run_entry(settings: EntrySettings) -> anyhow::Result<()> {
     let log = open_log(settings.log.level, PROGRAM, &settings.host);
-    let callers = listen("listen.callers", settings.listen.callers).await?;
+    let callers = listen("listen.callers", settings.listen.callers)?;
+    let operators = listen("listen.operators", settings.listen.operators)?;
+    let (peer_frames, peer_datagrams) = listen_peers(settings.listen.peers)?;
     let address = callers.local_addr()?;
-    let (view_sender, view) = watch::channel(Arc::new(FleetView::default()));
+    let ready = ReadyLine::new(PROGRAM, &settings.host)
+        .at("callers", address)
+        .at("peers", peer_datagrams.local_addr()?)
+        .at("operators", operators.local_addr()?);
+    let (published, view) = watch::channel(Arc::new(FleetView::default()));
     let (notes, note_inbox) = mpsc::unbounded_channel();
+    let metrics = MetricBoard::open(settings.metrics.statsd)?;
+    let recorder = EventRecorder::new(&settings.host);
+    let incarnation = wall_us();
+    recorder.record(EventKind::ProcessStarted, |event| event);
+    let control = ControlParts {
+        settings: settings.clone(),
+        incarnation,
+        metrics: metrics.clone(),
+        recorder: recorder.clone(),
+        log: log.clone(),
+        published,
+        notes: note_inbox,
+        operators,
+        peer_frames,
+        peer_datagrams,
+    };
+    let arbiter = Arbiter::new();
+    arbiter.spawn_fn(move || {
+        actix_rt::spawn(run_control(control));
+    });
     let parts = CoreParts {
         view,
         notes,
-        metrics: MetricBoard::open(settings.metrics.statsd)?,
-        log: log.clone(),
-        incarnation: incarnation(),
+        metrics,
+        recorder,
+        log,
+        incarnation,
         callers: address.to_string(),
     };
-    let core = Rc::new(EntryCore::new(settings.clone(), parts));
-    let control = Arbiter::new();
-    control.spawn_fn({
-        let parts = ControlParts {
-            settings: settings.clone(),
-            view: view_sender,
-            notes: note_inbox,
-            log,
-        };
-        move || {
-            actix_rt::spawn(run_control(parts));
-        }
-    });
-    ReadyLine::new(PROGRAM, &settings.host)
-        .at("callers", address)
-        .print()?;
+    let core = Rc::new(EntryCore::new(settings, parts));
+    serve_callers(core, callers, ready).await
+}
+
+async fn serve_callers(
+    core: Rc<EntryCore>,
+    callers: TcpListener,
+    ready: ReadyLine,
+) -> anyhow::Result<()> {
+    let settings = &core.settings.limits;
     let limits = HttpLimits {
-        head_time: settings.limits.head_time,
-        idle_time: settings.limits.idle_time,
-        connections: settings.limits.connections,
+        head_time: settings.head_time,
+        idle_time: settings.idle_time,
+        connections: settings.connections,
     };
     let chain = Rc::new(FilterChain::new());
     let handler = move |request| answer_caller(Rc::clone(&core), Rc::clone(&chain), request);
     let mut terminate = signal(SignalKind::terminate())?;
+    let callers = tokio::net::TcpListener::from_std(callers)?;
+    ready.print()?;
     tokio::select! {
         () = serve_http(callers, limits, handler) => {}
         _ = terminate.recv() => {}
@@ -74,16 +98,37 @@
     Ok(())
 }
 
-async fn listen(key: &str, address: SocketAddr) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|error| StartError::Machine(format!("{key} = \"{address}\": {error}")))
+fn listen(key: &str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    let bound = TcpListener::bind(address).and_then(|listener| {
+        listener.set_nonblocking(true)?;
+        Ok(listener)
+    });
+    bound.map_err(|error| StartError::Machine(format!("{key} = \"{address}\": {error}")))
 }
 
-/// Start of this process in microseconds since the Unix epoch.
-fn incarnation() -> u64 {
-    let age = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    u64::try_from(age.as_micros()).unwrap_or(u64::MAX)
+/// Binds the same port over TCP and UDP.
+fn listen_peers(address: SocketAddr) -> Result<(TcpListener, UdpSocket), StartError> {
+    let key = "listen.peers";
+    let mut failure = None;
+    for _ in 0..PORT_TRIES {
+        let frames = listen(key, address)?;
+        let bound = frames
+            .local_addr()
+            .and_then(UdpSocket::bind)
+            .and_then(|socket| {
+                socket.set_nonblocking(true)?;
+                Ok(socket)
+            });
+        match bound {
+            Ok(datagrams) => return Ok((frames, datagrams)),
+            Err(error) => failure = Some(error),
+        }
+        if address.port() != 0 {
+            break;
+        }
+    }
+    let text = failure.map_or_else(String::new, |error| error.to_string());
+    Err(StartError::Machine(format!(
+        "{key} = \"{address}\": {text}"
+    )))
 }
--- a/crates/proofs/src/fleet_harness.rs
+++ b/crates/proofs/src/fleet_harness.rs
@@ -13,6 +13,8 @@
 const PEER_KEY: &str = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef";
 /// Name of the platform's process.
 const PLATFORM: &str = "platform";
+/// Entries that an ordinary customer is told to use.
+const ADDRESS_COUNT: usize = 3;
 /// Time in which every entry must have the first sheet in force.
 const START_LIMIT: Duration = Duration::from_secs(20);
 
@@ -44,6 +46,7 @@
         harness.publish_hosts().await?;
         for entry in harness.plan.entries.clone() {
             harness.wait_sheet(&entry.host, 1, START_LIMIT).await?;
+            harness.wait_hosts(&entry.host, START_LIMIT).await?;
         }
         Ok(harness)
     }
@@ -138,6 +141,28 @@
         .await
     }
 
+    /// Waits until an entry names as many addresses as it should for an ordinary customer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not within the limit.
+    pub async fn wait_hosts(&self, host: &str, limit: Duration) -> anyhow::Result<()> {
+        let caller = TestCaller::new();
+        let entry = self.callers(host);
+        let customer = self.rows.customer.first().map(|row| row.name.clone());
+        let customer = customer.unwrap_or_default();
+        let count = self.plan.entries.len().min(ADDRESS_COUNT);
+        wait_until(
+            &format!("{host} knows {count} entries"),
+            limit,
+            async || {
+                let answer = caller.addresses(&entry, &customer).await;
+                answer.is_ok_and(|answer| answer.addresses.len() >= count)
+            },
+        )
+        .await
+    }
+
     /// Address of an entry for callers.
     pub fn callers(&self, host: &str) -> String {
         self.process(host).address("callers")
--- a/crates/proofs/src/test_caller.rs
+++ b/crates/proofs/src/test_caller.rs
@@ -1,5 +1,5 @@
 use {
-    crate::{JsonProbe, RunOutcome, RunRequest},
+    crate::{FleetPlan, RunOutcome, RunRequest},
     anyhow::{anyhow, bail, ensure},
     awc::{Client, ClientRequest, ClientResponse, Connector, error::PayloadError},
     base::{
@@ -36,7 +36,6 @@
 #[derive(Clone)]
 pub struct TestCaller {
     client: Client,
-    probe: JsonProbe,
 }
 
 impl TestCaller {
@@ -57,7 +56,6 @@
         let client = Client::builder().connector(connector).timeout(HEAD_LIMIT);
         Self {
             client: client.finish(),
-            probe: JsonProbe::new(),
         }
     }
 
@@ -68,7 +66,23 @@
     /// Fails if the entry gives no such answer.
     pub async fn addresses(&self, entry: &str, customer: &str) -> anyhow::Result<AddressAnswer> {
         let url = format!("http://{entry}/addresses?customer={customer}");
-        self.probe.get(&url).await
+        let credential = FleetPlan::credential(customer);
+        let request = self
+            .client
+            .get(url)
+            .insert_header((CREDENTIAL_HEADER, credential));
+        let reply = request
+            .send()
+            .await
+            .map_err(|error| anyhow!("send: {error}"))?;
+        let status = reply.status();
+        let body = whole_body(reply).await?;
+        ensure!(
+            status.is_success(),
+            "{status}: {}",
+            String::from_utf8_lossy(&body)
+        );
+        Ok(serde_json::from_slice(&body)?)
     }
 
     /// Sends a request to an entry once.
