Run requests through fair queues, admission and measured target choice

Each stage call waits for a place in its pool's fair queue behind a concurrency limit, then a target is chosen by measured speed and load. Retries draw on the budget, slow unary calls may be hedged, a target that dies under a call leaves a strike: only a refused dial after the loss counts as a death, since a cut of the network leaves the same trace at the call itself. Stage times are kept for each pipeline and stage, because one engine pool serves short and long answers.

--- /dev/null
+++ b/crates/entry/src/data/call_guard.rs
@@ -0,0 +1,80 @@
+use {
+    crate::data::{EntryCore, pool_desk::CallResult},
+    base::{PoolId, TargetId},
+    retry::{CrashFingerprint, RunEnd},
+    route::CallOutcome,
+    std::{
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+};
+
+/// A call that is on its way: dropping it accounts for it as cancelled.
+pub struct CallGuard {
+    core: Rc<EntryCore>,
+    pool: PoolId,
+    target: TargetId,
+    fingerprint: CrashFingerprint,
+    started: Instant,
+    open: bool,
+}
+
+impl CallGuard {
+    /// Accounts for a call that is about to leave.
+    pub fn start(
+        core: &Rc<EntryCore>,
+        pool: impl Into<PoolId>,
+        target: impl Into<TargetId>,
+        fingerprint: CrashFingerprint,
+    ) -> Self {
+        let started = Instant::now();
+        let (pool, target) = (pool.into(), target.into());
+        core.pools.borrow_mut().started(&pool, &target, started);
+        Self {
+            core: Rc::clone(core),
+            pool,
+            target,
+            fingerprint,
+            started,
+            open: true,
+        }
+    }
+
+    /// Time since the call left.
+    pub fn elapsed(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Accounts for how the call ended; `elapsed` is made comparable within the pool.
+    pub fn finish(mut self, result: CallResult, end: RunEnd) {
+        self.close(result, end);
+    }
+
+    fn close(&mut self, result: CallResult, end: RunEnd) {
+        self.open = false;
+        let now = Instant::now();
+        self.core
+            .pools
+            .borrow_mut()
+            .answered(&self.pool, &self.target, result, now);
+        let mut crashes = self.core.crashes.borrow_mut();
+        crashes.finish(&self.fingerprint, &self.target, end, now);
+    }
+}
+
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        if self.open {
+            let elapsed = self.elapsed();
+            let outcome = CallOutcome::Cancelled;
+            self.close(
+                CallResult {
+                    elapsed,
+                    outcome,
+                    load: None,
+                },
+                RunEnd::Other,
+            );
+        }
+    }
+}
--- a/crates/entry/src/data/caller_server.rs
+++ b/crates/entry/src/data/caller_server.rs
@@ -119,10 +119,11 @@
     };
     let longest = sheet.pipelines[pipeline].deadline;
     let remaining = head.remaining.unwrap_or(longest).min(longest);
-    let weight = sheet
-        .customers
-        .get(&head.customer)
-        .map_or(1, |row| row.weight);
+    let customer = sheet.customers.get(&head.customer);
+    let weight = customer.map_or(1, |row| row.weight);
+    let highest = customer.map_or(head.priority, |row| row.priority);
+    let mut head = head;
+    head.priority = head.priority.max(highest);
     Ok(RequestDraft {
         head,
         pipeline: pipeline.to_string(),
--- a/crates/entry/src/data/entry_core.rs
+++ b/crates/entry/src/data/entry_core.rs
@@ -1,13 +1,14 @@
 use {
     crate::{
         EntrySettings,
-        data::{JoinDesk, pool_desk::PoolDesk, target_client::TargetClient},
+        data::{JoinDesk, pool_desk::PoolDesk, stage_desk::StageDesk, target_client::TargetClient},
         shared::{ControlNote, EventRecorder, FleetView},
     },
     base::Incarnation,
     once::{BookLimits, TicketBook, TicketMint},
     rand::SeedableRng,
     rand_chacha::ChaCha8Rng,
+    retry::{BudgetSettings, CrashFingerprint, CrashLedger, LedgerSettings, RetryBudget},
     setup::MetricBoard,
     slog::Logger,
     std::{
@@ -19,6 +20,9 @@
     tokio::sync::{mpsc, watch},
 };
 
+/// Crash records that are looked through for one to share.
+const SHARED_RECORDS: usize = 1_024;
+
 /// What the data path owns. All of it lives on one thread.
 pub struct EntryCore {
     pub settings: EntrySettings,
@@ -31,6 +35,9 @@
     pub book: RefCell<TicketBook>,
     pub joins: JoinDesk,
     pub pools: RefCell<PoolDesk>,
+    pub stages: RefCell<StageDesk>,
+    pub budget: RefCell<RetryBudget>,
+    pub crashes: RefCell<CrashLedger>,
     pub client: TargetClient,
     pub random: RefCell<ChaCha8Rng>,
     pub running: Cell<usize>,
@@ -72,7 +79,14 @@
             mint,
             book: RefCell::new(TicketBook::new(limits)),
             joins: JoinDesk::default(),
-            pools: RefCell::new(PoolDesk::new(&settings.data_centre, parts.incarnation)),
+            pools: RefCell::new(PoolDesk::new(
+                &settings.data_centre,
+                parts.incarnation,
+                settings.limits.queue,
+            )),
+            stages: RefCell::default(),
+            budget: RefCell::new(RetryBudget::new(BudgetSettings::default(), Instant::now())),
+            crashes: RefCell::new(CrashLedger::new(LedgerSettings::default())),
             client: TargetClient::new(settings.limits.answer_bytes),
             random: RefCell::new(ChaCha8Rng::from_os_rng()),
             running: Cell::new(0),
@@ -100,6 +114,18 @@
             .collect()
     }
 
+    /// Tells the peers of a request that a target died of.
+    pub fn share_strike(&self, fingerprint: &CrashFingerprint) {
+        let now = Instant::now();
+        let records = self.crashes.borrow().records(SHARED_RECORDS, now);
+        for record in records
+            .into_iter()
+            .filter(|record| record.fingerprint == *fingerprint)
+        {
+            self.note(ControlNote::Strike(record));
+        }
+    }
+
     /// Tells the controllers something.
     pub fn note(&self, note: ControlNote) {
         let _ = self.notes.send(note);
--- a/crates/entry/src/data/mod.rs
+++ b/crates/entry/src/data/mod.rs
@@ -1,5 +1,7 @@
 mod address_answer;
 mod answer_sink;
+mod call_guard;
+mod call_place;
 mod caller_server;
 mod entry_core;
 mod failure_answer;
@@ -11,9 +13,12 @@
 mod request_head;
 mod run_driver;
 mod spend_guard;
+mod stage_call;
+mod stage_desk;
 mod start_entry;
 mod target_call;
 mod target_client;
+mod target_probe;
 
 pub use {
     address_answer::{AddressAnswer, entry_addresses},
@@ -22,6 +27,7 @@
     failure_answer::recorded_reply,
     join_desk::JoinDesk,
     peer_forward::forward_request,
+    pool_desk::PlaceQuery,
     request_draft::RequestDraft,
     request_head::RequestHead,
     spend_guard::{HeldSpend, RunningSpend},
--- a/crates/entry/src/data/request_draft.rs
+++ b/crates/entry/src/data/request_draft.rs
@@ -3,6 +3,7 @@
     base::{FailureReason, FailureReport, PipelineId, RunClaim, Unsent},
     bytes::Bytes,
     pipe::RunPlan,
+    retry::CrashFingerprint,
     sheet::FleetSheet,
     std::{sync::Arc, time::Instant},
 };
@@ -22,6 +23,11 @@
 }
 
 impl RequestDraft {
+    /// Identity of what the caller sent, for the record of crashes.
+    pub fn fingerprint(&self) -> CrashFingerprint {
+        retry::fingerprint(&self.head.customer, &self.pipeline, &self.body)
+    }
+
     /// Ends the request as not run, and gives its ticket back.
     pub fn refuse(self, reason: FailureReason, detail: impl Into<String>) -> FailureReport {
         let report = self.claim.refuse(reason, detail);
--- a/crates/entry/src/data/run_driver.rs
+++ b/crates/entry/src/data/run_driver.rs
@@ -1,20 +1,19 @@
 use {
-    crate::{
-        data::{
-            AnswerSink, EntryCore, RequestDraft, RunningSpend,
-            answer_sink::SinkStop,
-            entry_core::RunningPlace,
-            target_call::{CallReport, TargetCall, TargetWord},
-        },
-        shared::ControlNote,
+    crate::data::{
+        AnswerSink, EntryCore, RequestDraft, RunningSpend,
+        answer_sink::SinkStop,
+        entry_core::RunningPlace,
+        stage_call::{CallScope, StageCall},
     },
     actix_rt::task::JoinHandle,
-    base::{AttemptNumber, CallIdentity, FailureReport, RunVerdict, TargetId},
+    base::{AttemptNumber, FailureReport, RunVerdict},
     once::RecordedAnswer,
-    pipe::{CallFailure, CallOrder, RunAction, RunEvent, RunState, UnsentProof},
+    pipe::{CallOrder, RunAction, RunEvent, RunState},
     setup::HttpReply,
     slog::info,
+    stamp::EventKind,
     std::{
+        cell::RefCell,
         collections::HashMap,
         rc::Rc,
         time::{Duration, Instant},
@@ -48,28 +47,15 @@
 
 /// Carries out the actions of one run: makes its calls and gives its answer to the caller.
 struct RunDriver {
-    core: Rc<EntryCore>,
+    scope: Rc<CallScope>,
     run: RunState,
     spend: Option<RunningSpend>,
-    request: RequestLine,
-    priority: base::RequestPriority,
-    deadline: Instant,
-    events: mpsc::Sender<RunEvent>,
+    arrived: Instant,
     inbox: mpsc::Receiver<RunEvent>,
     calls: HashMap<AttemptNumber, CallHandle>,
-    tried: Vec<TargetId>,
-    sheet: std::sync::Arc<sheet::FleetSheet>,
     _place: RunningPlace,
 }
 
-/// What the log says of a request.
-struct RequestLine {
-    customer: String,
-    request: String,
-    pipeline: String,
-    arrived: Instant,
-}
-
 /// How a run ended.
 enum RunEnd {
     Whole,
@@ -79,23 +65,27 @@
 impl RunDriver {
     fn new(core: &Rc<EntryCore>, draft: RequestDraft) -> Self {
         let (events, inbox) = mpsc::channel(CALL_EVENTS);
-        Self {
+        let fingerprint = draft.fingerprint();
+        let scope = CallScope {
             core: Rc::clone(core),
-            run: RunState::new(draft.plan, draft.body, draft.deadline, draft.claim),
-            spend: draft.spend.map(|spend| spend.into_running()),
-            request: RequestLine {
-                customer: draft.head.customer,
-                request: draft.head.request,
-                pipeline: draft.pipeline,
-                arrived: draft.arrived,
-            },
+            customer: draft.head.customer,
+            request: draft.head.request,
+            pipeline: draft.pipeline,
+            weight: draft.weight,
             priority: draft.head.priority,
             deadline: draft.deadline,
+            fingerprint,
             events,
+            tried: RefCell::default(),
+            retry_after: RefCell::default(),
+        };
+        Self {
+            scope: Rc::new(scope),
+            run: RunState::new(draft.plan, draft.body, draft.deadline, draft.claim),
+            spend: draft.spend.map(|spend| spend.into_running()),
+            arrived: draft.arrived,
             inbox,
             calls: HashMap::new(),
-            tried: Vec::new(),
-            sheet: draft.sheet,
             _place: RunningPlace::take(core),
         }
     }
@@ -104,9 +94,13 @@
         let mut event = RunEvent::Start;
         loop {
             let position = self.run.position();
-            let actions = self.run.on_event(event, Instant::now(), || true);
+            let now = Instant::now();
+            let budget = &self.scope.core.budget;
+            let actions = self
+                .run
+                .on_event(event, now, || budget.borrow_mut().may_retry(now));
             if self.run.position() != position {
-                self.tried.clear();
+                self.scope.tried.borrow_mut().clear();
             }
             let mut stop = None;
             for action in actions {
@@ -123,6 +117,7 @@
                         return self.end(RunEnd::Whole, answer);
                     }
                     RunAction::Fail(report) => {
+                        let report = self.complete(report);
                         let answer = sink.fail(&report).await;
                         return self.end(RunEnd::Failed(report), Some(answer));
                     }
@@ -145,57 +140,26 @@
             biased;
             () = sink.gone(), if watched => RunEvent::CallerGone,
             event = self.inbox.recv() => event.unwrap_or(RunEvent::Tick),
-            () = actix_rt::time::sleep_until(self.deadline.into()) => RunEvent::Tick,
+            () = actix_rt::time::sleep_until(self.scope.deadline.into()) => RunEvent::Tick,
         }
     }
 
     fn start_call(&mut self, order: CallOrder) {
         let attempt = order.attempt;
         let stage = self.run.plan().stages[usize::from(order.stage)].clone();
-        let fleet = self.core.fleet();
-        let sheet = fleet.sheet.as_ref().unwrap_or(&self.sheet);
-        let leaving = &fleet.leaving_targets;
-        let pick = self
-            .core
-            .pools
-            .borrow_mut()
-            .pick(sheet, leaving, &stage.pool, &self.tried);
-        let Some(target) = pick else {
-            let failure = CallFailure::NoTarget(UnsentProof::no_target());
-            let events = self.events.clone();
-            let task = actix_rt::spawn(async move {
-                let _ = events.send(RunEvent::Failed { attempt, failure }).await;
-            });
-            self.calls.insert(attempt, CallHandle { task });
-            return;
-        };
-        self.tried.push(target.name.clone());
-        let call = TargetCall {
-            identity: CallIdentity {
-                customer: self.request.customer.clone(),
-                request: self.request.request.clone(),
-                stage: order.stage,
-                attempt,
-            },
-            address: target.address,
-            call: stage.call,
-            model: stage.model,
-            engine: stage.engine,
-            fresh: order.fresh,
-            priority: self.priority,
-            remaining: self.deadline.saturating_duration_since(Instant::now()),
-            resume_at: order.resume_at,
-            input: order.input,
-        };
-        let task = actix_rt::spawn(make_call(
-            Rc::clone(&self.core),
-            call,
-            target.name,
-            self.events.clone(),
-        ));
+        let call = StageCall::new(&self.scope, stage, order);
+        let task = actix_rt::spawn(call.run());
         self.calls.insert(attempt, CallHandle { task });
     }
 
+    /// Adds to a failure when its caller should come back, where the queue knows it.
+    fn complete(&self, report: FailureReport) -> FailureReport {
+        match self.scope.retry_after.take() {
+            Some(delay) if report.retry_after_ms.is_none() => report.retry_after(delay),
+            _ => report,
+        }
+    }
+
     fn end(mut self, end: RunEnd, answer: Option<RecordedAnswer>) {
         let verdict = match &end {
             RunEnd::Whole => None,
@@ -208,41 +172,34 @@
     }
 
     fn log_end(&self, end: &RunEnd, verdict: Option<RunVerdict>) {
-        let (outcome, reason) = match end {
-            RunEnd::Whole => (String::from("whole"), String::new()),
-            RunEnd::Failed(report) => (report.verdict.to_string(), report.reason.name()),
+        let outcome = verdict.map_or(String::from("whole"), |verdict| verdict.to_string());
+        let reason = match end {
+            RunEnd::Whole => String::new(),
+            RunEnd::Failed(report) => report.reason.name(),
         };
-        let name = verdict.map_or(String::from("whole"), |verdict| verdict.to_string());
-        self.core.metrics.count(&format!("requests.{name}"), 1);
-        let request = &self.request;
-        info!(self.core.log, "request";
-            "customer" => &request.customer,
-            "request" => &request.request,
-            "pipeline" => &request.pipeline,
+        let scope = &self.scope;
+        scope.core.metrics.count(&format!("requests.{outcome}"), 1);
+        scope
+            .core
+            .recorder
+            .record(EventKind::RequestEnded, |event| {
+                event
+                    .with_customer(&scope.customer)
+                    .with_request(&scope.request)
+                    .with_detail(format!("{outcome} {reason}").trim_end())
+            });
+        info!(scope.core.log, "request";
+            "customer" => &scope.customer,
+            "request" => &scope.request,
+            "pipeline" => &scope.pipeline,
             "stages" => self.run.position() + 1,
             "outcome" => outcome,
             "reason" => reason,
-            "ms" => millis(request.arrived.elapsed()),
+            "ms" => millis(self.arrived.elapsed()),
         );
     }
 }
 
-async fn make_call(
-    core: Rc<EntryCore>,
-    call: TargetCall,
-    target: TargetId,
-    events: mpsc::Sender<RunEvent>,
-) {
-    let mut report = CallReport {
-        events,
-        word: TargetWord::default(),
-    };
-    call.run(&core.client, &mut report).await;
-    if report.word.leaving {
-        core.note(ControlNote::TargetLeaving(target));
-    }
-}
-
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- /dev/null
+++ b/crates/entry/src/data/stage_call.rs
@@ -0,0 +1,350 @@
+use {
+    crate::{
+        data::{
+            EntryCore, PlaceQuery,
+            call_guard::CallGuard,
+            call_place::{CallPlace, PlaceEnd},
+            pool_desk::CallResult,
+            target_call::{CallEnd, CallReport, TargetCall},
+            target_probe::is_dead,
+        },
+        shared::ControlNote,
+    },
+    base::{CallIdentity, FailureReason, PipelineId, RequestPriority, TargetId},
+    limit::ReleaseOutcome,
+    pipe::{CallFailure, CallOrder, PlanStage, RunEvent, UnsentProof},
+    retry::{CrashFingerprint, HedgeCall, RunEnd, RunPermit},
+    route::{CallOutcome, Pick},
+    stamp::EventKind,
+    std::{
+        cell::RefCell,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    tokio::sync::mpsc,
+};
+
+/// Tokens that an engine's call is scaled to, so that long and short answers compare.
+const NOMINAL_TOKENS: f64 = 16.0;
+/// Bytes at the beginning of a prompt that an engine may have cached.
+const PREFIX_BYTES: usize = 256;
+
+/// What all calls of one request share.
+pub struct CallScope {
+    pub core: Rc<EntryCore>,
+    pub customer: String,
+    pub request: String,
+    pub pipeline: PipelineId,
+    pub weight: u32,
+    pub priority: RequestPriority,
+    pub deadline: Instant,
+    pub fingerprint: CrashFingerprint,
+    pub events: mpsc::Sender<RunEvent>,
+    /// Targets that the stage has tried.
+    pub tried: RefCell<Vec<TargetId>>,
+    /// When a caller whose call got no place should come back.
+    pub retry_after: RefCell<Option<Duration>>,
+}
+
+/// One call of one stage: waits for its place, chooses a target and makes the call.
+pub struct StageCall {
+    scope: Rc<CallScope>,
+    stage: PlanStage,
+    order: CallOrder,
+    cost: Duration,
+}
+
+impl StageCall {
+    pub fn new(scope: &Rc<CallScope>, stage: PlanStage, order: CallOrder) -> Self {
+        let cost = scope.core.stages.borrow_mut().expected(
+            &scope.pipeline,
+            order.stage,
+            stage.least,
+            Instant::now(),
+        );
+        Self {
+            scope: Rc::clone(scope),
+            stage,
+            order,
+            cost,
+        }
+    }
+
+    /// Runs the call; its events go to the run.
+    pub async fn run(self) {
+        if let Err(failure) = self.try_run().await {
+            self.send(RunEvent::Failed {
+                attempt: self.order.attempt,
+                failure,
+            })
+            .await;
+        }
+    }
+
+    async fn try_run(&self) -> Result<(), CallFailure> {
+        let place = self.wait_place().await.map_err(|end| self.withheld(end))?;
+        let pick = self.pick_target()?;
+        let guard = CallGuard::start(
+            &self.scope.core,
+            &self.stage.pool,
+            &pick.target,
+            self.scope.fingerprint,
+        );
+        self.record(EventKind::CallSent, &pick.target, "");
+        self.make_call(pick, place, guard).await
+    }
+
+    async fn wait_place(&self) -> Result<CallPlace, PlaceEnd> {
+        let scope = &self.scope;
+        let now = Instant::now();
+        let query = PlaceQuery {
+            pool: &self.stage.pool,
+            customer: &scope.customer,
+            weight: scope.weight,
+            priority: scope.priority,
+            deadline: scope.deadline,
+            cost: self.cost,
+        };
+        let waiting = {
+            let mut pools = scope.core.pools.borrow_mut();
+            pools.sync(&scope.core.fleet(), now);
+            pools.request(query, now)
+        };
+        match waiting.await {
+            Ok(outcome) => outcome,
+            Err(_) => Err(PlaceEnd::new(FailureReason::NoTarget, Duration::ZERO)),
+        }
+    }
+
+    /// A target that the request has not tried and may run on.
+    fn pick_target(&self) -> Result<Pick, CallFailure> {
+        let scope = &self.scope;
+        let prefix = self.stage.engine.then(|| prefix_hash(&self.order.input));
+        loop {
+            let now = Instant::now();
+            if now >= scope.deadline {
+                return Err(self.unsent(FailureReason::DeadlinePassed));
+            }
+            let mut pools = scope.core.pools.borrow_mut();
+            pools.sync(&scope.core.fleet(), now);
+            let tried = scope.tried.borrow().clone();
+            let Some(pick) = pools.pick(&self.stage.pool, prefix, &tried, now) else {
+                self.forget_tried()?;
+                continue;
+            };
+            scope.tried.borrow_mut().push(pick.target.clone());
+            let permit =
+                scope
+                    .core
+                    .crashes
+                    .borrow_mut()
+                    .permit(&scope.fingerprint, &pick.target, now);
+            match permit {
+                RunPermit::Granted => return Ok(pick),
+                RunPermit::Elsewhere => {}
+                RunPermit::Later | RunPermit::Refused => {
+                    return Err(self.unsent(FailureReason::CrashSuspect));
+                }
+            }
+        }
+    }
+
+    /// Lets all tried targets but the last one be tried again.
+    fn forget_tried(&self) -> Result<(), CallFailure> {
+        let mut tried = self.scope.tried.borrow_mut();
+        if tried.len() < 2 {
+            return Err(CallFailure::NoTarget(UnsentProof::not_called()));
+        }
+        let last = tried.len() - 1;
+        tried.drain(..last);
+        Ok(())
+    }
+
+    async fn make_call(
+        &self,
+        pick: Pick,
+        mut place: CallPlace,
+        guard: CallGuard,
+    ) -> Result<(), CallFailure> {
+        let scope = &self.scope;
+        let call = self.target_call(&pick);
+        let mut report = CallReport::new(scope.events.clone());
+        let end = {
+            let calling = call.run(&scope.core.client, &mut report);
+            tokio::pin!(calling);
+            let hedge = self.hedge_after();
+            tokio::select! {
+                end = &mut calling => end,
+                () = sleep_or_never(hedge) => {
+                    self.send(RunEvent::HedgeDue { attempt: self.order.attempt }).await;
+                    calling.await
+                }
+            }
+        };
+        let died = match end {
+            CallEnd::Failed(CallFailure::Lost) => is_dead(&pick.address).await,
+            _ => false,
+        };
+        if report.word.leaving {
+            let now = Instant::now();
+            scope
+                .core
+                .pools
+                .borrow_mut()
+                .mark_leaving(&self.stage.pool, &pick.target, now);
+            scope
+                .core
+                .note(ControlNote::TargetLeaving(pick.target.clone()));
+        }
+        let elapsed = guard.elapsed();
+        let scaled = scaled_time(elapsed, self.stage.engine, report.tokens);
+        place.note(release_outcome(&end), scaled);
+        let load = report.word.load;
+        guard.finish(
+            CallResult {
+                elapsed: scaled,
+                outcome: call_outcome(&end),
+                load,
+            },
+            run_end(&end, died),
+        );
+        match end {
+            CallEnd::Whole(event) => {
+                self.record(EventKind::CallAnswered, &pick.target, "");
+                self.count_success(elapsed);
+                self.send(event).await;
+                Ok(())
+            }
+            CallEnd::Failed(failure) => {
+                let detail = format!("{failure:?}");
+                self.record(EventKind::CallFailed, &pick.target, &detail);
+                if died {
+                    self.record(
+                        EventKind::Strike,
+                        &pick.target,
+                        "target died under the call",
+                    );
+                    scope.core.share_strike(&scope.fingerprint);
+                }
+                Err(failure)
+            }
+        }
+    }
+
+    fn target_call(&self, pick: &Pick) -> TargetCall {
+        let scope = &self.scope;
+        TargetCall {
+            identity: CallIdentity {
+                customer: scope.customer.clone(),
+                request: scope.request.clone(),
+                stage: self.order.stage,
+                attempt: self.order.attempt,
+            },
+            address: pick.address.clone(),
+            call: self.stage.call.clone(),
+            model: self.stage.model.clone(),
+            engine: self.stage.engine,
+            fresh: self.order.fresh,
+            priority: scope.priority,
+            remaining: scope.deadline.saturating_duration_since(Instant::now()),
+            resume_at: self.order.resume_at,
+            input: self.order.input.clone(),
+        }
+    }
+
+    fn hedge_after(&self) -> Option<Duration> {
+        let call = HedgeCall {
+            idempotent: self.stage.repeatable,
+            streaming: self.stage.engine,
+        };
+        let mut stages = self.scope.core.stages.borrow_mut();
+        stages.hedge_after(&self.scope.pipeline, self.order.stage, call)
+    }
+
+    fn count_success(&self, elapsed: Duration) {
+        let core = &self.scope.core;
+        core.budget.borrow_mut().on_success();
+        let mut stages = core.stages.borrow_mut();
+        stages.observe(
+            &self.scope.pipeline,
+            self.order.stage,
+            elapsed,
+            Instant::now(),
+        );
+    }
+
+    fn withheld(&self, end: PlaceEnd) -> CallFailure {
+        self.scope.retry_after.replace(Some(end.retry_after));
+        self.unsent(end.reason)
+    }
+
+    fn unsent(&self, reason: FailureReason) -> CallFailure {
+        CallFailure::Withheld(UnsentProof::not_called(), reason)
+    }
+
+    async fn send(&self, event: RunEvent) {
+        let _ = self.scope.events.send(event).await;
+    }
+
+    fn record(&self, kind: EventKind, target: &str, detail: &str) {
+        let scope = &self.scope;
+        scope.core.metrics.count(&format!("calls.{kind}"), 1);
+        scope.core.recorder.record(kind, |event| {
+            event
+                .with_customer(&scope.customer)
+                .with_request(&scope.request)
+                .with_stage(self.order.stage)
+                .with_attempt(self.order.attempt)
+                .with_detail(format!("{target} {detail}").trim_end())
+        });
+    }
+}
+
+async fn sleep_or_never(delay: Option<Duration>) {
+    match delay {
+        Some(delay) => actix_rt::time::sleep(delay).await,
+        None => std::future::pending().await,
+    }
+}
+
+fn prefix_hash(input: &[u8]) -> u64 {
+    let prefix = &input[..input.len().min(PREFIX_BYTES)];
+    let mut word = [0; 8];
+    word.copy_from_slice(&blake3::hash(prefix).as_bytes()[..8]);
+    u64::from_le_bytes(word)
+}
+
+/// Engine calls are compared by their time for each token.
+fn scaled_time(elapsed: Duration, engine: bool, tokens: u64) -> Duration {
+    if !engine || tokens == 0 {
+        return elapsed;
+    }
+    elapsed.mul_f64(NOMINAL_TOKENS / tokens as f64)
+}
+
+fn release_outcome(end: &CallEnd) -> ReleaseOutcome {
+    match end {
+        CallEnd::Whole(_) => ReleaseOutcome::Answered,
+        CallEnd::Failed(CallFailure::Refused(_)) => ReleaseOutcome::Refused,
+        CallEnd::Failed(CallFailure::TimedOut) => ReleaseOutcome::TimedOut,
+        CallEnd::Failed(_) => ReleaseOutcome::Ignored,
+    }
+}
+
+fn call_outcome(end: &CallEnd) -> CallOutcome {
+    match end {
+        CallEnd::Whole(_) => CallOutcome::Whole,
+        CallEnd::Failed(CallFailure::Refused(_)) => CallOutcome::Refused,
+        CallEnd::Failed(CallFailure::Errored) => CallOutcome::FailedFast,
+        CallEnd::Failed(CallFailure::TimedOut) => CallOutcome::TimedOut,
+        CallEnd::Failed(_) => CallOutcome::Lost,
+    }
+}
+
+fn run_end(end: &CallEnd, died: bool) -> RunEnd {
+    match end {
+        CallEnd::Whole(_) => RunEnd::Whole,
+        CallEnd::Failed(_) if died => RunEnd::TargetDied,
+        CallEnd::Failed(_) => RunEnd::Other,
+    }
+}
--- a/crates/entry/src/data/start_entry.rs
+++ b/crates/entry/src/data/start_entry.rs
@@ -13,6 +13,7 @@
         net::{SocketAddr, TcpListener, UdpSocket},
         rc::Rc,
         sync::Arc,
+        time::{Duration, Instant},
     },
     tokio::{
         signal::unix::{SignalKind, signal},
@@ -22,6 +23,8 @@
 
 /// Name of the program in logs and on the ready line.
 const PROGRAM: &str = "camphor-entry";
+/// Time between two looks for calls that can no longer finish.
+const QUEUE_TICK: Duration = Duration::from_millis(10);
 /// Tries to get the same port number over UDP and TCP where the kernel chooses it.
 const PORT_TRIES: usize = 32;
 
@@ -86,6 +89,7 @@
         idle_time: settings.idle_time,
         connections: settings.connections,
     };
+    actix_rt::spawn(run_queues(Rc::clone(&core)));
     let chain = Rc::new(FilterChain::new());
     let handler = move |request| answer_caller(Rc::clone(&core), Rc::clone(&chain), request);
     let mut terminate = signal(SignalKind::terminate())?;
@@ -98,6 +102,19 @@
     Ok(())
 }
 
+/// Hands out places that calls gave back, and ends calls that waited too long.
+async fn run_queues(core: Rc<EntryCore>) {
+    let returns = core.pools.borrow().returns();
+    loop {
+        if core.pools.borrow().has_waiting() {
+            let _ = actix_rt::time::timeout(QUEUE_TICK, returns.filled()).await;
+        } else {
+            returns.filled().await;
+        }
+        core.pools.borrow_mut().run(Instant::now());
+    }
+}
+
 fn listen(key: &str, address: SocketAddr) -> Result<TcpListener, StartError> {
     let bound = TcpListener::bind(address).and_then(|listener| {
         listener.set_nonblocking(true)?;
--- a/crates/entry/src/data/target_call.rs
+++ b/crates/entry/src/data/target_call.rs
@@ -42,25 +42,29 @@
     pub leaving: bool,
 }
 
-/// Tells of each step of a call while it runs.
+/// What is known of a call while it runs; tokens leave as they come.
 pub struct CallReport {
     pub events: mpsc::Sender<RunEvent>,
     pub word: TargetWord,
+    pub tokens: u64,
+}
+
+impl CallReport {
+    pub fn new(events: mpsc::Sender<RunEvent>) -> Self {
+        Self {
+            events,
+            word: TargetWord::default(),
+            tokens: 0,
+        }
+    }
 }
 
 impl TargetCall {
-    /// Makes the call and sends its events; the last one is an end, an answer or a failure.
+    /// Makes the call; its tokens go to the report, its last event comes back.
     pub async fn run(self, client: &TargetClient, report: &mut CallReport) -> CallEnd {
         match self.exchange(client, report).await {
-            Ok(()) => CallEnd::Whole,
-            Err(failure) => {
-                let attempt = self.identity.attempt;
-                let _ = report
-                    .events
-                    .send(RunEvent::Failed { attempt, failure })
-                    .await;
-                CallEnd::Failed(failure)
-            }
+            Ok(event) => CallEnd::Whole(event),
+            Err(failure) => CallEnd::Failed(failure),
         }
     }
 
@@ -68,7 +72,7 @@
         &self,
         client: &TargetClient,
         report: &mut CallReport,
-    ) -> Result<(), CallFailure> {
+    ) -> Result<RunEvent, CallFailure> {
         let request = self.request(client);
         let mut response = request
             .send_body(self.input.clone())
@@ -81,8 +85,7 @@
         if self.engine {
             self.read_stream(&mut response, report).await
         } else {
-            self.read_answer(&mut response, client.answer_bytes, report)
-                .await
+            self.read_answer(&mut response, client.answer_bytes).await
         }
     }
 
@@ -115,8 +118,7 @@
         &self,
         response: &mut ClientResponse<S>,
         limit: usize,
-        report: &mut CallReport,
-    ) -> Result<(), CallFailure>
+    ) -> Result<RunEvent, CallFailure>
     where
         S: Stream<Item = Result<Bytes, actix_http::error::PayloadError>> + Unpin,
     {
@@ -141,18 +143,14 @@
         }
         let attempt = self.identity.attempt;
         let body = body.freeze();
-        let _ = report
-            .events
-            .send(RunEvent::Answered { attempt, body })
-            .await;
-        Ok(())
+        Ok(RunEvent::Answered { attempt, body })
     }
 
     async fn read_stream<S>(
         &self,
         response: &mut ClientResponse<S>,
         report: &mut CallReport,
-    ) -> Result<(), CallFailure>
+    ) -> Result<RunEvent, CallFailure>
     where
         S: Stream<Item = Result<Bytes, actix_http::error::PayloadError>> + Unpin,
     {
@@ -165,11 +163,9 @@
                 let event = StreamEvent::from_line(&line).map_err(|_| CallFailure::Broken)?;
                 match self.run_event(event, &mut begun)? {
                     None => {}
-                    Some(end @ RunEvent::Ended { .. }) => {
-                        let _ = report.events.send(end).await;
-                        return Ok(());
-                    }
+                    Some(end @ RunEvent::Ended { .. }) => return Ok(end),
                     Some(token) => {
+                        report.tokens += 1;
                         let _ = report.events.send(token).await;
                     }
                 }
@@ -206,9 +202,9 @@
 }
 
 /// How a call ended, for the choice of further targets.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum CallEnd {
-    Whole,
+    Whole(RunEvent),
     Failed(CallFailure),
 }
 
--- /dev/null
+++ b/crates/entry/src/filters/admission_filter.rs
@@ -0,0 +1,70 @@
+use {
+    crate::{
+        data::{EntryCore, PlaceQuery, RequestDraft},
+        filters::{FilterStep, RequestFilter, filter_chain::refused},
+    },
+    base::StageIndex,
+    futures_util::future::LocalBoxFuture,
+    limit::{Admission, AdmissionGate, AdmissionQuery},
+    std::{
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Refuses early what cannot finish in time, given the stages to come and who waits for them.
+pub struct AdmissionFilter;
+
+impl RequestFilter for AdmissionFilter {
+    fn apply(&self, core: Rc<EntryCore>, draft: RequestDraft) -> LocalBoxFuture<'_, FilterStep> {
+        Box::pin(async move { admit(&core, draft) })
+    }
+}
+
+fn admit(core: &EntryCore, mut draft: RequestDraft) -> FilterStep {
+    let now = Instant::now();
+    let gate = AdmissionGate::default();
+    core.pools.borrow_mut().sync(&core.fleet(), now);
+    let expected = expected_times(core, &draft, now);
+    let waits = expected
+        .iter()
+        .zip(&draft.plan.stages)
+        .map(|(cost, stage)| {
+            let query = PlaceQuery {
+                pool: &stage.pool,
+                customer: &draft.head.customer,
+                weight: draft.weight,
+                priority: draft.head.priority,
+                deadline: draft.deadline,
+                cost: *cost,
+            };
+            core.pools.borrow().wait_estimate(&query)
+        });
+    let query = AdmissionQuery {
+        stages: &expected,
+        queue_wait: waits.sum(),
+        remaining: draft.deadline.saturating_duration_since(now),
+    };
+    if let Admission::Refuse {
+        reason,
+        retry_after,
+    } = gate.admit(query)
+    {
+        let detail = format!("expected to take {:?}", expected.iter().sum::<Duration>());
+        return refused(draft.refuse(reason, detail).retry_after(retry_after));
+    }
+    for (stage, time) in draft.plan.stages.iter_mut().zip(expected) {
+        stage.least = time.mul_f64(gate.stage_margin);
+    }
+    Ok(draft)
+}
+
+fn expected_times(core: &EntryCore, draft: &RequestDraft, now: Instant) -> Vec<Duration> {
+    let rows = &draft.sheet.pipelines[&draft.pipeline].stage;
+    let mut desk = core.stages.borrow_mut();
+    let times = rows.iter().enumerate().map(|(position, row)| {
+        let stage = StageIndex::try_from(position).unwrap_or(StageIndex::MAX);
+        desk.expected(&draft.pipeline, stage, row.expected, now)
+    });
+    times.collect()
+}
--- a/crates/entry/src/filters/filter_chain.rs
+++ b/crates/entry/src/filters/filter_chain.rs
@@ -2,6 +2,7 @@
     crate::{
         data::{EntryCore, RequestDraft},
         filters::{
+            admission_filter::AdmissionFilter, crash_filter::CrashFilter,
             credential_filter::CredentialFilter, life_filter::LifeFilter,
             sheet_filter::SheetFilter, ticket_filter::TicketFilter,
         },
@@ -43,6 +44,8 @@
                 Box::new(SheetFilter),
                 Box::new(TicketFilter),
                 Box::new(LifeFilter),
+                Box::new(CrashFilter),
+                Box::new(AdmissionFilter),
             ],
         }
     }
--- a/crates/entry/src/filters/mod.rs
+++ b/crates/entry/src/filters/mod.rs
@@ -1,3 +1,5 @@
+mod admission_filter;
+mod crash_filter;
 mod credential_filter;
 mod filter_chain;
 mod life_filter;
--- a/crates/entry/src/shared/control_note.rs
+++ b/crates/entry/src/shared/control_note.rs
@@ -1,4 +1,7 @@
-use base::{SheetVersion, TargetId};
+use {
+    base::{SheetVersion, TargetId},
+    retry::CrashRecord,
+};
 
 /// What the data path tells the controllers.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -7,4 +10,6 @@
     SheetSeen(SheetVersion),
     /// A target says that it is leaving.
     TargetLeaving(TargetId),
+    /// A target died while it ran a request.
+    Strike(CrashRecord),
 }
--- a/crates/pipe/src/call_failure.rs
+++ b/crates/pipe/src/call_failure.rs
@@ -7,15 +7,15 @@
 }
 
 impl UnsentProof {
-    /// No target was chosen, so nothing was sent.
+    /// No target was called, so nothing was sent.
     ///
     /// ```
     /// use pipe::{CallFailure, UnsentProof};
     ///
-    /// assert!(CallFailure::NoTarget(UnsentProof::no_target()).is_unsent());
+    /// assert!(CallFailure::NoTarget(UnsentProof::not_called()).is_unsent());
     /// assert!(!CallFailure::Lost.is_unsent());
     /// ```
-    pub fn no_target() -> Self {
+    pub fn not_called() -> Self {
         Self { _private: () }
     }
 
@@ -35,6 +35,8 @@
 pub enum CallFailure {
     /// No target of the pool can be used.
     NoTarget(UnsentProof),
+    /// The call got no place, or may not run; the reason says why.
+    Withheld(UnsentProof, FailureReason),
     /// The target could not be reached.
     NotSent(UnsentProof),
     /// The target refused the call and ran nothing.
@@ -52,16 +54,22 @@
 impl CallFailure {
     /// True if it is proved that the target ran nothing.
     pub fn is_unsent(self) -> bool {
-        matches!(
-            self,
-            Self::NoTarget(_) | Self::NotSent(_) | Self::Refused(_)
-        )
+        match self {
+            Self::NoTarget(_) | Self::Withheld(..) | Self::NotSent(_) | Self::Refused(_) => true,
+            Self::Errored | Self::Lost | Self::Broken | Self::TimedOut => false,
+        }
+    }
+
+    /// True if trying another target is of no use.
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::NoTarget(_) | Self::Withheld(..))
     }
 
     /// Reason that the caller is given if the request fails by this.
     pub fn reason(self) -> FailureReason {
         match self {
             Self::NoTarget(_) => FailureReason::NoTarget,
+            Self::Withheld(_, reason) => reason,
             Self::NotSent(_) | Self::Lost => FailureReason::TargetLost,
             Self::Refused(_) | Self::Errored => FailureReason::TargetFailed,
             Self::Broken => FailureReason::AnswerBroken,
