Proxy with faults, and tests of the stand-ins and the harness

Cause: partitions, resets, half-closed connections, lost and doubled datagrams must be caused on purpose.

Change: `camphor-stand proxy` carries TCP and UDP at the same port, with faults for each direction and, for datagrams, by source. The harness puts it before targets and peers.

Ruled out: a `one_way` switch; holding one direction says the same.

--- a/crates/proofs/src/fleet_harness.rs
+++ b/crates/proofs/src/fleet_harness.rs
@@ -4,7 +4,7 @@
     base::{HostList, HostRow, HostState, SheetVersion, TargetMark},
     serde::Serialize,
     sheet::{PoolKind, SheetPart},
-    stand::{CallRecord, PlatformFault, SheetPublisher},
+    stand::{CallRecord, PlatformFault, ProxyFault, SheetPublisher},
     std::{collections::BTreeMap, fs, path::PathBuf, process::ExitStatus, time::Duration},
     tempfile::TempDir,
 };
@@ -185,10 +185,9 @@
     pub async fn wait_exit(&mut self, name: &str, limit: Duration) -> anyhow::Result<ExitStatus> {
         let process = self.process_mut(name);
         let mut ended = None;
-        wait_until(&format!("{name} ends"), limit, || {
+        wait_until(&format!("{name} ends"), limit, async || {
             ended = process.ended();
-            let has_ended = ended.is_some();
-            async move { has_ended }
+            ended.is_some()
         })
         .await?;
         ended.context("it has ended")
@@ -244,6 +243,50 @@
         Ok(())
     }
 
+    /// Sets the whole fault of the proxy before a target or entry that is planned as proxied.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the proxy does not take it.
+    pub async fn proxy_fault(&self, name: &str, fault: &ProxyFault) -> anyhow::Result<()> {
+        let operators = self.process(&proxy_name(name)).address("operators");
+        let url = format!("http://{operators}/fault");
+        self.probe.post(&url, fault).await?;
+        Ok(())
+    }
+
+    /// Cuts a host off from its peers: nothing reaches its peer address, and its datagrams reach
+    /// no other. Every entry must be planned as proxied.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a proxy does not take it.
+    pub async fn isolate(&self, host: &str) -> anyhow::Result<()> {
+        let address = self.process(host).address("peers").parse()?;
+        for entry in &self.plan.entries {
+            let fault = ProxyFault {
+                cut: entry.host == host,
+                cut_sources: vec![address],
+                ..ProxyFault::default()
+            };
+            self.proxy_fault(&entry.host, &fault).await?;
+        }
+        Ok(())
+    }
+
+    /// Ends every fault between entries.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a proxy does not take it.
+    pub async fn rejoin(&self) -> anyhow::Result<()> {
+        for entry in &self.plan.entries {
+            let fault = ProxyFault::default();
+            self.proxy_fault(&entry.host, &fault).await?;
+        }
+        Ok(())
+    }
+
     /// Calls that a target saw since it started.
     ///
     /// # Errors
@@ -286,11 +329,15 @@
         let arguments = [PathBuf::from("--settings"), settings];
         let log = self.log(&entry.host);
         let process = ChildProcess::start("camphor-entry", arguments, &log).await?;
+        let mut peers = process.address("peers");
+        if entry.proxied {
+            peers = self.start_proxy(&entry.host, &peers, true).await?;
+        }
         let row = HostRow {
             host: entry.host.clone(),
             data_centre: entry.data_centre.clone(),
             callers: process.address("callers"),
-            peers: process.address("peers"),
+            peers,
             size: entry.size,
             state: HostState::Live,
         };
@@ -330,13 +377,29 @@
         arguments.extend(["--slots", &slots, "--journal", &journal]);
         arguments.extend(target.arguments.iter().map(String::as_str));
         self.start_stand(name, &arguments).await?;
+        if self.rows.target.iter().any(|row| row.name == *name) {
+            return Ok(());
+        }
         let mut row = target.row.clone();
         row.address = self.target_address(name);
-        self.rows.target.retain(|old| old.name != row.name);
+        if target.proxied {
+            row.address = self.start_proxy(name, &row.address, false).await?;
+        }
         self.rows.target.push(row);
         Ok(())
     }
 
+    /// Starts a proxy before an address; returns the proxy's address.
+    async fn start_proxy(&mut self, name: &str, to: &str, udp: bool) -> anyhow::Result<String> {
+        let name = proxy_name(name);
+        let mut arguments = vec!["proxy", "--name", &name, "--tcp-to", to];
+        if udp {
+            arguments.extend(["--udp-to", to]);
+        }
+        self.start_stand(&name, &arguments).await?;
+        Ok(self.process(&name).address("proxy"))
+    }
+
     async fn start_stand(&mut self, name: &str, arguments: &[&str]) -> anyhow::Result<()> {
         let log = self.log(name);
         let process = ChildProcess::start("camphor-stand", arguments, &log).await?;
@@ -356,3 +419,8 @@
         self.folder.path().join(format!("{name}.log"))
     }
 }
+
+/// Name of the proxy before a target or entry.
+fn proxy_name(name: &str) -> String {
+    format!("{name}-proxy")
+}
--- a/crates/proofs/src/fleet_plan.rs
+++ b/crates/proofs/src/fleet_plan.rs
@@ -159,6 +159,17 @@
         self
     }
 
+    /// Puts a proxy before every entry and target.
+    pub fn proxied(mut self) -> Self {
+        for entry in &mut self.entries {
+            entry.proxied = true;
+        }
+        for target in &mut self.targets {
+            target.proxied = true;
+        }
+        self
+    }
+
     /// Changes the target that was added under this name.
     ///
     /// # Panics
--- a/crates/proofs/src/wait_until.rs
+++ b/crates/proofs/src/wait_until.rs
@@ -1,7 +1,4 @@
-use std::{
-    future::Future,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 /// Time between two looks at a condition.
 const LOOK_STEP: Duration = Duration::from_millis(10);
@@ -19,15 +16,11 @@
 /// proofs::wait_until("it holds", Duration::from_secs(1), async || true).await.unwrap();
 /// # });
 /// ```
-pub async fn wait_until<Condition, Look>(
+pub async fn wait_until(
     what: &str,
     limit: Duration,
-    mut condition: Condition,
-) -> anyhow::Result<()>
-where
-    Condition: FnMut() -> Look,
-    Look: Future<Output = bool>,
-{
+    mut condition: impl AsyncFnMut() -> bool,
+) -> anyhow::Result<()> {
     let end = Instant::now() + limit;
     while !condition().await {
         anyhow::ensure!(Instant::now() < end, "not within {limit:?}: {what}");
--- a/crates/stand/src/proxy_fault.rs
+++ b/crates/stand/src/proxy_fault.rs
@@ -1,4 +1,7 @@
-use serde::{Deserialize, Serialize};
+use {
+    serde::{Deserialize, Serialize},
+    std::net::SocketAddr,
+};
 
 /// What the proxy does to bytes and datagrams of one direction.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -24,6 +27,8 @@
 pub struct ProxyFault {
     /// Close all connections now and new ones at once; lose every datagram.
     pub cut: bool,
+    /// Lose every datagram that comes from one of these addresses.
+    pub cut_sources: Vec<SocketAddr>,
     /// What happens on the way to the server.
     pub to: FlowFault,
     /// What happens on the way from the server.
--- a/crates/stand/src/serve/mod.rs
+++ b/crates/stand/src/serve/mod.rs
@@ -9,6 +9,8 @@
 mod platform;
 mod platform_store;
 mod proxy;
+mod proxy_tcp;
+mod proxy_udp;
 mod stand_server;
 mod target_call;
 mod target_core;
