Split the harness, read streams event by event, keep logs of failed tests

Change: `ProcessTable` and the faults stand in files of their own, `TestStream` checks a stream as it comes, engine tokens keep their pace when timers are late.

--- a/crates/proofs/src/child_process.rs
+++ b/crates/proofs/src/child_process.rs
@@ -4,7 +4,7 @@
     std::{
         env,
         ffi::OsStr,
-        fs::File,
+        fs::{self, File},
         io::{BufRead, BufReader},
         path::{Path, PathBuf},
         process::{Child, ChildStdout, Command, ExitStatus, Stdio},
@@ -52,8 +52,10 @@
         };
         let line = actix_rt::time::timeout(READY_LIMIT, first_line(output)).await;
         let line = line.map_err(|_| anyhow!("{program} is not ready in {READY_LIMIT:?}"))??;
-        process.ready = serde_json::from_str(&line)
-            .with_context(|| format!("{program} said `{line}`, see {}", log.display()))?;
+        process.ready = serde_json::from_str(&line).with_context(|| {
+            let text = fs::read_to_string(log).unwrap_or_default();
+            format!("{program} said `{line}`, and in its log: {text}")
+        })?;
         Ok(process)
     }
 
--- a/crates/proofs/src/fleet_harness.rs
+++ b/crates/proofs/src/fleet_harness.rs
@@ -1,18 +1,17 @@
 use {
-    crate::{ChildProcess, EntryPlan, FleetPlan, JsonProbe, TargetPlan, TestCaller, wait_until},
+    crate::{
+        ChildProcess, EntryPlan, FleetPlan, JsonProbe, TargetPlan, TestCaller,
+        process_table::ProcessTable, wait_until,
+    },
     anyhow::Context,
-    base::{HostList, HostRow, HostState, SheetVersion, TargetMark},
-    serde::Serialize,
+    base::{HostList, HostRow, HostState, SheetVersion},
     sheet::{PoolKind, SheetPart},
-    stand::{CallRecord, PlatformFault, ProxyFault, SheetPublisher},
+    stand::{CallRecord, SheetPublisher},
     std::{collections::BTreeMap, fs, path::PathBuf, process::ExitStatus, time::Duration},
-    tempfile::TempDir,
 };
 
-/// Key that the peers of a test fleet share.
-const PEER_KEY: &str = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef";
 /// Name of the platform's process.
-const PLATFORM: &str = "platform";
+pub(crate) const PLATFORM: &str = "platform";
 /// Time in which every entry must have the first sheet in force.
 const START_LIMIT: Duration = Duration::from_secs(20);
 
@@ -20,13 +19,12 @@
 pub struct FleetHarness {
     plan: FleetPlan,
     /// Processes by the name of their host, target, proxy, or `platform`.
-    processes: BTreeMap<String, ChildProcess>,
+    processes: ProcessTable,
     /// Sheet as it was published last.
     rows: SheetPart,
     version: SheetVersion,
     hosts: HostList,
     probe: JsonProbe,
-    folder: TempDir,
 }
 
 impl FleetHarness {
@@ -36,6 +34,19 @@
     /// # Errors
     ///
     /// Fails if a process does not start or an entry has no sheet in time.
+    ///
+    /// ```no_run
+    /// # async fn test() -> anyhow::Result<()> {
+    /// use proofs::{FleetHarness, FleetPlan, RunRequest, TestCaller};
+    ///
+    /// let mut harness = FleetHarness::start(FleetPlan::small(3)).await?;
+    /// harness.process_mut("encode1").kill()?;
+    /// let request = RunRequest::new("farm", "read", "r1", b"hay");
+    /// let outcome = TestCaller::new().run(&harness.callers("h1"), &request).await;
+    /// assert!(outcome.whole().is_some(), "{outcome:?}");
+    /// # Ok(())
+    /// # }
+    /// ```
     pub async fn start(plan: FleetPlan) -> anyhow::Result<Self> {
         let mut harness = Self::start_stands(plan).await?;
         for entry in harness.plan.entries.clone() {
@@ -57,13 +68,15 @@
         let mut harness = Self {
             rows: plan.rows.clone(),
             plan,
-            processes: BTreeMap::new(),
+            processes: ProcessTable::new()?,
             version: 0,
             hosts: HostList::default(),
             probe: JsonProbe::new(),
-            folder: TempDir::new()?,
         };
-        harness.start_stand(PLATFORM, &["platform"]).await?;
+        harness
+            .processes
+            .start_stand(PLATFORM, &["platform"])
+            .await?;
         for target in harness.plan.targets.clone() {
             harness.start_target(&target, None).await?;
         }
@@ -101,20 +114,6 @@
         &mut self.hosts
     }
 
-    /// Publishes that a target is live or leaving, by the host list.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the platform does not take it.
-    pub async fn mark_target(&mut self, name: &str, state: HostState) -> anyhow::Result<()> {
-        self.hosts.targets.retain(|mark| mark.target != name);
-        self.hosts.targets.push(TargetMark {
-            target: name.to_string(),
-            state,
-        });
-        self.publish_hosts().await
-    }
-
     /// Waits until an entry answers with this sheet version, or a later one, in force.
     ///
     /// # Errors
@@ -130,12 +129,13 @@
         let entry = self.callers(host);
         let customer = self.rows.customer.first().map(|row| row.name.clone());
         let customer = customer.unwrap_or_default();
-        let what = format!("{host} has sheet {version}, see {}", self.log_text(host));
-        wait_until(&what, limit, async || {
+        let what = format!("{host} has sheet {version}");
+        let waited = wait_until(&what, limit, async || {
             let answer = caller.addresses(&entry, &customer).await;
             answer.is_ok_and(|answer| answer.sheet_version >= version)
-        })
-        .await
+        });
+        let waited = waited.await;
+        waited.with_context(|| format!("log of {host}: {}", self.log_text(host)))
     }
 
     /// Address of an entry for callers.
@@ -159,10 +159,7 @@
     ///
     /// Panics if nothing was started under this name.
     pub fn process(&self, name: &str) -> &ChildProcess {
-        match self.processes.get(name) {
-            Some(process) => process,
-            None => panic!("nothing was started as `{name}`"),
-        }
+        self.processes.get(name)
     }
 
     /// Like [`Self::process`], for changes.
@@ -171,10 +168,7 @@
     ///
     /// Panics if nothing was started under this name.
     pub fn process_mut(&mut self, name: &str) -> &mut ChildProcess {
-        match self.processes.get_mut(name) {
-            Some(process) => process,
-            None => panic!("nothing was started as `{name}`"),
-        }
+        self.processes.get_mut(name)
     }
 
     /// Waits until a process has ended.
@@ -220,73 +214,6 @@
         self.start_target(&target, Some(address)).await
     }
 
-    /// Changes the behaviour of a target; see [`stand::StandControl`] for the keys.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the target does not take it.
-    pub async fn control(&self, target: &str, patch: &impl Serialize) -> anyhow::Result<()> {
-        let url = format!("http://{}/control", self.target_address(target));
-        self.probe.post(&url, patch).await?;
-        Ok(())
-    }
-
-    /// Sets the platform's fault.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the platform does not take it.
-    pub async fn platform_fault(&self, fault: &PlatformFault) -> anyhow::Result<()> {
-        let operators = self.process(PLATFORM).address("operators");
-        let url = format!("http://{operators}/fault");
-        self.probe.post(&url, fault).await?;
-        Ok(())
-    }
-
-    /// Sets the whole fault of the proxy before a target or entry that is planned as proxied.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the proxy does not take it.
-    pub async fn proxy_fault(&self, name: &str, fault: &ProxyFault) -> anyhow::Result<()> {
-        let operators = self.process(&proxy_name(name)).address("operators");
-        let url = format!("http://{operators}/fault");
-        self.probe.post(&url, fault).await?;
-        Ok(())
-    }
-
-    /// Cuts a host off from its peers: nothing reaches its peer address, and its datagrams reach
-    /// no other. Every entry must be planned as proxied.
-    ///
-    /// # Errors
-    ///
-    /// Fails if a proxy does not take it.
-    pub async fn isolate(&self, host: &str) -> anyhow::Result<()> {
-        let address = self.process(host).address("peers").parse()?;
-        for entry in &self.plan.entries {
-            let fault = ProxyFault {
-                cut: entry.host == host,
-                cut_sources: vec![address],
-                ..ProxyFault::default()
-            };
-            self.proxy_fault(&entry.host, &fault).await?;
-        }
-        Ok(())
-    }
-
-    /// Ends every fault between entries.
-    ///
-    /// # Errors
-    ///
-    /// Fails if a proxy does not take it.
-    pub async fn rejoin(&self) -> anyhow::Result<()> {
-        for entry in &self.plan.entries {
-            let fault = ProxyFault::default();
-            self.proxy_fault(&entry.host, &fault).await?;
-        }
-        Ok(())
-    }
-
     /// Calls that a target saw since it started.
     ///
     /// # Errors
@@ -313,6 +240,11 @@
         Ok(postings)
     }
 
+    /// What was started.
+    pub fn plan(&self) -> &FleetPlan {
+        &self.plan
+    }
+
     /// Probe for operators' interfaces.
     pub fn probe(&self) -> &JsonProbe {
         &self.probe
@@ -320,46 +252,39 @@
 
     /// Standard error of a process so far.
     pub fn log_text(&self, name: &str) -> String {
-        fs::read_to_string(self.log(name)).unwrap_or_default()
+        self.processes.log_text(name)
     }
 
     async fn start_entry(&mut self, entry: &EntryPlan) -> anyhow::Result<()> {
-        let settings = self.folder.path().join(format!("{}.toml", entry.host));
-        fs::write(&settings, self.settings(entry))?;
+        let platform = self.process(PLATFORM).address("service");
+        let settings = self.processes.path(&format!("{}.toml", entry.host));
+        fs::write(&settings, entry.settings_text(&platform))?;
         let arguments = [PathBuf::from("--settings"), settings];
-        let log = self.log(&entry.host);
-        let process = ChildProcess::start("camphor-entry", arguments, &log).await?;
+        let process = self
+            .processes
+            .start(&entry.host, "camphor-entry", arguments);
+        let process = process.await?;
+        let callers = process.address("callers");
         let mut peers = process.address("peers");
         if entry.proxied {
-            peers = self.start_proxy(&entry.host, &peers, true).await?;
+            peers = self
+                .processes
+                .start_proxy(&entry.host, &peers, true)
+                .await?;
         }
         let row = HostRow {
             host: entry.host.clone(),
             data_centre: entry.data_centre.clone(),
-            callers: process.address("callers"),
+            callers,
             peers,
             size: entry.size,
             state: HostState::Live,
         };
-        self.processes.insert(entry.host.clone(), process);
         self.hosts.hosts.retain(|old| old.host != entry.host);
         self.hosts.hosts.push(row);
         Ok(())
     }
 
-    fn settings(&self, entry: &EntryPlan) -> String {
-        let platform = self.process(PLATFORM).address("service");
-        let (host, data_centre, size) = (&entry.host, &entry.data_centre, entry.size);
-        format!(
-            "host = \"{host}\"\ndata_centre = \"{data_centre}\"\nsize = {size}\n\n\
-             [listen]\ncallers = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
-             operators = \"127.0.0.1:0\"\n\n\
-             [platform]\naddress = \"{platform}\"\n\n\
-             [peers]\nkey = \"{PEER_KEY}\"\n\n\
-             [log]\nlevel = \"info\"\n"
-        )
-    }
-
     async fn start_target(
         &mut self,
         target: &TargetPlan,
@@ -376,51 +301,27 @@
         let mut arguments = vec![kind, "--name", name, "--listen", &listen];
         arguments.extend(["--slots", &slots, "--journal", &journal]);
         arguments.extend(target.arguments.iter().map(String::as_str));
-        self.start_stand(name, &arguments).await?;
+        self.processes.start_stand(name, &arguments).await?;
         if self.rows.target.iter().any(|row| row.name == *name) {
             return Ok(());
         }
         let mut row = target.row.clone();
         row.address = self.target_address(name);
         if target.proxied {
-            row.address = self.start_proxy(name, &row.address, false).await?;
+            row.address = self
+                .processes
+                .start_proxy(name, &row.address, false)
+                .await?;
         }
         self.rows.target.push(row);
         Ok(())
     }
 
-    /// Starts a proxy before an address; returns the proxy's address.
-    async fn start_proxy(&mut self, name: &str, to: &str, udp: bool) -> anyhow::Result<String> {
-        let name = proxy_name(name);
-        let mut arguments = vec!["proxy", "--name", &name, "--tcp-to", to];
-        if udp {
-            arguments.extend(["--udp-to", to]);
-        }
-        self.start_stand(&name, &arguments).await?;
-        Ok(self.process(&name).address("proxy"))
-    }
-
-    async fn start_stand(&mut self, name: &str, arguments: &[&str]) -> anyhow::Result<()> {
-        let log = self.log(name);
-        let process = ChildProcess::start("camphor-stand", arguments, &log).await?;
-        self.processes.insert(name.to_string(), process);
-        Ok(())
-    }
-
     fn publisher(&self) -> SheetPublisher {
         SheetPublisher::new(self.process(PLATFORM).address("operators"))
     }
 
     fn journal(&self, name: &str) -> PathBuf {
-        self.folder.path().join(format!("{name}.journal"))
+        self.processes.path(&format!("{name}.journal"))
     }
-
-    fn log(&self, name: &str) -> PathBuf {
-        self.folder.path().join(format!("{name}.log"))
-    }
-}
-
-/// Name of the proxy before a target or entry.
-fn proxy_name(name: &str) -> String {
-    format!("{name}-proxy")
 }
--- a/crates/proofs/src/fleet_plan.rs
+++ b/crates/proofs/src/fleet_plan.rs
@@ -4,6 +4,11 @@
     std::time::Duration,
 };
 
+/// Key that the peers of a test fleet share.
+const PEER_KEY: &str = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef";
+/// Data centres over which entries and targets are spread.
+const CENTRES: [&str; 3] = ["north", "south", "west"];
+
 /// An entry that a test starts.
 #[derive(Debug, Clone)]
 pub struct EntryPlan {
@@ -15,6 +20,24 @@
     pub size: u32,
     /// Whether peers reach it through a proxy that is named `{host}-proxy`.
     pub proxied: bool,
+    /// Further tables of its settings file, in TOML.
+    pub settings: String,
+}
+
+impl EntryPlan {
+    /// Text of the settings file, given the address of the configuration service.
+    pub(crate) fn settings_text(&self, platform: &str) -> String {
+        let (host, data_centre, size) = (&self.host, &self.data_centre, self.size);
+        let further = &self.settings;
+        format!(
+            "host = \"{host}\"\ndata_centre = \"{data_centre}\"\nsize = {size}\n\n\
+             [listen]\ncallers = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
+             operators = \"127.0.0.1:0\"\n\n\
+             [platform]\naddress = \"{platform}\"\n\n\
+             [peers]\nkey = \"{PEER_KEY}\"\n\n\
+             [log]\nlevel = \"info\"\n\n{further}"
+        )
+    }
 }
 
 /// A target that a test starts.
@@ -50,12 +73,12 @@
     /// assert_eq!(plan.targets.len(), 6);
     /// ```
     pub fn new(entries: usize) -> Self {
-        let centres = ["north", "south", "west"];
         let rows = (0..entries).map(|number| EntryPlan {
             host: format!("h{}", number + 1),
-            data_centre: centres[number % centres.len()].to_string(),
+            data_centre: CENTRES[number % CENTRES.len()].to_string(),
             size: 1,
             proxied: false,
+            settings: String::new(),
         });
         Self {
             entries: rows.collect(),
@@ -139,8 +162,7 @@
         let rows = &self.rows.pool;
         let row = rows.iter().find(|row| row.name == pool);
         let kind = row.expect("the pool was added before").kind;
-        let centres = ["north", "south", "west"];
-        let centre = centres[self.targets.len() % centres.len()];
+        let centre = CENTRES[self.targets.len() % CENTRES.len()];
         self.targets.push(TargetPlan {
             row: TargetRow {
                 name: name.into(),
--- a/crates/proofs/src/lib.rs
+++ b/crates/proofs/src/lib.rs
@@ -2,12 +2,15 @@
 //! as callers do, and ends everything it started.
 
 mod child_process;
+mod fleet_faults;
 mod fleet_harness;
 mod fleet_plan;
 mod json_probe;
+mod process_table;
 mod run_outcome;
 mod run_request;
 mod test_caller;
+mod test_stream;
 mod wait_until;
 
 pub use {
@@ -18,5 +21,6 @@
     run_outcome::RunOutcome,
     run_request::RunRequest,
     test_caller::{AddressAnswer, TestCaller},
+    test_stream::TestStream,
     wait_until::wait_until,
 };
--- a/crates/proofs/src/test_caller.rs
+++ b/crates/proofs/src/test_caller.rs
@@ -1,14 +1,13 @@
 use {
-    crate::{JsonProbe, RunOutcome, RunRequest},
-    anyhow::{anyhow, bail, ensure},
-    awc::{Client, ClientRequest, ClientResponse, Connector, error::PayloadError},
+    crate::{JsonProbe, RunOutcome, RunRequest, TestStream, test_stream::ReplyBody},
+    anyhow::{Context, anyhow, bail, ensure},
+    awc::{Client, ClientRequest, ClientResponse, Connector},
     base::{
         AnswerDigest, CREDENTIAL_HEADER, CUSTOMER_HEADER, DIGEST_HEADER, EntryAddress,
         IDEMPOTENT_HEADER, LENGTH_HEADER, PRIORITY_HEADER, REMAINING_HEADER, REQUEST_HEADER,
-        SHEET_HEADER, STREAM_HEADER, SheetVersion, StreamEvent, TICKET_HEADER,
+        SHEET_HEADER, STREAM_HEADER, SheetVersion, TICKET_HEADER,
     },
-    bytes::Bytes,
-    futures_util::{Stream, StreamExt},
+    futures_util::StreamExt,
     serde::Deserialize,
     std::time::Duration,
 };
@@ -71,6 +70,16 @@
         self.probe.get(&url).await
     }
 
+    /// Fresh ticket of an entry for a customer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the entry gives none.
+    pub async fn ticket(&self, entry: &str, customer: &str) -> anyhow::Result<String> {
+        let answer = self.addresses(entry, customer).await?;
+        answer.tickets.into_iter().next().context("no ticket")
+    }
+
     /// Sends a request to an entry once.
     pub async fn run(&self, entry: &str, request: &RunRequest) -> RunOutcome {
         match self.try_run(entry, request).await {
@@ -79,19 +88,37 @@
         }
     }
 
+    /// Sends a streamed request and reads its answer event by event; dropping the stream leaves.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection is lost, or the entry answers with a failure.
+    pub async fn open(&self, entry: &str, request: &RunRequest) -> anyhow::Result<TestStream> {
+        let sent = self.head(entry, request).send_body(request.input.clone());
+        let reply = sent.await.map_err(|error| anyhow!("send: {error}"))?;
+        let status = reply.status();
+        if !status.is_success() {
+            let body = whole_body(reply).await?;
+            bail!("{status}: {}", String::from_utf8_lossy(&body));
+        }
+        Ok(TestStream::new(reply))
+    }
+
     async fn try_run(&self, entry: &str, request: &RunRequest) -> anyhow::Result<RunOutcome> {
         let sent = self.head(entry, request).send_body(request.input.clone());
         let reply = sent.await.map_err(|error| anyhow!("send: {error}"))?;
-        if !reply.status().is_success() {
-            let status = reply.status();
+        let status = reply.status();
+        if !status.is_success() {
             let body = whole_body(reply).await?;
-            let report = serde_json::from_slice(&body).map_err(|error| {
-                anyhow!("{status}, {error}: {}", String::from_utf8_lossy(&body))
+            let report = serde_json::from_slice(&body);
+            let report = report.with_context(|| {
+                let text = String::from_utf8_lossy(&body);
+                format!("{status} without a report: {text}")
             })?;
             return Ok(RunOutcome::Failed(report));
         }
         if request.stream {
-            read_stream(reply).await
+            TestStream::new(reply).outcome().await
         } else {
             read_unary(reply).await
         }
@@ -126,11 +153,6 @@
     }
 }
 
-/// Body of an answer as it arrives.
-trait ReplyBody: Stream<Item = Result<Bytes, PayloadError>> + Unpin {}
-
-impl<Body: Stream<Item = Result<Bytes, PayloadError>> + Unpin> ReplyBody for Body {}
-
 async fn whole_body(mut reply: ClientResponse<impl ReplyBody>) -> anyhow::Result<Vec<u8>> {
     let mut body = Vec::new();
     while let Some(chunk) = reply.next().await {
@@ -151,55 +173,8 @@
     Ok(RunOutcome::Whole(body))
 }
 
-/// Reads a stream to its end; anything after the end is an error too.
-async fn read_stream(reply: ClientResponse<impl ReplyBody>) -> anyhow::Result<RunOutcome> {
-    let mut stream = StreamCheck::default();
-    let body = whole_body(reply).await?;
-    for line in body.split_inclusive(|byte| *byte == b'\n') {
-        stream.take(StreamEvent::from_line(line)?)?;
-    }
-    match stream.outcome {
-        Some(outcome) => Ok(outcome),
-        None => bail!("the stream was cut after {} tokens", stream.tokens),
-    }
-}
-
-/// A stream as far as it was read.
-#[derive(Default)]
-struct StreamCheck {
-    answer: Vec<u8>,
-    tokens: u64,
-    outcome: Option<RunOutcome>,
-}
-
-impl StreamCheck {
-    fn take(&mut self, event: StreamEvent) -> anyhow::Result<()> {
-        ensure!(self.outcome.is_none(), "an event came after the end");
-        match event {
-            StreamEvent::Begin { .. } => {}
-            StreamEvent::Token { index, text } => {
-                ensure!(index == self.tokens, "token {index} for {}", self.tokens);
-                self.tokens += 1;
-                self.answer.extend_from_slice(text.as_bytes());
-            }
-            StreamEvent::End {
-                tokens,
-                length,
-                digest,
-            } => {
-                ensure!(tokens == self.tokens, "{} tokens of {tokens}", self.tokens);
-                let found = AnswerDigest::of(&self.answer);
-                check_digest(&found, &length.to_string(), &digest)?;
-                let answer = std::mem::take(&mut self.answer);
-                self.outcome = Some(RunOutcome::Whole(answer));
-            }
-            StreamEvent::Failed { report } => self.outcome = Some(RunOutcome::Failed(report)),
-        }
-        Ok(())
-    }
-}
-
-fn check_digest(found: &AnswerDigest, length: &str, hex: &str) -> anyhow::Result<()> {
+/// Checks an answer against the length and digest that came with it.
+pub(crate) fn check_digest(found: &AnswerDigest, length: &str, hex: &str) -> anyhow::Result<()> {
     let bytes = found.length();
     ensure!(bytes.to_string() == length, "{bytes} bytes of `{length}`");
     ensure!(found.hex() == hex, "digest {} for `{hex}`", found.hex());
--- a/crates/stand/src/serve/engine_stream.rs
+++ b/crates/stand/src/serve/engine_stream.rs
@@ -5,6 +5,7 @@
         target_call::TargetCall,
         target_core::{TargetCore, crash},
     },
+    actix_rt::time::Instant,
     base::{AnswerDigest, StreamEvent},
     bytes::Bytes,
     futures_util::{Stream, stream},
@@ -15,6 +16,9 @@
 /// Time in which the tokens sent so far leave a process that is to crash.
 const FLUSH_TIME: Duration = Duration::from_millis(10);
 
+/// Lateness of a token up to which the next ones catch up.
+const LATENESS_LIMIT: Duration = Duration::from_millis(20);
+
 /// How far a stream has come.
 enum StreamPhase {
     Begin,
@@ -33,6 +37,9 @@
     digest: AnswerDigest,
     next_index: u64,
     tokens: u64,
+    /// When the last token was due; the next one counts from here, so that late timers do not
+    /// add up.
+    due: Instant,
 }
 
 impl EngineStream {
@@ -56,6 +63,7 @@
             digest,
             next_index: resume_at,
             tokens,
+            due: Instant::now(),
         }
     }
 
@@ -92,6 +100,7 @@
             let millis = self.core().control().prefill_ms;
             actix_rt::time::sleep(self.core().service_time(millis)).await;
         }
+        self.due = Instant::now();
     }
 
     async fn next_token(&mut self) -> Option<Vec<u8>> {
@@ -105,7 +114,10 @@
         }
         let others = self.engine.floor.running().saturating_sub(1);
         let millis = control.token_ms * (1.0 + control.batch_cost * others as f64);
-        actix_rt::time::sleep(self.core().service_time(millis)).await;
+        let earliest = Instant::now().checked_sub(LATENESS_LIMIT);
+        self.due = earliest.map_or(self.due, |earliest| self.due.max(earliest));
+        self.due += self.core().service_time(millis);
+        actix_rt::time::sleep_until(self.due).await;
         Some(self.token_line(control.reply_twice).await)
     }
 
--- a/crates/stand/tests/common/mod.rs
+++ b/crates/stand/tests/common/mod.rs
@@ -11,7 +11,7 @@
     bytes::Bytes,
     futures_util::StreamExt,
     proofs::ChildProcess,
-    std::{future::Future, path::Path, time::Duration},
+    std::{path::Path, time::Duration},
 };
 
 /// Time that no step of these tests should take.
@@ -62,11 +62,6 @@
     }
 }
 
-/// Runs a test in the house's runtime.
-pub fn run(test: impl Future<Output = anyhow::Result<()>>) {
-    actix_rt::System::new().block_on(test).unwrap();
-}
-
 /// Starts a stand-in that logs into a folder.
 pub async fn start(folder: &Path, arguments: &[&str]) -> anyhow::Result<ChildProcess> {
     ChildProcess::start("camphor-stand", arguments, &folder.join("log")).await
--- a/crates/stand/tests/platform.rs
+++ b/crates/stand/tests/platform.rs
@@ -4,7 +4,7 @@
 
 use {
     base::{HostList, HostState, TargetMark},
-    common::{LIMIT, run, start},
+    common::{LIMIT, start},
     proofs::{ChildProcess, JsonProbe, wait_until},
     serde_json::json,
     stand::SheetPublisher,
@@ -51,102 +51,92 @@
     }
 }
 
-#[test]
-fn watch_ends_with_the_change_or_its_time() {
-    run(async {
-        let platform = PlatformProbe::start().await?;
-        assert!(platform.read("values/a/b").await.is_err(), "absent");
-        platform.publisher.put_value("a/b", "one").await?;
-        assert_eq!(platform.read("values/a/b").await?, "one");
-        let early = platform.read("values/a/b?after=1&wait_ms=50").await;
-        assert!(early.unwrap_err().to_string().contains("304"));
-        let started = Instant::now();
-        let (seen, put) = tokio::join!(
-            platform.read("values/a/b?after=1&wait_ms=5000"),
-            platform.publisher.put_value("a/b", "two"),
-        );
-        put?;
-        assert_eq!(seen?, "two");
-        assert!(started.elapsed() < Duration::from_secs(5));
-        let url = format!("{}/calls", platform.operators);
-        let calls: BTreeMap<String, u64> = platform.probe.get(&url).await?;
-        assert_eq!((calls["read_values"], calls["watch_values"]), (2, 2));
-        Ok(())
-    });
+#[actix_rt::test]
+async fn watch_ends_with_the_change_or_its_time() -> anyhow::Result<()> {
+    let platform = PlatformProbe::start().await?;
+    assert!(platform.read("values/a/b").await.is_err(), "absent");
+    platform.publisher.put_value("a/b", "one").await?;
+    assert_eq!(platform.read("values/a/b").await?, "one");
+    let early = platform.read("values/a/b?after=1&wait_ms=50").await;
+    assert!(early.unwrap_err().to_string().contains("304"));
+    let started = Instant::now();
+    let (seen, put) = tokio::join!(
+        platform.read("values/a/b?after=1&wait_ms=5000"),
+        platform.publisher.put_value("a/b", "two"),
+    );
+    put?;
+    assert_eq!(seen?, "two");
+    assert!(started.elapsed() < Duration::from_secs(5));
+    let url = format!("{}/calls", platform.operators);
+    let calls: BTreeMap<String, u64> = platform.probe.get(&url).await?;
+    assert_eq!((calls["read_values"], calls["watch_values"]), (2, 2));
+    Ok(())
 }
 
-#[test]
-fn stale_service_serves_what_was_and_down_service_nothing() {
-    run(async {
-        let platform = PlatformProbe::start().await?;
-        platform.publisher.put_value("key", "one").await?;
-        platform.set_fault(json!({"mode": "stale"})).await?;
-        platform.publisher.put_value("key", "two").await?;
-        assert_eq!(platform.read("values/key").await?, "one");
-        platform.set_fault(json!({"mode": "down"})).await?;
-        assert!(platform.read("values/key").await.is_err());
-        platform.set_fault(json!({"mode": "ok"})).await?;
-        assert_eq!(platform.read("values/key").await?, "two");
-        Ok(())
-    });
+#[actix_rt::test]
+async fn stale_service_serves_what_was_and_down_service_nothing() -> anyhow::Result<()> {
+    let platform = PlatformProbe::start().await?;
+    platform.publisher.put_value("key", "one").await?;
+    platform.set_fault(json!({"mode": "stale"})).await?;
+    platform.publisher.put_value("key", "two").await?;
+    assert_eq!(platform.read("values/key").await?, "one");
+    platform.set_fault(json!({"mode": "down"})).await?;
+    assert!(platform.read("values/key").await.is_err());
+    platform.set_fault(json!({"mode": "ok"})).await?;
+    assert_eq!(platform.read("values/key").await?, "two");
+    Ok(())
 }
 
-#[test]
-fn service_that_goes_down_cuts_its_watches() {
-    run(async {
-        let platform = PlatformProbe::start().await?;
-        platform.publisher.put_value("key", "one").await?;
-        let watch = platform.read("values/key?after=1&wait_ms=8000");
-        let (watch, fault) = tokio::join!(watch, platform.set_fault(json!({"mode": "down"})));
-        fault?;
-        let error = watch.unwrap_err().to_string();
-        assert!(!error.contains("304"), "cut, not ended: {error}");
-        Ok(())
-    });
+#[actix_rt::test]
+async fn service_that_goes_down_cuts_its_watches() -> anyhow::Result<()> {
+    let platform = PlatformProbe::start().await?;
+    platform.publisher.put_value("key", "one").await?;
+    let watch = platform.read("values/key?after=1&wait_ms=8000");
+    let (watch, fault) = tokio::join!(watch, platform.set_fault(json!({"mode": "down"})));
+    fault?;
+    let error = watch.unwrap_err().to_string();
+    assert!(!error.contains("304"), "cut, not ended: {error}");
+    Ok(())
 }
 
-#[test]
-fn published_sheet_is_read_back_whole() {
-    run(async {
-        let platform = PlatformProbe::start().await?;
-        let parts = [String::from("# one\n"), String::from("# two\n")];
-        let index = platform.publisher.publish(3, &parts).await?;
-        let text = platform.read("values/sheet/index").await?;
-        assert_eq!(toml::from_str::<sheet::SheetIndex>(&text)?, index);
-        for (row, part) in index.part.iter().zip(&parts) {
-            let text = platform.read(&format!("values/{}", row.key)).await?;
-            assert_eq!(&text, part);
-            assert_eq!(sheet::SheetIndex::part_digest(&text), row.digest);
-        }
-        Ok(())
-    });
+#[actix_rt::test]
+async fn published_sheet_is_read_back_whole() -> anyhow::Result<()> {
+    let platform = PlatformProbe::start().await?;
+    let parts = [String::from("# one\n"), String::from("# two\n")];
+    let index = platform.publisher.publish(3, &parts).await?;
+    let text = platform.read("values/sheet/index").await?;
+    assert_eq!(toml::from_str::<sheet::SheetIndex>(&text)?, index);
+    for (row, part) in index.part.iter().zip(&parts) {
+        let text = platform.read(&format!("values/{}", row.key)).await?;
+        assert_eq!(&text, part);
+        assert_eq!(sheet::SheetIndex::part_digest(&text), row.digest);
+    }
+    Ok(())
 }
 
-#[test]
-fn host_list_lags_behind() {
-    run(async {
-        let platform = PlatformProbe::start().await?;
-        let lag = Duration::from_millis(300);
-        let first = HostList::default();
-        let mut second = HostList::default();
-        second.targets.push(TargetMark {
-            target: String::from("t1"),
-            state: HostState::Leaving,
-        });
-        platform.publisher.put_hosts(&first).await?;
-        platform
-            .set_fault(json!({"hosts_lag_ms": lag.as_millis() as u64}))
-            .await?;
-        let (second_text, started) = (serde_json::to_string(&second)?, Instant::now());
-        platform.publisher.put_hosts(&second).await?;
-        wait_until("the second list shows", LIMIT, async || {
-            platform
-                .read("hosts")
-                .await
-                .is_ok_and(|text| text == second_text)
-        })
-        .await?;
-        assert!(started.elapsed() >= lag);
-        Ok(())
+#[actix_rt::test]
+async fn host_list_lags_behind() -> anyhow::Result<()> {
+    let platform = PlatformProbe::start().await?;
+    let lag = Duration::from_millis(300);
+    let first = HostList::default();
+    let mut second = HostList::default();
+    second.targets.push(TargetMark {
+        target: String::from("t1"),
+        state: HostState::Leaving,
     });
+    platform.publisher.put_hosts(&first).await?;
+    platform
+        .set_fault(json!({"hosts_lag_ms": lag.as_millis() as u64}))
+        .await?;
+    let (second_text, started) = (serde_json::to_string(&second)?, Instant::now());
+    platform.publisher.put_hosts(&second).await?;
+    wait_until("the second list shows", LIMIT, async || {
+        platform
+            .read("hosts")
+            .await
+            .is_ok_and(|text| text == second_text)
+    })
+    .await?;
+    assert!(started.elapsed() >= lag);
+    Ok(())
 }
