Add the member table: peers, leaving targets and strikes without shared state

Controllers need to know which entries to name and which targets to avoid. member keeps that as soft state from two sources, the platform's lagging host list and peers' heartbeats, as one state machine without I/O.

- A leaving mark names an incarnation.
- Words on targets are kept for each source and ordered by hybrid time, so a stale list can't take back another source's mark.
- Strikes are counted for each witness and add up, as two entries may see one death each before either hears of the other's.

Ruled out: trusting a peer's word that a host is dead (one cut-off observer would empty the view); a single register for each target (a clear word of one source would undo the mark of another).

--- /dev/null
+++ b/crates/member/src/rumour_buffer.rs
@@ -0,0 +1,107 @@
+use {
+    crate::rumour_key::RumourKey,
+    std::{
+        cmp::Reverse,
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+    wire::PeerRumour,
+};
+
+/// Most rumours that wait for transmission.
+const MAX_RUMOURS: usize = 1_024;
+
+/// News to be passed on, each a bounded number of times.
+#[derive(Debug, Default)]
+pub(crate) struct RumourBuffer {
+    entries: BTreeMap<RumourKey, RumourEntry>,
+}
+
+#[derive(Debug)]
+struct RumourEntry {
+    rumour: PeerRumour,
+    sends_left: u32,
+    expires: Option<Instant>,
+}
+
+impl RumourBuffer {
+    /// Adds news; `expires` rules the remaining time that the rumour states.
+    pub(crate) fn push(&mut self, rumour: PeerRumour, sends: u32, expires: Option<Instant>) {
+        let key = RumourKey::of(&rumour);
+        if !self.entries.contains_key(&key) && self.entries.len() >= MAX_RUMOURS {
+            self.evict();
+        }
+        let entry = RumourEntry {
+            rumour,
+            sends_left: sends,
+            expires,
+        };
+        self.entries.insert(key, entry);
+    }
+
+    /// True while news waits that should not wait for an idle round.
+    pub(crate) fn is_urgent(&self) -> bool {
+        self.entries.keys().any(RumourKey::is_urgent)
+    }
+
+    /// Takes rumours for one datagram: urgent ones first, then those sent least often.
+    pub(crate) fn take(&mut self, room: usize, now: Instant) -> Vec<PeerRumour> {
+        self.entries
+            .retain(|_, entry| entry.expires.is_none_or(|expires| expires > now));
+        let mut order: Vec<_> = self
+            .entries
+            .iter()
+            .map(|(key, entry)| (key.is_urgent(), entry.sends_left, key.clone()))
+            .collect();
+        order.sort_by_key(|(urgent, sends_left, _)| Reverse((*urgent, *sends_left)));
+        let mut taken = Vec::new();
+        let mut used = 0;
+        for (_, _, key) in order {
+            let Some(entry) = self.entries.get_mut(&key) else {
+                continue;
+            };
+            let rumour = with_remaining(&entry.rumour, entry.expires, now);
+            let bytes = rumour.encoded_bytes();
+            if used + bytes > room {
+                continue;
+            }
+            used += bytes;
+            taken.push(rumour);
+            entry.sends_left = entry.sends_left.saturating_sub(1);
+            if entry.sends_left == 0 {
+                self.entries.remove(&key);
+            }
+        }
+        taken
+    }
+
+    fn evict(&mut self) {
+        let least = self
+            .entries
+            .iter()
+            .min_by_key(|(key, entry)| (key.is_urgent(), entry.sends_left))
+            .map(|(key, _)| key.clone());
+        if let Some(key) = least {
+            self.entries.remove(&key);
+        }
+    }
+}
+
+/// The rumour with the time that remains now, where it states one.
+pub(crate) fn with_remaining(
+    rumour: &PeerRumour,
+    expires: Option<Instant>,
+    now: Instant,
+) -> PeerRumour {
+    let mut rumour = rumour.clone();
+    let remaining = expires.map_or(Duration::ZERO, |expires| {
+        expires.saturating_duration_since(now)
+    });
+    let left = u32::try_from(remaining.as_millis()).unwrap_or(u32::MAX);
+    match &mut rumour {
+        PeerRumour::Strike { remaining_ms, .. } => *remaining_ms = left,
+        PeerRumour::StrikesCleared { remaining_ms, .. } => *remaining_ms = left,
+        _ => {}
+    }
+    rumour
+}
--- /dev/null
+++ b/crates/member/src/rumour_key.rs
@@ -0,0 +1,42 @@
+use {
+    crate::Fingerprint,
+    base::{HostId, TargetId},
+    wire::{MarkSource, PeerRumour},
+};
+
+/// What a rumour is about; a newer rumour about the same replaces the older one.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum RumourKey {
+    Member(HostId),
+    HostLeaving(HostId),
+    HostSuspect(HostId),
+    HostRevived(HostId),
+    Target(TargetId, MarkSource),
+    Strike(Fingerprint, HostId),
+    StrikesCleared(Fingerprint),
+}
+
+impl RumourKey {
+    pub(crate) fn of(rumour: &PeerRumour) -> Self {
+        match rumour {
+            PeerRumour::Member(about) => Self::Member(about.host.clone()),
+            PeerRumour::HostLeaving(key) => Self::HostLeaving(key.host.clone()),
+            PeerRumour::HostSuspect(key) => Self::HostSuspect(key.host.clone()),
+            PeerRumour::HostRevived(key) => Self::HostRevived(key.host.clone()),
+            PeerRumour::TargetLeaving { target, source, .. } => {
+                Self::Target(target.clone(), *source)
+            }
+            PeerRumour::Strike {
+                fingerprint,
+                witness,
+                ..
+            } => Self::Strike(*fingerprint, witness.clone()),
+            PeerRumour::StrikesCleared { fingerprint, .. } => Self::StrikesCleared(*fingerprint),
+        }
+    }
+
+    /// True if callers or targets suffer while the news has not reached everyone.
+    pub(crate) fn is_urgent(&self) -> bool {
+        !matches!(self, Self::Member(_) | Self::HostRevived(_))
+    }
+}
--- a/crates/wire/src/peer_rumour.rs
+++ b/crates/wire/src/peer_rumour.rs
@@ -1,6 +1,6 @@
 use {
-    crate::{PeerKey, PeerSelf},
-    base::TargetId,
+    crate::{PeerKey, PeerSelf, seal_hash::encode},
+    base::{HostId, TargetId},
     serde::{Deserialize, Serialize},
     stamp::HybridTime,
 };
@@ -45,9 +45,36 @@
     Strike {
         /// Fingerprint of customer, pipeline and body.
         fingerprint: [u8; 16],
-        /// Number of such deaths.
+        /// Host whose calls they were; the strikes of all witnesses add up.
+        witness: HostId,
+        /// Number of such deaths that the witness saw.
         strikes: u8,
+        /// When the latest of them was.
+        at: HybridTime,
         /// Milliseconds until the record expires.
         remaining_ms: u32,
     },
+    /// A request with this fingerprint ended well; strikes up to then are void.
+    StrikesCleared {
+        /// Fingerprint of customer, pipeline and body.
+        fingerprint: [u8; 16],
+        /// When it ended.
+        at: HybridTime,
+        /// Milliseconds until the record expires.
+        remaining_ms: u32,
+    },
+}
+
+impl PeerRumour {
+    /// Bytes that the rumour takes in a datagram.
+    ///
+    /// ```
+    /// use wire::{PeerKey, PeerRumour};
+    ///
+    /// let key = PeerKey { host: String::from("h1"), incarnation: 5 };
+    /// assert_eq!(PeerRumour::HostLeaving(key).encoded_bytes(), 5);
+    /// ```
+    pub fn encoded_bytes(&self) -> usize {
+        encode(self).map_or(0, |content| content.len())
+    }
 }
