--- /dev/null
+++ b/crates/load/src/arrival_schedule.rs
@@ -0,0 +1,149 @@
+use {
+    crate::{ArrivalFlow, CustomerLoad, WorkloadFile},
+    base::{CustomerId, PipelineId, RequestId},
+    rand::{Rng, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// A request that is to be sent at a set time, whatever became of those before.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlannedRequest {
+    /// Time from the start of the run.
+    pub at: Duration,
+    /// Customer that asks.
+    pub customer: CustomerId,
+    /// Pipeline that is asked for.
+    pub pipeline: PipelineId,
+    /// Id of the request.
+    pub request: RequestId,
+    /// Body of the request.
+    pub body: String,
+}
+
+/// What a run changes of its workload.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ScheduleTweaks {
+    /// Seed of the generator.
+    pub seed: u64,
+    /// Time over which requests arrive.
+    pub duration: Duration,
+    /// Factor on all rates.
+    pub scale: f64,
+    /// Further factors on the rates of single customers.
+    pub customer_scale: BTreeMap<CustomerId, f64>,
+}
+
+impl ScheduleTweaks {
+    /// The workload as it stands in its file.
+    pub fn new(seed: u64, duration: Duration) -> Self {
+        Self {
+            seed,
+            duration,
+            scale: 1.0,
+            customer_scale: BTreeMap::new(),
+        }
+    }
+}
+
+/// All requests of a run in the order of their arrival; the same for the same seed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ArrivalSchedule {
+    /// Requests by time.
+    pub requests: Vec<PlannedRequest>,
+}
+
+impl ArrivalSchedule {
+    /// Draws the arrivals; each customer of each flow has a generator stream of its own, so that
+    /// a change to one leaves the others as they are.
+    ///
+    /// ```
+    /// use {load::{ArrivalSchedule, ScheduleTweaks, WorkloadFile}, std::time::Duration};
+    ///
+    /// let workload: WorkloadFile = toml::from_str(r#"
+    ///     name = "small"
+    ///     duration = "2s"
+    ///     pipeline = [{ name = "lookup", deadline = "1s", stage = [{ call = "find" }] }]
+    ///     customer = [{ name = "dairy", credential = "secret" }]
+    ///     flow = [{ pipeline = "lookup", arrival = { kind = "poisson", rate = 50.0 } }]
+    /// "#).unwrap();
+    /// let tweaks = ScheduleTweaks::new(7, Duration::from_secs(2));
+    /// let schedule = ArrivalSchedule::draw(&workload, &tweaks);
+    /// assert_eq!(schedule, ArrivalSchedule::draw(&workload, &tweaks));
+    /// ```
+    pub fn draw(workload: &WorkloadFile, tweaks: &ScheduleTweaks) -> Self {
+        let mut requests = Vec::new();
+        let mut stream = 0;
+        for flow in &workload.flow {
+            let askers: Vec<&CustomerLoad> = askers(workload, flow);
+            let total: f64 = askers.iter().map(|row| row.share).sum();
+            for asker in askers {
+                let mut generator = ChaCha8Rng::seed_from_u64(tweaks.seed);
+                generator.set_stream(stream);
+                stream += 1;
+                let own = tweaks.customer_scale.get(&asker.name).unwrap_or(&1.0);
+                let factor = asker.share / total.max(f64::MIN_POSITIVE) * tweaks.scale * own;
+                let times = draw_times(flow, tweaks.duration, factor, &mut generator);
+                for (index, at) in times.into_iter().enumerate() {
+                    let request = format!("s{}-{}-{index}", tweaks.seed, stream);
+                    requests.push(PlannedRequest {
+                        at,
+                        customer: asker.name.clone(),
+                        pipeline: flow.pipeline.clone(),
+                        request,
+                        body: draw_body(workload, flow, &mut generator),
+                    });
+                }
+            }
+        }
+        requests.sort_by(|one, other| (one.at, &one.request).cmp(&(other.at, &other.request)));
+        Self { requests }
+    }
+}
+
+fn askers<'a>(workload: &'a WorkloadFile, flow: &ArrivalFlow) -> Vec<&'a CustomerLoad> {
+    workload
+        .customer
+        .iter()
+        .filter(|row| flow.customers.is_empty() || flow.customers.contains(&row.name))
+        .collect()
+}
+
+/// Draws at the peak rate and keeps each arrival in proportion to the rate at its time.
+fn draw_times(
+    flow: &ArrivalFlow,
+    run: Duration,
+    factor: f64,
+    generator: &mut impl Rng,
+) -> Vec<Duration> {
+    let peak = flow.arrival.peak_rate();
+    let mut times = Vec::new();
+    if peak * factor <= 0.0 {
+        return times;
+    }
+    let mut at = 0.0;
+    loop {
+        let uniform: f64 = generator.random();
+        at += -(1.0 - uniform).ln() / (peak * factor);
+        if at >= run.as_secs_f64() {
+            return times;
+        }
+        let moment = Duration::from_secs_f64(at);
+        let kept: f64 = generator.random();
+        if kept * peak < flow.arrival.rate_at(moment, run) {
+            times.push(moment);
+        }
+    }
+}
+
+fn draw_body(workload: &WorkloadFile, flow: &ArrivalFlow, generator: &mut impl Rng) -> String {
+    let Some(pipeline) = workload.pipeline(&flow.pipeline) else {
+        return String::new();
+    };
+    let mut body = String::with_capacity(pipeline.body + 16);
+    while body.len() < pipeline.body {
+        body.push(char::from(generator.random_range(b'a'..=b'z')));
+    }
+    body.push_str(&format!(" tokens={}", pipeline.tokens));
+    body
+}
--- /dev/null
+++ b/crates/load/src/drive/entry_client.rs
@@ -0,0 +1,221 @@
+use {
+    awc::{
+        Client, ClientResponse, Connector,
+        error::{ConnectError, SendRequestError},
+        http::StatusCode,
+    },
+    base::{
+        CREDENTIAL_HEADER, CUSTOMER_HEADER, DIGEST_HEADER, FailureReport, IDEMPOTENT_HEADER,
+        LENGTH_HEADER, PRIORITY_HEADER, REMAINING_HEADER, REQUEST_HEADER, SHEET_HEADER,
+        STREAM_HEADER, SheetVersion, StreamEvent, TICKET_HEADER,
+    },
+    bytes::{Bytes, BytesMut},
+    futures_util::{Stream, StreamExt},
+    load::{
+        AddressAnswer, AnswerCheck, AnswerFault, AnswerState, CustomerLoad, PipelineLoad,
+        PlannedRequest, SendResult,
+    },
+    std::time::{Duration, Instant},
+};
+
+/// Time for one question about addresses.
+const ADDRESS_TIME: Duration = Duration::from_millis(500);
+/// Time for which an idle connection is kept.
+const IDLE_TIME: Duration = Duration::from_secs(15);
+/// Longest answer to a question about addresses, in bytes.
+const ADDRESS_LIMIT: usize = 1024 * 1024;
+
+/// One request on its way to one entry.
+pub struct EntryCall<'a> {
+    /// Address of the entry.
+    pub address: &'a str,
+    /// Customer that asks.
+    pub customer: &'a CustomerLoad,
+    /// Pipeline that is asked for.
+    pub pipeline: &'a PipelineLoad,
+    /// Request as planned.
+    pub planned: &'a PlannedRequest,
+    /// Ticket to send under.
+    pub ticket: Option<&'a str>,
+    /// When the answer must be whole.
+    pub deadline: Instant,
+    /// Latest sheet version that the caller has seen.
+    pub sheet_version: SheetVersion,
+}
+
+/// What one send brought in.
+#[derive(Debug, Default)]
+pub struct SentCall {
+    /// When each token came.
+    pub token_times: Vec<Instant>,
+    /// Fresh tickets.
+    pub tickets: Vec<String>,
+}
+
+/// Speaks to entries over HTTP.
+#[derive(Clone)]
+pub struct EntryClient {
+    client: Client,
+}
+
+impl EntryClient {
+    /// Client without a limit on connections or on the time that an answer takes.
+    pub fn new() -> Self {
+        let connector = Connector::new().limit(0).conn_keep_alive(IDLE_TIME);
+        let client = Client::builder()
+            .connector(connector)
+            .disable_timeout()
+            .disable_redirects()
+            .finish();
+        Self { client }
+    }
+
+    /// Asks an entry which addresses a customer should use.
+    pub async fn addresses(&self, entry: &str, customer: &CustomerLoad) -> Option<AddressAnswer> {
+        let url = format!("http://{entry}/addresses?customer={}", customer.name);
+        let request = self
+            .client
+            .get(url)
+            .insert_header((CUSTOMER_HEADER, customer.name.as_str()))
+            .insert_header((CREDENTIAL_HEADER, customer.credential.as_str()));
+        let asked = async {
+            let mut reply = request.send().await.ok()?;
+            if reply.status() != StatusCode::OK {
+                return None;
+            }
+            reply.json().limit(ADDRESS_LIMIT).await.ok()
+        };
+        let answer = actix_rt::time::timeout(ADDRESS_TIME, asked).await;
+        answer.ok().flatten()
+    }
+
+    /// Sends a request and reads its answer to the end; what came in so far stands in `sent`
+    /// also if the future is dropped.
+    pub async fn send(
+        &self,
+        call: &EntryCall<'_>,
+        mut check: AnswerCheck,
+        sent: &mut SentCall,
+    ) -> SendResult {
+        let remaining = call.deadline.saturating_duration_since(Instant::now());
+        let url = format!("http://{}/run/{}", call.address, call.pipeline.name);
+        let mut request = self
+            .client
+            .post(url)
+            .insert_header((CUSTOMER_HEADER, call.customer.name.as_str()))
+            .insert_header((CREDENTIAL_HEADER, call.customer.credential.as_str()))
+            .insert_header((REQUEST_HEADER, call.planned.request.as_str()))
+            .insert_header((REMAINING_HEADER, remaining.as_millis().to_string()))
+            .insert_header((PRIORITY_HEADER, call.pipeline.priority.to_string()))
+            .insert_header((IDEMPOTENT_HEADER, call.pipeline.idempotent.to_string()))
+            .insert_header((STREAM_HEADER, call.pipeline.stream.to_string()));
+        if call.sheet_version > 0 {
+            request = request.insert_header((SHEET_HEADER, call.sheet_version.to_string()));
+        }
+        if let Some(ticket) = call.ticket {
+            request = request.insert_header((TICKET_HEADER, ticket));
+        }
+        let body = Bytes::from(call.planned.body.clone());
+        match request.send_body(body).await {
+            Ok(reply) => read_reply(reply, call.pipeline.stream, &mut check, sent).await,
+            Err(SendRequestError::Connect(ConnectError::Io(_))) => SendResult::NotSent,
+            Err(_) => SendResult::Interrupted,
+        }
+    }
+}
+
+async fn read_reply<S>(
+    mut reply: ClientResponse<S>,
+    stream: bool,
+    check: &mut AnswerCheck,
+    sent: &mut SentCall,
+) -> SendResult
+where
+    S: Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin,
+{
+    sent.tickets.extend(header(&reply, TICKET_HEADER));
+    if reply.status() != StatusCode::OK {
+        return read_failure(reply).await;
+    }
+    if stream {
+        return read_events(reply, check, sent).await;
+    }
+    let length = header(&reply, LENGTH_HEADER).and_then(|text| text.parse().ok());
+    let digest = header(&reply, DIGEST_HEADER);
+    let mut body = BytesMut::new();
+    while let Some(chunk) = reply.next().await {
+        match chunk {
+            Ok(chunk) => body.extend_from_slice(&chunk),
+            Err(_) => return SendResult::Interrupted,
+        }
+    }
+    if length.is_some_and(|length| (body.len() as u64) < length) {
+        return SendResult::Interrupted;
+    }
+    result_of(check.unary(&body, length, digest.as_deref()))
+}
+
+async fn read_failure<S>(mut reply: ClientResponse<S>) -> SendResult
+where
+    S: Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin,
+{
+    let mut body = BytesMut::new();
+    while let Some(Ok(chunk)) = reply.next().await {
+        body.extend_from_slice(&chunk);
+    }
+    match serde_json::from_slice::<FailureReport>(&body) {
+        Ok(report) => SendResult::Refused(report),
+        Err(_) => SendResult::Interrupted,
+    }
+}
+
+async fn read_events<S>(
+    mut reply: ClientResponse<S>,
+    check: &mut AnswerCheck,
+    sent: &mut SentCall,
+) -> SendResult
+where
+    S: Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin,
+{
+    let mut text = BytesMut::new();
+    while let Some(Ok(chunk)) = reply.next().await {
+        text.extend_from_slice(&chunk);
+        while let Some(end) = text.iter().position(|byte| *byte == b'\n') {
+            let line = text.split_to(end + 1);
+            let Ok(event) = StreamEvent::from_line(&line) else {
+                return SendResult::Faulty(AnswerFault::Broken);
+            };
+            if matches!(event, StreamEvent::Token { .. }) {
+                sent.token_times.push(Instant::now());
+            }
+            let state = check.event(event);
+            if state != AnswerState::Open {
+                drain(reply).await;
+                return result_of(state);
+            }
+        }
+    }
+    SendResult::Interrupted
+}
+
+/// Reads on to the end of the body, so that the connection can be used again.
+async fn drain<S>(mut reply: ClientResponse<S>)
+where
+    S: Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin,
+{
+    while let Some(Ok(_)) = reply.next().await {}
+}
+
+fn result_of(state: AnswerState) -> SendResult {
+    match state {
+        AnswerState::Open => SendResult::Interrupted,
+        AnswerState::Whole => SendResult::Whole,
+        AnswerState::Failed(report) => SendResult::Refused(report),
+        AnswerState::Faulty(fault) => SendResult::Faulty(fault),
+    }
+}
+
+fn header<S>(reply: &ClientResponse<S>, name: &str) -> Option<String> {
+    let value = reply.headers().get(name)?;
+    value.to_str().ok().map(String::from)
+}
--- /dev/null
+++ b/crates/load/src/drive/request_driver.rs
@@ -0,0 +1,153 @@
+use {
+    super::{
+        entry_client::{EntryCall, SentCall},
+        load_driver::LoadDriver,
+    },
+    load::{
+        AnswerCheck, CallerStep, CustomerLoad, PipelineLoad, PlannedRequest, RequestCaller,
+        RequestOutcome, RequestResult, SendResult,
+    },
+    std::{
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time past the deadline in which an entry must still say a word.
+const ANSWER_GRACE: Duration = Duration::from_secs(1);
+
+/// Drives one request from its scheduled arrival to its end.
+pub struct RequestDriver {
+    driver: Rc<LoadDriver>,
+    planned: PlannedRequest,
+    arrival: Instant,
+    interruptions: Vec<String>,
+    token_times: Vec<Instant>,
+}
+
+impl RequestDriver {
+    /// Driver of a request that arrives at a set moment.
+    pub fn new(driver: Rc<LoadDriver>, planned: PlannedRequest, arrival: Instant) -> Self {
+        Self {
+            driver,
+            planned,
+            arrival,
+            interruptions: Vec::new(),
+            token_times: Vec::new(),
+        }
+    }
+
+    /// Sends the request as its caller decides until it is over.
+    pub async fn run(mut self) -> Option<RequestResult> {
+        let driver = Rc::clone(&self.driver);
+        let pipeline = driver.workload.pipeline(&self.planned.pipeline)?;
+        let customer = driver.workload.customer(&self.planned.customer)?;
+        let deadline = self.arrival + pipeline.deadline;
+        let mut caller = RequestCaller::new(deadline, pipeline.idempotent);
+        let mut step = caller.start(Instant::now());
+        let outcome = loop {
+            step = match step {
+                CallerStep::Finish(outcome) => break outcome,
+                CallerStep::AskAddresses { at } => {
+                    sleep_until(at).await;
+                    match driver.ranked(customer).await {
+                        Some(ranked) => caller.addresses(Instant::now(), ranked),
+                        None => caller.no_addresses(Instant::now()),
+                    }
+                }
+                CallerStep::Send {
+                    address,
+                    at,
+                    ticket,
+                } => {
+                    sleep_until(at).await;
+                    let ticket = self.choose_ticket(&mut caller, &address, ticket);
+                    let call = EntryCall {
+                        address: &address,
+                        customer,
+                        pipeline,
+                        planned: &self.planned.clone(),
+                        ticket: ticket.as_deref(),
+                        deadline,
+                        sheet_version: driver.sheet_version(&customer.name),
+                    };
+                    let result = self.send(&call).await;
+                    let step = caller.ended(Instant::now(), result);
+                    if let CallerStep::AskAddresses { .. } = step {
+                        driver.forget(&customer.name);
+                    }
+                    step
+                }
+            };
+        };
+        Some(self.result(customer, pipeline, caller.sends(), outcome))
+    }
+
+    /// Ticket of the request, or a fresh one of the entry that is sent to.
+    fn choose_ticket(
+        &self,
+        caller: &mut RequestCaller,
+        address: &str,
+        ticket: Option<String>,
+    ) -> Option<String> {
+        if ticket.is_some() || !caller.wants_ticket() {
+            return ticket;
+        }
+        let ticket = self.driver.take_ticket(&self.planned.customer, address)?;
+        caller.use_ticket(ticket.clone());
+        Some(ticket)
+    }
+
+    async fn send(&mut self, call: &EntryCall<'_>) -> SendResult {
+        let mut sent = SentCall::default();
+        let check = AnswerCheck::of_request(call.pipeline, call.planned);
+        let patience =
+            (call.deadline + ANSWER_GRACE).saturating_duration_since(Instant::now());
+        let sending = self.driver.client.send(call, check, &mut sent);
+        let result = match actix_rt::time::timeout(patience, sending).await {
+            Ok(result) => result,
+            Err(_) => SendResult::TimedOut,
+        };
+        if self.token_times.is_empty() {
+            self.token_times = sent.token_times;
+        }
+        if result == SendResult::Interrupted {
+            self.interruptions.push(call.address.to_string());
+        }
+        if let SendResult::Refused(report) = &result {
+            sent.tickets.extend(report.tickets.iter().cloned());
+        }
+        self.driver
+            .store_tickets(&call.customer.name, call.address, sent.tickets);
+        result
+    }
+
+    fn result(
+        self,
+        customer: &CustomerLoad,
+        pipeline: &PipelineLoad,
+        calls: u32,
+        outcome: RequestOutcome,
+    ) -> RequestResult {
+        let times = &self.token_times;
+        let first_token = times.first().map(|time| time.duration_since(self.arrival));
+        let gaps = times.windows(2).map(|pair| pair[1] - pair[0]).collect();
+        RequestResult {
+            customer: customer.name.clone(),
+            pipeline: pipeline.name.clone(),
+            request: self.planned.request,
+            outcome,
+            latency: self.arrival.elapsed(),
+            deadline: pipeline.deadline,
+            calls,
+            interruptions: self.interruptions,
+            first_token,
+            gaps,
+            posting: pipeline.stage.iter().any(|stage| stage.posting),
+        }
+    }
+}
+
+async fn sleep_until(at: Instant) {
+    actix_rt::time::sleep(at.saturating_duration_since(Instant::now())).await;
+}
--- /dev/null
+++ b/crates/load/src/latency_record.rs
@@ -0,0 +1,90 @@
+use {
+    hdrhistogram::Histogram,
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+};
+
+/// Significant decimal digits that a histogram keeps.
+const HISTOGRAM_DIGITS: u8 = 3;
+
+/// Times in microseconds, kept in a histogram.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// let mut record = load::LatencyRecord::new();
+/// record.add(Duration::from_millis(20));
+/// assert!((record.summary().p50_ms - 20.0).abs() < 0.1);
+/// ```
+#[derive(Debug, Clone)]
+pub struct LatencyRecord {
+    histogram: Option<Histogram<u64>>,
+}
+
+impl LatencyRecord {
+    /// Record without a time.
+    pub fn new() -> Self {
+        Self {
+            histogram: Histogram::new(HISTOGRAM_DIGITS).ok(),
+        }
+    }
+
+    /// Adds a time.
+    pub fn add(&mut self, time: Duration) {
+        let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+        if let Some(histogram) = &mut self.histogram {
+            histogram.saturating_record(micros);
+        }
+    }
+
+    /// Adds all times of another record.
+    pub fn merge(&mut self, other: &Self) {
+        if let (Some(histogram), Some(other)) = (&mut self.histogram, &other.histogram) {
+            let _ = histogram.add(other);
+        }
+    }
+
+    /// Count and percentiles.
+    pub fn summary(&self) -> LatencySummary {
+        let Some(histogram) = &self.histogram else {
+            return LatencySummary::default();
+        };
+        let millis = |micros: u64| micros as f64 / 1_000.0;
+        let quantile = |quantile| millis(histogram.value_at_quantile(quantile));
+        LatencySummary {
+            count: histogram.len(),
+            p50_ms: quantile(0.5),
+            p90_ms: quantile(0.9),
+            p95_ms: quantile(0.95),
+            p99_ms: quantile(0.99),
+            p999_ms: quantile(0.999),
+            max_ms: millis(histogram.max()),
+        }
+    }
+}
+
+impl Default for LatencyRecord {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Percentiles of a latency record, in milliseconds.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LatencySummary {
+    /// Number of times.
+    pub count: u64,
+    /// Median.
+    pub p50_ms: f64,
+    /// 90 in 100 are below.
+    pub p90_ms: f64,
+    /// 95 in 100 are below.
+    pub p95_ms: f64,
+    /// 99 in 100 are below.
+    pub p99_ms: f64,
+    /// 999 in 1000 are below.
+    pub p999_ms: f64,
+    /// Longest.
+    pub max_ms: f64,
+}
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,36 @@
+//! Open-loop load: arrival schedule, a caller's decisions, the check of answers, tallies and
+//! reports. Nothing here opens a socket or reads a clock.
+
+mod address_book;
+mod answer_check;
+mod arrival_schedule;
+mod arrival_shape;
+mod latency_record;
+mod load_report;
+mod load_tally;
+mod posting_audit;
+mod ready_book;
+mod request_caller;
+mod request_outcome;
+mod sheet_template;
+mod stage_cost;
+mod topology_file;
+mod workload_file;
+
+pub use {
+    address_book::{AddressAnswer, AddressBook},
+    answer_check::{AnswerCheck, AnswerState},
+    arrival_schedule::{ArrivalSchedule, PlannedRequest, ScheduleTweaks},
+    arrival_shape::ArrivalShape,
+    latency_record::{LatencyRecord, LatencySummary},
+    load_report::{CellReport, FaultCount, LoadReport},
+    load_tally::{LoadTally, RequestResult},
+    posting_audit::PostingAudit,
+    ready_book::ReadyBook,
+    request_caller::{CallerStep, RequestCaller, SendResult},
+    request_outcome::{AnswerFault, RequestOutcome},
+    sheet_template::SheetTemplate,
+    stage_cost::{CostBook, StageCost},
+    topology_file::{EntryStand, TargetStand, TopologyFile},
+    workload_file::{ArrivalFlow, CustomerLoad, PipelineLoad, StageLoad, WorkloadFile},
+};
--- /dev/null
+++ b/crates/load/src/load_report.rs
@@ -0,0 +1,244 @@
+use {
+    crate::{LatencySummary, LoadTally, StageCost},
+    base::{CustomerId, PipelineId},
+    serde::{Deserialize, Serialize},
+    std::{collections::BTreeMap, fmt::Write},
+};
+
+/// Counts and percentiles of a group of requests.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CellReport {
+    /// Requests that arrived.
+    pub requests: u64,
+    /// Requests that were whole within their deadline.
+    pub attained: u64,
+    /// Requests that were whole after their deadline.
+    pub late: u64,
+    /// Share that was whole within the deadline.
+    pub attainment: f64,
+    /// Calls to entries for each request.
+    pub calls_per_request: f64,
+    /// Time from scheduled arrival to the end of whole answers.
+    pub latency: LatencySummary,
+    /// Time from scheduled arrival to the first token.
+    pub first_token: LatencySummary,
+    /// Time between two tokens.
+    pub token_gap: LatencySummary,
+}
+
+/// Faults of which a sound run has none.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FaultCount {
+    /// Answers passed off as whole that end early.
+    pub cut: u64,
+    /// Answers whose length, digest or framing do not fit.
+    pub broken: u64,
+    /// Answers that belong to another request.
+    pub misdelivered: u64,
+    /// Requests without a word past deadline and grace.
+    pub unanswered: u64,
+    /// Connections that broke at entries that were not to die.
+    pub interrupted: u64,
+    /// Postings that were applied more than once.
+    pub doubled: u64,
+    /// Whole answers whose posting is missing.
+    pub lost: u64,
+    /// Postings of requests of which an entry said that they were not run.
+    pub ran_though_refused: u64,
+}
+
+impl FaultCount {
+    /// Sum of all faults.
+    ///
+    /// ```
+    /// let faults = load::FaultCount { cut: 1, lost: 2, ..Default::default() };
+    /// assert_eq!(faults.total(), 3);
+    /// ```
+    pub fn total(&self) -> u64 {
+        self.cut
+            + self.broken
+            + self.misdelivered
+            + self.unanswered
+            + self.interrupted
+            + self.doubled
+            + self.lost
+            + self.ran_though_refused
+    }
+}
+
+/// Everything that one run measured.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LoadReport {
+    /// Name of the workload.
+    pub workload: String,
+    /// Name of the case that the run belongs to.
+    pub case: String,
+    /// Seed of the schedule.
+    pub seed: u64,
+    /// Time over which requests arrived, in seconds.
+    pub seconds: f64,
+    /// Sum over all requests.
+    pub total: CellReport,
+    /// By customer.
+    pub customers: BTreeMap<CustomerId, CellReport>,
+    /// By pipeline.
+    pub pipelines: BTreeMap<PipelineId, CellReport>,
+    /// By `customer/pipeline`.
+    pub cells: BTreeMap<String, CellReport>,
+    /// Requests by outcome, failures as `verdict:reason`.
+    pub outcomes: BTreeMap<String, u64>,
+    /// Connections that ended before their answer, by address of the entry.
+    pub interruptions: BTreeMap<String, u64>,
+    /// Faults of which a sound run has none.
+    pub faults: FaultCount,
+    /// Cost by kind of call.
+    pub stages: BTreeMap<String, StageCost>,
+    /// Targets that could not be asked for their records.
+    pub silent_targets: Vec<String>,
+}
+
+impl LoadReport {
+    /// Report of a tally; faults of postings and costs are added from the targets' records.
+    pub fn of(tally: &LoadTally, may_die: &[String]) -> Self {
+        let outcome = |name: &str| tally.outcomes().get(name).copied().unwrap_or(0);
+        let interrupted = tally
+            .interruptions()
+            .iter()
+            .filter(|(address, _)| !may_die.contains(address))
+            .map(|(_, count)| count);
+        Self {
+            total: tally.total(),
+            customers: tally.by_customer(),
+            pipelines: tally.by_pipeline(),
+            cells: tally.by_both(),
+            outcomes: tally.outcomes().clone(),
+            interruptions: tally.interruptions().clone(),
+            faults: FaultCount {
+                cut: outcome("cut"),
+                broken: outcome("broken"),
+                misdelivered: outcome("misdelivered"),
+                unanswered: outcome("unanswered"),
+                interrupted: interrupted.sum(),
+                ..FaultCount::default()
+            },
+            ..Self::default()
+        }
+    }
+
+    /// The report as text for a person.
+    pub fn to_text(&self) -> String {
+        let mut text = format!(
+            "{} {} seed {}: {} requests in {:.0} s, attainment {:.2} %, {:.3} calls a request\n\n",
+            self.workload,
+            self.case,
+            self.seed,
+            self.total.requests,
+            self.seconds,
+            self.total.attainment * 100.0,
+            self.total.calls_per_request,
+        );
+        let groups = [
+            ("pipeline", &self.pipelines),
+            ("customer", &self.customers),
+            ("customer/pipeline", &self.cells),
+        ];
+        for (title, rows) in groups {
+            write_cells(&mut text, title, rows);
+        }
+        self.write_streams(&mut text);
+        self.write_stages(&mut text);
+        self.write_counts(&mut text);
+        text
+    }
+
+    fn write_streams(&self, text: &mut String) {
+        let title = "stream";
+        let _ = writeln!(
+            text,
+            "{title:<34}{:>10}{:>10}{:>10}{:>10}{:>10}",
+            "first p50", "p95", "gap p50", "p95", "max"
+        );
+        for (name, cell) in &self.pipelines {
+            let (first, gap) = (&cell.first_token, &cell.token_gap);
+            if first.count > 0 {
+                let _ = writeln!(
+                    text,
+                    "{name:<34}{:>10.1}{:>10.1}{:>10.1}{:>10.1}{:>10.1}",
+                    first.p50_ms, first.p95_ms, gap.p50_ms, gap.p95_ms, gap.max_ms
+                );
+            }
+        }
+        text.push('\n');
+    }
+
+    fn write_stages(&self, text: &mut String) {
+        let title = "stage";
+        let _ = writeln!(
+            text,
+            "{title:<34}{:>10}{:>10}{:>10}{:>10}",
+            "calls", "target s", "wasted s", "wasted %"
+        );
+        for (name, cost) in &self.stages {
+            let _ = writeln!(
+                text,
+                "{name:<34}{:>10}{:>10.2}{:>10.2}{:>10.1}",
+                cost.calls,
+                cost.seconds,
+                cost.wasted_seconds,
+                100.0 * cost.wasted_seconds / cost.seconds.max(f64::MIN_POSITIVE)
+            );
+        }
+        text.push('\n');
+    }
+
+    fn write_counts(&self, text: &mut String) {
+        for (name, count) in &self.outcomes {
+            let _ = writeln!(text, "{name:<34}{count:>10}");
+        }
+        for (address, count) in &self.interruptions {
+            let _ = writeln!(text, "connections broken at {address:<12}{count:>10}");
+        }
+        if !self.silent_targets.is_empty() {
+            let names = self.silent_targets.join(" ");
+            let _ = writeln!(text, "targets that could not be asked: {names}");
+        }
+        let faults = &self.faults;
+        let _ = writeln!(
+            text,
+            "\nlost {} doubled {} cut {} broken {} misdelivered {} unanswered {} interrupted {} \
+             ran though refused {}",
+            faults.lost,
+            faults.doubled,
+            faults.cut,
+            faults.broken,
+            faults.misdelivered,
+            faults.unanswered,
+            faults.interrupted,
+            faults.ran_though_refused
+        );
+    }
+}
+
+fn write_cells(text: &mut String, title: &str, rows: &BTreeMap<String, CellReport>) {
+    let _ = writeln!(
+        text,
+        "{title:<34}{:>10}{:>10}{:>10}{:>10}{:>10}{:>10}",
+        "requests", "attained%", "late", "p50 ms", "p95 ms", "p99 ms"
+    );
+    for (name, cell) in rows {
+        let _ = writeln!(
+            text,
+            "{name:<34}{:>10}{:>10.2}{:>10}{:>10.1}{:>10.1}{:>10.1}",
+            cell.requests,
+            cell.attainment * 100.0,
+            cell.late,
+            cell.latency.p50_ms,
+            cell.latency.p95_ms,
+            cell.latency.p99_ms
+        );
+    }
+    text.push('\n');
+}
--- /dev/null
+++ b/crates/load/src/load_tally.rs
@@ -0,0 +1,227 @@
+use {
+    crate::{CellReport, LatencyRecord, RequestOutcome},
+    base::{CustomerId, PipelineId, RequestId},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+};
+
+/// All that is known of one request when it is over.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RequestResult {
+    /// Customer that asked.
+    pub customer: CustomerId,
+    /// Pipeline that was asked for.
+    pub pipeline: PipelineId,
+    /// Id of the request.
+    pub request: RequestId,
+    /// How it ended.
+    pub outcome: RequestOutcome,
+    /// Time from the scheduled arrival to the end.
+    pub latency: Duration,
+    /// Time in which the answer had to be whole.
+    pub deadline: Duration,
+    /// Calls to entries, address questions left out.
+    pub calls: u32,
+    /// Connections that ended before their answer did, by address of the entry.
+    pub interruptions: Vec<String>,
+    /// Time from the scheduled arrival to the first token.
+    pub first_token: Option<Duration>,
+    /// Times between tokens.
+    pub gaps: Vec<Duration>,
+    /// True if a whole answer must have left a posting.
+    pub posting: bool,
+}
+
+impl RequestResult {
+    /// True if the answer was whole within the deadline.
+    pub fn attained(&self) -> bool {
+        self.outcome == RequestOutcome::Whole && self.latency <= self.deadline
+    }
+
+    /// Customer and request, as targets name postings.
+    pub fn key(&self) -> String {
+        format!("{}/{}", self.customer, self.request)
+    }
+}
+
+/// Counts and times of the requests that share customer and pipeline.
+#[derive(Debug, Clone, Default)]
+struct TallyCell {
+    requests: u64,
+    attained: u64,
+    late: u64,
+    calls: u64,
+    latency: LatencyRecord,
+    first_token: LatencyRecord,
+    gap: LatencyRecord,
+}
+
+impl TallyCell {
+    fn add(&mut self, result: &RequestResult) {
+        self.requests += 1;
+        self.calls += u64::from(result.calls);
+        if result.attained() {
+            self.attained += 1;
+        }
+        if result.outcome == RequestOutcome::Whole {
+            self.late += u64::from(!result.attained());
+            self.latency.add(result.latency);
+        }
+        if let Some(time) = result.first_token {
+            self.first_token.add(time);
+        }
+        for gap in &result.gaps {
+            self.gap.add(*gap);
+        }
+    }
+
+    fn merge(&mut self, other: &Self) {
+        self.requests += other.requests;
+        self.attained += other.attained;
+        self.late += other.late;
+        self.calls += other.calls;
+        self.latency.merge(&other.latency);
+        self.first_token.merge(&other.first_token);
+        self.gap.merge(&other.gap);
+    }
+
+    fn report(&self) -> CellReport {
+        CellReport {
+            requests: self.requests,
+            attained: self.attained,
+            late: self.late,
+            attainment: ratio(self.attained, self.requests),
+            calls_per_request: ratio(self.calls, self.requests),
+            latency: self.latency.summary(),
+            first_token: self.first_token.summary(),
+            token_gap: self.gap.summary(),
+        }
+    }
+}
+
+/// Takes in each request when it is over.
+///
+/// ```
+/// let tally = load::LoadTally::new();
+/// assert_eq!(tally.total().requests, 0);
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct LoadTally {
+    cells: BTreeMap<(CustomerId, PipelineId), TallyCell>,
+    outcomes: BTreeMap<String, u64>,
+    interruptions: BTreeMap<String, u64>,
+    attained: BTreeSet<String>,
+    must_post: BTreeSet<String>,
+    must_not_post: BTreeSet<String>,
+}
+
+impl LoadTally {
+    /// Tally of a run that has not begun.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes in a request that is over.
+    pub fn add(&mut self, result: &RequestResult) {
+        let place = (result.customer.clone(), result.pipeline.clone());
+        self.cells.entry(place).or_default().add(result);
+        *self.outcomes.entry(result.outcome.name()).or_default() += 1;
+        for address in &result.interruptions {
+            *self.interruptions.entry(address.clone()).or_default() += 1;
+        }
+        if result.attained() {
+            self.attained.insert(result.key());
+        }
+        if result.posting {
+            self.note_posting(result);
+        }
+    }
+
+    /// Sum over all customers and pipelines.
+    pub fn total(&self) -> CellReport {
+        self.sum(|_| true)
+    }
+
+    /// Report of each customer.
+    pub fn by_customer(&self) -> BTreeMap<CustomerId, CellReport> {
+        let names: BTreeSet<&CustomerId> = self.cells.keys().map(|(name, _)| name).collect();
+        let report = |name: &CustomerId| (name.clone(), self.sum(|(customer, _)| customer == name));
+        names.into_iter().map(report).collect()
+    }
+
+    /// Report of each pipeline.
+    pub fn by_pipeline(&self) -> BTreeMap<PipelineId, CellReport> {
+        let names: BTreeSet<&PipelineId> = self.cells.keys().map(|(_, name)| name).collect();
+        let report = |name: &PipelineId| (name.clone(), self.sum(|(_, pipeline)| pipeline == name));
+        names.into_iter().map(report).collect()
+    }
+
+    /// Report of each customer at each pipeline, by `customer/pipeline`.
+    pub fn by_both(&self) -> BTreeMap<String, CellReport> {
+        let report = |((customer, pipeline), cell): (&(String, String), &TallyCell)| {
+            (format!("{customer}/{pipeline}"), cell.report())
+        };
+        self.cells.iter().map(report).collect()
+    }
+
+    /// Number of requests by the name of their outcome.
+    pub fn outcomes(&self) -> &BTreeMap<String, u64> {
+        &self.outcomes
+    }
+
+    /// Connections that ended before their answer did, by address of the entry.
+    pub fn interruptions(&self) -> &BTreeMap<String, u64> {
+        &self.interruptions
+    }
+
+    /// Keys of the requests that were whole within their deadline.
+    pub fn attained(&self) -> &BTreeSet<String> {
+        &self.attained
+    }
+
+    /// Keys of the requests that must have been posted once.
+    pub fn must_post(&self) -> &BTreeSet<String> {
+        &self.must_post
+    }
+
+    /// Keys of the requests of which an entry said that they were not run.
+    pub fn must_not_post(&self) -> &BTreeSet<String> {
+        &self.must_not_post
+    }
+
+    fn note_posting(&mut self, result: &RequestResult) {
+        match &result.outcome {
+            RequestOutcome::Whole => {
+                self.must_post.insert(result.key());
+            }
+            RequestOutcome::Refused {
+                verdict: base::RunVerdict::NotRun,
+                earlier_may_have_run: false,
+                ..
+            } => {
+                self.must_not_post.insert(result.key());
+            }
+            _ => {}
+        }
+    }
+
+    fn sum(&self, chosen: impl Fn(&(CustomerId, PipelineId)) -> bool) -> CellReport {
+        let mut total = TallyCell::default();
+        for (place, cell) in &self.cells {
+            if chosen(place) {
+                total.merge(cell);
+            }
+        }
+        total.report()
+    }
+}
+
+fn ratio(part: u64, whole: u64) -> f64 {
+    if whole == 0 {
+        0.0
+    } else {
+        part as f64 / whole as f64
+    }
+}
--- /dev/null
+++ b/crates/load/src/ready_book.rs
@@ -0,0 +1,45 @@
+use {
+    setup::{ReadyLine, StartError},
+    std::{collections::BTreeMap, fs, path::Path},
+};
+
+/// Where the processes of an experiment listen, from the ready lines that they printed.
+///
+/// ```
+/// let line = r#"{"program":"camphor-stand","name":"l1","addresses":{"calls":"127.0.0.1:9"}}"#;
+/// let book = load::ReadyBook::parse(line);
+/// assert_eq!(book.address("l1", "calls"), Some("127.0.0.1:9"));
+/// ```
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ReadyBook {
+    lines: BTreeMap<String, ReadyLine>,
+}
+
+impl ReadyBook {
+    /// Takes ready lines out of a text; a later line of the same name wins.
+    pub fn parse(text: &str) -> Self {
+        let lines = text
+            .lines()
+            .filter_map(|line| serde_json::from_str::<ReadyLine>(line).ok());
+        Self {
+            lines: lines.map(|line| (line.name.clone(), line)).collect(),
+        }
+    }
+
+    /// Reads ready lines from a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file cannot be read.
+    pub fn load(path: impl AsRef<Path>) -> Result<Self, StartError> {
+        let path = path.as_ref();
+        let text = fs::read_to_string(path)
+            .map_err(|error| StartError::Settings(format!("{}: {error}", path.display())))?;
+        Ok(Self::parse(&text))
+    }
+
+    /// Address of a process in one role.
+    pub fn address(&self, name: &str, role: &str) -> Option<&str> {
+        self.lines.get(name)?.addresses.get(role).map(String::as_str)
+    }
+}
--- /dev/null
+++ b/crates/load/src/sheet_template.rs
@@ -0,0 +1,106 @@
+use {
+    crate::{ReadyBook, TopologyFile},
+    base::{HostList, HostRow, HostState},
+    setup::StartError,
+    sheet::SheetPart,
+    std::{
+        fs,
+        path::{Path, PathBuf},
+    },
+};
+
+/// A sheet as it is checked in; the addresses of its targets are only known once they run.
+///
+/// ```
+/// let part = "[[target]]\nname = \"l1\"\npool = \"l\"\ndata_centre = \"n\"\n\
+///     address = \"127.0.0.1:1\"\ncapacity = 2\n";
+/// let template = load::SheetTemplate::parse("part.toml", part).unwrap();
+/// let line = r#"{"program":"camphor-stand","name":"l1","addresses":{"calls":"127.0.0.1:9"}}"#;
+/// let parts = template.fill(&load::ReadyBook::parse(line)).unwrap();
+/// assert!(parts[0].contains("127.0.0.1:9"));
+/// ```
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct SheetTemplate {
+    parts: Vec<SheetPart>,
+}
+
+impl SheetTemplate {
+    /// Reads every `.toml` file of a directory as one part, in the order of their names.
+    ///
+    /// # Errors
+    ///
+    /// Names file, line and key of what is wrong.
+    pub fn load(directory: impl AsRef<Path>) -> Result<Self, StartError> {
+        let directory = directory.as_ref();
+        let wrong = |error| StartError::Settings(format!("{}: {error}", directory.display()));
+        let entries = fs::read_dir(directory).map_err(wrong)?;
+        let mut paths: Vec<PathBuf> = entries
+            .filter_map(|entry| entry.ok().map(|entry| entry.path()))
+            .filter(|path| path.extension().is_some_and(|kind| kind == "toml"))
+            .collect();
+        paths.sort();
+        let parts = paths.iter().map(setup::load_settings::<SheetPart>);
+        Ok(Self {
+            parts: parts.collect::<Result<_, _>>()?,
+        })
+    }
+
+    /// Reads one part.
+    ///
+    /// # Errors
+    ///
+    /// Says what is wrong with the part.
+    pub fn parse(name: &str, text: &str) -> Result<Self, StartError> {
+        let part = toml::from_str(text)
+            .map_err(|error| StartError::Settings(format!("{name}: {}", error.message())))?;
+        Ok(Self { parts: vec![part] })
+    }
+
+    /// Texts of the parts with the addresses at which the targets really listen.
+    ///
+    /// # Errors
+    ///
+    /// Names a target that has no ready line.
+    pub fn fill(&self, ready: &ReadyBook) -> anyhow::Result<Vec<String>> {
+        let fill_part = |part: &SheetPart| {
+            let mut part = part.clone();
+            for target in &mut part.target {
+                let address = ready.address(&target.name, "calls");
+                let missing = || anyhow::anyhow!("no ready line of target `{}`", target.name);
+                target.address = address.ok_or_else(missing)?.to_string();
+            }
+            Ok(toml::to_string(&part)?)
+        };
+        self.parts.iter().map(fill_part).collect()
+    }
+}
+
+impl TopologyFile {
+    /// Host list of the entries that have a ready line.
+    ///
+    /// # Errors
+    ///
+    /// Names an entry without a ready line.
+    pub fn host_list(&self, ready: &ReadyBook) -> anyhow::Result<HostList> {
+        let row = |entry: &crate::EntryStand| {
+            let address = |role: &str| {
+                let found = ready.address(&entry.host, role).map(String::from);
+                let missing = || anyhow::anyhow!("no `{role}` address of entry `{}`", entry.host);
+                found.ok_or_else(missing)
+            };
+            Ok(HostRow {
+                host: entry.host.clone(),
+                data_centre: entry.data_centre.clone(),
+                callers: address("callers")?,
+                peers: address("peers")?,
+                size: entry.size,
+                state: HostState::Live,
+            })
+        };
+        let hosts: anyhow::Result<Vec<HostRow>> = self.entry.iter().map(row).collect();
+        Ok(HostList {
+            hosts: hosts?,
+            targets: Vec::new(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/load/src/stage_cost.rs
@@ -0,0 +1,80 @@
+use {
+    serde::{Deserialize, Serialize},
+    stand::{CallOutcome, CallRecord, StandControl},
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// Milliseconds of a second.
+const MILLIS_PER_SECOND: f64 = 1_000.0;
+
+/// Target time that one kind of call took.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StageCost {
+    /// Calls that ran.
+    pub calls: u64,
+    /// Service time at the targets' own speed, in seconds; waiting for a slot is left out.
+    pub seconds: f64,
+    /// Part of it that was run for requests that missed.
+    pub wasted_seconds: f64,
+}
+
+/// Adds up the service time of targets by kind of call.
+///
+/// ```
+/// let book = load::CostBook::new(Default::default());
+/// assert!(book.stages().is_empty());
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct CostBook {
+    attained: BTreeSet<String>,
+    stages: BTreeMap<String, StageCost>,
+}
+
+impl CostBook {
+    /// Book of a run in which these requests were whole in time, by `customer/request`.
+    pub fn new(attained: BTreeSet<String>) -> Self {
+        Self {
+            attained,
+            stages: BTreeMap::new(),
+        }
+    }
+
+    /// Takes in the records of one target.
+    pub fn add_target(&mut self, records: &[CallRecord], control: &StandControl) {
+        for record in records {
+            self.add_record(record, control);
+        }
+    }
+
+    /// Cost by kind of call.
+    pub fn stages(&self) -> &BTreeMap<String, StageCost> {
+        &self.stages
+    }
+
+    fn add_record(&mut self, record: &CallRecord, control: &StandControl) {
+        let seconds = service_seconds(record, control);
+        if seconds <= 0.0 {
+            return;
+        }
+        let key = format!("{}/{}", record.call.customer, record.call.request);
+        let wasted = !self.attained.contains(&key);
+        let cost = self.stages.entry(record.name.clone()).or_default();
+        cost.calls += 1;
+        cost.seconds += seconds;
+        if wasted {
+            cost.wasted_seconds += seconds;
+        }
+    }
+}
+
+/// Service time of a call at its target's own speed; an engine is charged for the tokens sent.
+fn service_seconds(record: &CallRecord, control: &StandControl) -> f64 {
+    let engine = record.tokens_sent > 0;
+    let millis = match record.outcome {
+        _ if engine => control.prefill_ms + control.token_ms * record.tokens_sent as f64,
+        CallOutcome::Done | CallOutcome::Cancelled => control.delay_ms,
+        CallOutcome::Running | CallOutcome::Refused | CallOutcome::Failed => 0.0,
+    };
+    millis / control.speed / MILLIS_PER_SECOND
+}
