--- a/crates/load/src/answer_check.rs
+++ b/crates/load/src/answer_check.rs
@@ -104,9 +104,8 @@
     }
 
     fn end(&self, tokens: u64, length: u64, digest: &str) -> AnswerState {
-        let framed = tokens == self.tokens
-            && length == self.digest.length()
-            && digest == self.digest.hex();
+        let framed =
+            tokens == self.tokens && length == self.digest.length() && digest == self.digest.hex();
         if !framed {
             return AnswerState::Faulty(AnswerFault::Broken);
         }
--- /dev/null
+++ b/crates/load/src/command/run.rs
@@ -0,0 +1,123 @@
+use {
+    crate::drive::{LoadDriver, RecordReader},
+    anyhow::Context,
+    load::{
+        ArrivalSchedule, CostBook, LoadReport, LoadTally, PostingAudit, ScheduleTweaks,
+        WorkloadFile,
+    },
+    setup::StartError,
+    std::{fs, rc::Rc, time::Duration},
+};
+
+/// Send a workload to the entries and report what became of it.
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "run")]
+pub struct RunArgs {
+    /// workload file (TOML)
+    #[argh(option)]
+    workload: String,
+    /// callers' address of an entry; may be repeated
+    #[argh(option)]
+    entry: Vec<String>,
+    /// seed of the schedule (default 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// seconds over which requests arrive, instead of the file's
+    #[argh(option)]
+    duration: Option<f64>,
+    /// factor on all rates
+    #[argh(option, default = "1.0")]
+    scale: f64,
+    /// factor on the rates of one customer, as `customer=factor`; may be repeated
+    #[argh(option)]
+    customer_scale: Vec<String>,
+    /// name of the case in reports
+    #[argh(option, default = "String::from(\"plain\")")]
+    case: String,
+    /// address of a target stand-in whose records are read; may be repeated
+    #[argh(option)]
+    records: Vec<String>,
+    /// address of an entry that is to die during the run; may be repeated
+    #[argh(option)]
+    may_die: Vec<String>,
+    /// file for the report in JSON
+    #[argh(option)]
+    json: Option<String>,
+    /// exit non-zero if anything was lost, doubled, cut or misdelivered
+    #[argh(switch)]
+    strict: bool,
+}
+
+/// Runs a workload.
+pub async fn run(args: RunArgs) -> anyhow::Result<()> {
+    let workload = WorkloadFile::load(&args.workload)?;
+    if args.entry.is_empty() {
+        return Err(StartError::Settings(String::from("give at least one --entry")).into());
+    }
+    let tweaks = tweaks(&args, &workload)?;
+    let schedule = ArrivalSchedule::draw(&workload, &tweaks);
+    let name = workload.name.clone();
+    let driver = Rc::new(LoadDriver::new(workload, args.entry.clone()));
+    let tally = driver.run(schedule).await;
+    let mut report = LoadReport::of(&tally, &args.may_die);
+    report.workload = name;
+    report.case = args.case.clone();
+    report.seed = args.seed;
+    report.seconds = tweaks.duration.as_secs_f64();
+    add_records(&mut report, &tally, &args.records).await;
+    print!("{}", report.to_text());
+    if let Some(path) = &args.json {
+        let text = serde_json::to_string_pretty(&report)?;
+        fs::write(path, text).with_context(|| path.clone())?;
+    }
+    let faults = report.faults.total();
+    anyhow::ensure!(!args.strict || faults == 0, "{faults} faults in this run");
+    Ok(())
+}
+
+fn tweaks(args: &RunArgs, workload: &WorkloadFile) -> Result<ScheduleTweaks, StartError> {
+    let duration = match args.duration {
+        Some(seconds) => Duration::try_from_secs_f64(seconds)
+            .map_err(|error| StartError::Settings(format!("--duration {seconds}: {error}")))?,
+        None => workload.duration,
+    };
+    let mut tweaks = ScheduleTweaks::new(args.seed, duration);
+    tweaks.scale = args.scale;
+    for text in &args.customer_scale {
+        let pair = text.split_once('=').and_then(|(name, factor)| {
+            let factor = factor.parse().ok()?;
+            workload
+                .customer(name)
+                .map(|row| (row.name.clone(), factor))
+        });
+        let Some((name, factor)) = pair else {
+            let line = format!("--customer-scale `{text}` is not `customer=factor`");
+            return Err(StartError::Settings(line));
+        };
+        tweaks.customer_scale.insert(name, factor);
+    }
+    Ok(tweaks)
+}
+
+/// Adds cost by stage and the faults of postings from the targets' own records.
+async fn add_records(report: &mut LoadReport, tally: &LoadTally, targets: &[String]) {
+    let reader = RecordReader::new();
+    let mut costs = CostBook::new(tally.attained().clone());
+    let mut audit = PostingAudit::new();
+    for address in targets {
+        match reader.read(address).await {
+            Some(target) => {
+                costs.add_target(&target.records, &target.control);
+                audit.add_target(&target.postings);
+            }
+            None => report.silent_targets.push(address.clone()),
+        }
+    }
+    report.stages = costs.stages().clone();
+    if targets.is_empty() {
+        return;
+    }
+    report.faults.doubled = audit.doubled().len() as u64;
+    report.faults.lost = audit.lost(tally).len() as u64;
+    report.faults.ran_though_refused = audit.ran_though_refused(tally).len() as u64;
+}
--- a/crates/load/src/drive/request_driver.rs
+++ b/crates/load/src/drive/request_driver.rs
@@ -101,8 +101,7 @@
     async fn send(&mut self, call: &EntryCall<'_>) -> SendResult {
         let mut sent = SentCall::default();
         let check = AnswerCheck::of_request(call.pipeline, call.planned);
-        let patience =
-            (call.deadline + ANSWER_GRACE).saturating_duration_since(Instant::now());
+        let patience = (call.deadline + ANSWER_GRACE).saturating_duration_since(Instant::now());
         let sending = self.driver.client.send(call, check, &mut sent);
         let result = match actix_rt::time::timeout(patience, sending).await {
             Ok(result) => result,
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -12,6 +12,7 @@
 mod ready_book;
 mod request_caller;
 mod request_outcome;
+mod run_comparison;
 mod sheet_template;
 mod stage_cost;
 mod topology_file;
@@ -29,6 +30,7 @@
     ready_book::ReadyBook,
     request_caller::{CallerStep, RequestCaller, SendResult},
     request_outcome::{AnswerFault, RequestOutcome},
+    run_comparison::RunComparison,
     sheet_template::SheetTemplate,
     stage_cost::{CostBook, StageCost},
     topology_file::{EntryStand, TargetStand, TopologyFile},
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,3 +1,40 @@
 //! Open-loop load and experiment tool.
 
-fn main() {}
+mod command;
+mod drive;
+
+use {
+    command::{BenchArgs, PublishArgs, ReportArgs, RunArgs, TopologyArgs},
+    std::process::ExitCode,
+};
+
+/// Open-loop load on camphorramp, and reports on what became of it.
+#[derive(argh::FromArgs)]
+struct LoadArgs {
+    #[argh(subcommand)]
+    command: LoadCommand,
+}
+
+#[derive(argh::FromArgs)]
+#[argh(subcommand)]
+enum LoadCommand {
+    Run(RunArgs),
+    Report(ReportArgs),
+    Bench(BenchArgs),
+    Publish(PublishArgs),
+    Topology(TopologyArgs),
+}
+
+fn main() -> ExitCode {
+    let args: LoadArgs = argh::from_env();
+    let outcome = actix_rt::System::new().block_on(async {
+        match args.command {
+            LoadCommand::Run(args) => command::run(args).await,
+            LoadCommand::Report(args) => command::report(&args),
+            LoadCommand::Bench(args) => command::bench(args).await,
+            LoadCommand::Publish(args) => command::publish(args).await,
+            LoadCommand::Topology(args) => command::topology(&args),
+        }
+    });
+    setup::exit_code(outcome)
+}
--- a/crates/load/src/ready_book.rs
+++ b/crates/load/src/ready_book.rs
@@ -40,6 +40,10 @@
 
     /// Address of a process in one role.
     pub fn address(&self, name: &str, role: &str) -> Option<&str> {
-        self.lines.get(name)?.addresses.get(role).map(String::as_str)
+        self.lines
+            .get(name)?
+            .addresses
+            .get(role)
+            .map(String::as_str)
     }
 }
--- a/crates/load/src/workload_file.rs
+++ b/crates/load/src/workload_file.rs
@@ -180,10 +180,7 @@
     }
 }
 
-fn unique<'a>(
-    key: &str,
-    names: impl Iterator<Item = &'a String>,
-) -> Result<(), (String, String)> {
+fn unique<'a>(key: &str, names: impl Iterator<Item = &'a String>) -> Result<(), (String, String)> {
     let mut seen = BTreeSet::new();
     for name in names {
         if !seen.insert(name) {
