--- /dev/null
+++ b/crates/entry/src/filters/mod.rs
@@ -0,0 +1,12 @@
+mod admission_filter;
+mod crash_filter;
+mod credential_filter;
+mod filter_chain;
+mod life_filter;
+mod sheet_filter;
+mod ticket_filter;
+
+pub use {
+    credential_filter::is_customer,
+    filter_chain::{FilterChain, FilterEnd, FilterStep, RequestFilter},
+};
--- a/crates/proofs/src/lib.rs
+++ b/crates/proofs/src/lib.rs
@@ -1,1 +1,26 @@
-//! Harness for integration tests with real processes.
+//! Harness for integration tests with real processes: it starts a fleet, breaks it, calls it
+//! as callers do, and ends everything it started.
+
+mod child_process;
+mod fleet_faults;
+mod fleet_harness;
+mod fleet_plan;
+mod json_probe;
+mod process_table;
+mod run_outcome;
+mod run_request;
+mod test_caller;
+mod test_stream;
+mod wait_until;
+
+pub use {
+    child_process::ChildProcess,
+    fleet_harness::FleetHarness,
+    fleet_plan::{EntryPlan, FleetPlan, TargetPlan},
+    json_probe::JsonProbe,
+    run_outcome::RunOutcome,
+    run_request::RunRequest,
+    test_caller::{AddressAnswer, TestCaller},
+    test_stream::TestStream,
+    wait_until::wait_until,
+};
