--- a/crates/entry/src/control/control_loop.rs
+++ b/crates/entry/src/control/control_loop.rs
@@ -2,29 +2,33 @@
     crate::{
         EntrySettings,
         control::{
-            ControlState, operator_server::answer_operator, platform_client::PlatformClient,
+            ControlState, MemberController, SheetController,
+            life_controller::{advance, run_life},
+            operator_server::{OperatorDesk, answer_operator},
+            peer_frames::serve_frames,
+            platform_client::PlatformClient,
         },
-        shared::{ControlNote, EventRecorder, FleetView},
+        shared::{ControlNote, EntryLife, EventRecorder, FleetView},
     },
-    base::{HostList, HostState, Incarnation},
+    base::Incarnation,
     setup::{HttpLimits, MetricBoard, serve_http},
-    sheet::{FleetSheet, SheetIndex},
-    slog::{Logger, info, warn},
-    stamp::EventKind,
-    std::{cell::RefCell, net, rc::Rc, sync::Arc},
+    slog::Logger,
+    std::{cell::RefCell, net, rc::Rc, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, UdpSocket},
-        sync::{mpsc, watch},
+        sync::{Notify, mpsc, watch},
     },
+    wire::{FrameSeal, MarkSource, PeerSelf},
 };
 
-/// Key of the sheet's index at the configuration service.
-const INDEX_KEY: &str = "sheet/index";
+/// Pause between the reads of the host list by all daemons together.
+const FLEET_LIST_GAP: Duration = Duration::from_millis(20);
 
 /// What the controllers are started with.
 pub struct ControlParts {
     pub settings: EntrySettings,
     pub incarnation: Incarnation,
+    pub callers: String,
     pub metrics: MetricBoard,
     pub recorder: EventRecorder,
     pub log: Logger,
@@ -33,11 +37,21 @@
     pub operators: net::TcpListener,
     pub peer_frames: net::TcpListener,
     pub peer_datagrams: net::UdpSocket,
+    pub closing: watch::Receiver<bool>,
 }
 
 /// Runs the controllers: reads the platform, talks to peers and operators, and publishes what
 /// the data path should know.
-pub async fn run_control(parts: ControlParts) {
+pub async fn run_control(parts: ControlParts) -> anyhow::Result<()> {
+    let operators = TcpListener::from_std(parts.operators)?;
+    let frames = TcpListener::from_std(parts.peer_frames)?;
+    let datagrams = UdpSocket::from_std(parts.peer_datagrams)?;
+    let peers = parts
+        .settings
+        .peers
+        .advertise
+        .map_or(datagrams.local_addr()?, |address| address);
+    let (words, mut word_inbox) = mpsc::unbounded_channel();
     let state = Rc::new(ControlState {
         settings: parts.settings,
         incarnation: parts.incarnation,
@@ -45,81 +59,117 @@
         recorder: parts.recorder,
         log: parts.log,
         view: RefCell::new(FleetView::default()),
-        texts: RefCell::default(),
         published: parts.published,
+        words,
+        draining: Notify::new(),
     });
-    if let Ok(listener) = TcpListener::from_std(parts.operators) {
-        let state = Rc::clone(&state);
-        let handler = move |request| answer_operator(Rc::clone(&state), request);
-        actix_rt::spawn(serve_http(listener, HttpLimits::default(), handler));
+    let own = own_self(&state, parts.callers, peers.to_string());
+    let members = Rc::new(MemberController::new(Rc::clone(&state), datagrams, own));
+    let sheets = Rc::new(SheetController::new(
+        Rc::clone(&state),
+        Rc::clone(&members),
+        platform_client(&state),
+    ));
+    let desk = Rc::new(OperatorDesk::new(&state, &members, &sheets));
+    let handler = move |request| answer_operator(Rc::clone(&desk), request);
+    actix_rt::spawn(serve_http(
+        operators,
+        HttpLimits::default(),
+        parts.closing,
+        handler,
+    ));
+    actix_rt::spawn(serve_peers(frames, Rc::clone(&sheets)));
+    actix_rt::spawn(Rc::clone(&members).receive());
+    actix_rt::spawn(Rc::clone(&members).tick());
+    actix_rt::spawn(run_life(Rc::clone(&state), Rc::clone(&members)));
+    actix_rt::spawn(take_notes(
+        Rc::clone(&state),
+        Rc::clone(&members),
+        parts.notes,
+    ));
+    actix_rt::spawn(read_hosts(
+        Rc::clone(&state),
+        Rc::clone(&members),
+        Rc::clone(&sheets),
+    ));
+    actix_rt::spawn(Rc::clone(&sheets).read_index());
+    actix_rt::spawn(Rc::clone(&sheets).tick());
+    while let Some(word) = word_inbox.recv().await {
+        sheets.on_word(word);
     }
-    let _sockets = (
-        TcpListener::from_std(parts.peer_frames),
-        UdpSocket::from_std(parts.peer_datagrams),
-    );
-    read_platform(state, parts.notes).await;
+    Ok(())
 }
 
-async fn read_platform(state: Rc<ControlState>, mut notes: mpsc::UnboundedReceiver<ControlNote>) {
+fn own_self(state: &ControlState, callers: String, peers: String) -> PeerSelf {
+    PeerSelf {
+        host: state.settings.host.clone(),
+        incarnation: state.incarnation,
+        data_centre: state.settings.data_centre.clone(),
+        callers,
+        peers,
+        size: state.settings.size,
+        leaving: false,
+        sheet_version: 0,
+        sheet_digest: [0; 8],
+    }
+}
+
+fn platform_client(state: &ControlState) -> PlatformClient {
     let platform = &state.settings.platform;
-    let client = PlatformClient::new(platform.address, platform.read_time);
+    PlatformClient::new(platform.address, platform.read_time)
+}
+
+async fn serve_peers(listener: TcpListener, sheets: Rc<SheetController>) {
+    let seal = FrameSeal::new(sheets.fleet_key());
+    serve_frames(listener, seal, move |frame| {
+        let sheets = Rc::clone(&sheets);
+        async move { sheets.answer(&frame) }
+    })
+    .await;
+}
+
+/// Reads the host list for ever; the more entries there are, the less often each reads it.
+async fn read_hosts(
+    state: Rc<ControlState>,
+    members: Rc<MemberController>,
+    sheets: Rc<SheetController>,
+) {
+    let client = platform_client(&state);
     loop {
         if let Some(list) = client.hosts().await {
-            take_hosts(&state, list);
-        }
-        read_sheet(&client, &state).await;
-        let note = actix_rt::time::timeout(platform.poll, notes.recv()).await;
-        if let Ok(Some(ControlNote::TargetLeaving(target))) = note {
-            state.mark_target(&target, true);
+            members.on_host_list(list);
         }
+        sheets.list_peers();
+        let entries = u32::try_from(members.entries().len()).unwrap_or(u32::MAX);
+        let pause = state.settings.platform.poll.max(FLEET_LIST_GAP * entries);
+        actix_rt::time::sleep(pause).await;
     }
 }
 
-fn take_hosts(state: &ControlState, list: HostList) {
-    let live = list
-        .hosts
-        .into_iter()
-        .filter(|row| row.state == HostState::Live)
-        .collect();
-    state.change(|view| view.hosts = live);
-}
-
-async fn read_sheet(client: &PlatformClient, state: &ControlState) {
-    let Some(text) = client.value(INDEX_KEY).await else {
-        return;
-    };
-    let Ok(index) = toml::from_str::<SheetIndex>(&text) else {
-        return;
-    };
-    if index.version <= state.view.borrow().version() {
-        return;
-    }
-    let mut texts = Vec::new();
-    for part in &index.part {
-        let Some(text) = client.value(&part.key).await else {
-            return;
-        };
-        texts.push(text);
-    }
-    match FleetSheet::assemble(index, &texts) {
-        Ok(sheet) => put_in_force(state, sheet, texts),
-        Err(errors) => {
-            for error in errors {
-                warn!(state.log, "sheet refused"; "error" => error.to_string());
+async fn take_notes(
+    state: Rc<ControlState>,
+    members: Rc<MemberController>,
+    mut notes: mpsc::UnboundedReceiver<ControlNote>,
+) {
+    while let Some(note) = notes.recv().await {
+        match note {
+            ControlNote::SheetSeen(version) => {
+                state.tell(crate::control::SheetWord::Proved(version));
             }
+            ControlNote::TargetLeaving(target) => {
+                members.mark_target(&target, MarkSource::Target);
+            }
+            ControlNote::Strike(fingerprint) => members.note_strike(fingerprint),
+            ControlNote::Terminate => terminate(&state),
         }
     }
 }
 
-fn put_in_force(state: &ControlState, sheet: FleetSheet, texts: Vec<String>) {
-    let version = sheet.version();
-    info!(state.log, "sheet in force"; "version" => version);
-    state.recorder.record(EventKind::SheetInForce, |event| {
-        event.with_sheet_version(version)
-    });
-    state.texts.replace(texts);
-    state.change(|view| {
-        view.latest_version = view.latest_version.max(version);
-        view.sheet = Some(Arc::new(sheet));
-    });
+/// The first word begins the shutdown, a second one ends what still runs.
+fn terminate(state: &ControlState) {
+    if state.view.borrow().life == EntryLife::Serving {
+        state.drain();
+    } else {
+        advance(state, EntryLife::Stopping);
+    }
 }
--- a/crates/entry/src/control/control_state.rs
+++ b/crates/entry/src/control/control_state.rs
@@ -1,6 +1,7 @@
 use {
     crate::{
         EntrySettings,
+        control::SheetWord,
         shared::{EntryLife, EventRecorder, FleetView},
     },
     base::Incarnation,
@@ -8,10 +9,10 @@
     slog::Logger,
     stamp::EventKind,
     std::{cell::RefCell, sync::Arc},
-    tokio::sync::watch,
+    tokio::sync::{Notify, mpsc, watch},
 };
 
-/// What the controllers own. All of it lives on their thread.
+/// What the controllers share. All of it lives on their thread.
 pub struct ControlState {
     pub settings: EntrySettings,
     pub incarnation: Incarnation,
@@ -19,8 +20,9 @@
     pub recorder: EventRecorder,
     pub log: Logger,
     pub view: RefCell<FleetView>,
-    pub texts: RefCell<Vec<String>>,
     pub published: watch::Sender<Arc<FleetView>>,
+    pub words: mpsc::UnboundedSender<SheetWord>,
+    pub draining: Notify,
 }
 
 impl ControlState {
@@ -31,20 +33,18 @@
         self.published.send_replace(Arc::new(view.clone()));
     }
 
+    /// Tells the sheet's controller what was heard.
+    pub fn tell(&self, word: SheetWord) {
+        let _ = self.words.send(word);
+    }
+
     /// Begins the shutdown unless it has begun.
     pub fn drain(&self) {
-        self.change(|view| view.life = view.life.max(EntryLife::Leaving));
+        if self.view.borrow().life > EntryLife::Serving {
+            return;
+        }
+        self.change(|view| view.life = EntryLife::Leaving);
         self.recorder.record(EventKind::Drain, |event| event);
-    }
-
-    /// Takes an operator's word that a target is leaving, or is live again.
-    pub fn mark_target(&self, target: &str, leaving: bool) {
-        self.change(|view| {
-            if leaving {
-                view.leaving_targets.insert(target.to_string());
-            } else {
-                view.leaving_targets.remove(target);
-            }
-        });
+        self.draining.notify_one();
     }
 }
--- /dev/null
+++ b/crates/entry/src/control/member_controller.rs
@@ -0,0 +1,346 @@
+use {
+    crate::{control::ControlState, shared::wall_us},
+    base::{HostId, HostList},
+    member::{EntryRow, MemberAction, MemberEvent, MemberSettings, MemberTable, MemberView},
+    slog::{info, warn},
+    stamp::EventKind,
+    std::{
+        cell::RefCell,
+        collections::BTreeSet,
+        net::SocketAddr,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    tokio::net::UdpSocket,
+    wire::{DatagramSeal, MarkSource, PeerMessage, PeerRumour, PeerSelf},
+};
+
+/// Bytes of the longest datagram that is read; longer ones are dropped by the seal.
+const RECEIVE_BYTES: usize = 2_048;
+/// Shortest pause between two ticks of the table.
+const LEAST_PAUSE: Duration = Duration::from_millis(5);
+/// Peers that are told of a strike at once.
+const STRIKE_PEERS: usize = 16;
+/// Time for which a strike counts.
+const STRIKE_LIFETIME: Duration = Duration::from_secs(60);
+
+/// Runs the member table over its UDP socket and publishes what changes.
+pub struct MemberController {
+    state: Rc<ControlState>,
+    table: RefCell<MemberTable>,
+    socket: UdpSocket,
+    seal: DatagramSeal,
+}
+
+impl MemberController {
+    pub fn new(state: Rc<ControlState>, socket: UdpSocket, own: PeerSelf) -> Self {
+        let key = state.settings.fleet_key().unwrap_or_default();
+        let settings = MemberSettings {
+            seeds: state
+                .settings
+                .peers
+                .seeds
+                .iter()
+                .map(ToString::to_string)
+                .collect(),
+            ..MemberSettings::default()
+        };
+        let table = MemberTable::new(settings, own, wall_us(), Instant::now());
+        Self {
+            state,
+            table: RefCell::new(table),
+            socket,
+            seal: DatagramSeal::new(key),
+        }
+    }
+
+    /// Reads datagrams for ever.
+    pub async fn receive(self: Rc<Self>) {
+        let mut buffer = [0; RECEIVE_BYTES];
+        loop {
+            let Ok((length, from)) = self.socket.recv_from(&mut buffer).await else {
+                actix_rt::time::sleep(LEAST_PAUSE).await;
+                continue;
+            };
+            self.state.metrics.count("datagrams.received", 1);
+            self.state
+                .metrics
+                .count("datagrams.received_bytes", to_count(length));
+            match self.seal.open(&buffer[..length]) {
+                Ok(message) => self.on_message(message, from),
+                Err(reason) => {
+                    self.state
+                        .metrics
+                        .count(&format!("datagrams.dropped.{reason}"), 1);
+                }
+            }
+        }
+    }
+
+    /// Does what is due, for ever.
+    pub async fn tick(self: Rc<Self>) {
+        loop {
+            let now = Instant::now();
+            let actions = self.table.borrow_mut().on_tick(now);
+            self.perform(actions);
+            let next = self.table.borrow().next_wakeup(now);
+            let pause = next
+                .saturating_duration_since(Instant::now())
+                .max(LEAST_PAUSE);
+            actix_rt::time::sleep(pause).await;
+        }
+    }
+
+    /// Takes in the platform's host list.
+    pub fn on_host_list(&self, list: HostList) {
+        let since = self.state.recorder.stamp();
+        let actions = self
+            .table
+            .borrow_mut()
+            .on_host_list(list, since, Instant::now());
+        self.perform(actions);
+        self.publish();
+    }
+
+    /// Takes in which targets the sheet in force marks as leaving.
+    pub fn on_sheet(&self, version: u64, digest: &str, leaving: BTreeSet<String>) {
+        let now = Instant::now();
+        let since = self.state.recorder.stamp();
+        let mut table = self.table.borrow_mut();
+        table.set_sheet(version, wire::short_digest(digest), now);
+        let actions = table.on_sheet_targets(leaving, since, now);
+        drop(table);
+        self.perform(actions);
+        self.publish();
+    }
+
+    /// Takes in a word that a target is leaving.
+    pub fn mark_target(&self, target: &str, source: MarkSource) {
+        let since = self.state.recorder.stamp();
+        let now = Instant::now();
+        let actions = self
+            .table
+            .borrow_mut()
+            .mark_target_leaving(target, source, since, now);
+        self.perform(actions);
+    }
+
+    /// Takes back every mark of a target, on an operator's word.
+    pub fn clear_target(&self, target: &str) {
+        let since = self.state.recorder.stamp();
+        let now = Instant::now();
+        let actions = self
+            .table
+            .borrow_mut()
+            .clear_target_leaving(target, since, now);
+        self.perform(actions);
+    }
+
+    /// Takes in that a target died under a request, and tells peers at once.
+    pub fn note_strike(&self, fingerprint: [u8; 16]) {
+        let now = Instant::now();
+        let at = self.state.recorder.stamp();
+        let expires = now + STRIKE_LIFETIME;
+        self.table
+            .borrow_mut()
+            .note_strike(fingerprint, at, expires, now);
+        let rumours = self.own_strikes(fingerprint, at, now);
+        let peers = self.table.borrow().acceptable_entries();
+        let own = self.table.borrow().own().clone();
+        for peer in peers
+            .into_iter()
+            .filter(|peer| peer.host != own.host)
+            .take(STRIKE_PEERS)
+        {
+            let sender = own.clone();
+            let message = PeerMessage::Heartbeat {
+                sender,
+                stamp: at,
+                rumours: rumours.clone(),
+            };
+            self.send(&peer.peers, message);
+        }
+    }
+
+    /// Says from now on that this daemon is leaving.
+    pub fn set_leaving(&self) {
+        self.table.borrow_mut().set_leaving(Instant::now());
+        self.publish();
+    }
+
+    /// Entries that still take requests.
+    pub fn entries(&self) -> Vec<EntryRow> {
+        self.table.borrow().acceptable_entries()
+    }
+
+    /// All peers, for operators.
+    pub fn members(&self) -> Vec<MemberView> {
+        self.table.borrow().members(Instant::now())
+    }
+
+    fn own_strikes(
+        &self,
+        fingerprint: [u8; 16],
+        at: stamp::HybridTime,
+        now: Instant,
+    ) -> Vec<PeerRumour> {
+        let table = self.table.borrow();
+        let foreign: u8 = table
+            .foreign_strikes(now)
+            .iter()
+            .filter(|(other, _, _)| *other == fingerprint)
+            .fold(0, |sum, (_, _, strikes)| sum.saturating_add(*strikes));
+        let total = table.strikes(&fingerprint, now);
+        vec![PeerRumour::Strike {
+            fingerprint,
+            witness: table.own().host.clone(),
+            strikes: total.saturating_sub(foreign),
+            at,
+            remaining_ms: u32::try_from(STRIKE_LIFETIME.as_millis()).unwrap_or(u32::MAX),
+        }]
+    }
+
+    fn on_message(&self, message: PeerMessage, from: SocketAddr) {
+        if let Some(stamp) = message.stamp() {
+            self.state.recorder.observe(stamp);
+        }
+        let has_strikes = has_strikes(&message);
+        let from = from.to_string();
+        let actions = self
+            .table
+            .borrow_mut()
+            .on_datagram(message, from, Instant::now());
+        let changed = self.perform(actions);
+        if has_strikes && !changed {
+            self.publish();
+        }
+    }
+
+    /// Carries out what the table wants; true if it published a change.
+    fn perform(&self, actions: Vec<MemberAction>) -> bool {
+        let mut changed = false;
+        for action in actions {
+            match action {
+                MemberAction::Send { to, message } => self.send(&to, message),
+                MemberAction::Changed(event) => {
+                    changed = true;
+                    self.on_event(event);
+                }
+            }
+        }
+        if changed {
+            self.publish();
+        }
+        changed
+    }
+
+    fn send(&self, to: &str, message: PeerMessage) {
+        let Ok(address) = to.parse::<SocketAddr>() else {
+            return;
+        };
+        let message = message.with_stamp(self.state.recorder.stamp());
+        match self.seal.seal(&message) {
+            Ok(datagram) => {
+                self.state.metrics.count("datagrams.sent", 1);
+                self.state
+                    .metrics
+                    .count("datagrams.sent_bytes", to_count(datagram.len()));
+                let _ = self.socket.try_send_to(&datagram, address);
+            }
+            Err(error) => warn!(self.state.log, "datagram"; "error" => error.to_string()),
+        }
+    }
+
+    fn on_event(&self, event: MemberEvent) {
+        let (kind, member, detail) = describe(&event);
+        self.state.recorder.record(kind, |line| {
+            line.with_member(member.as_str())
+                .with_detail(detail.as_str())
+        });
+        info!(self.state.log, "member"; "event" => kind.to_string(), "detail" => detail);
+        match event {
+            MemberEvent::SelfLeaving | MemberEvent::SelfSuperseded { .. } => self.state.drain(),
+            MemberEvent::SheetSeen {
+                host,
+                version,
+                digest,
+            } => {
+                self.state.tell(crate::control::SheetWord::Peer {
+                    host,
+                    version,
+                    digest,
+                });
+            }
+            _ => {}
+        }
+    }
+
+    /// Gives the data path what it should know of members and targets.
+    fn publish(&self) {
+        let table = self.table.borrow();
+        let hosts = table.live_entries();
+        let leaving = table.leaving_targets();
+        let strikes = table.foreign_strikes(Instant::now());
+        drop(table);
+        self.state.change(|view| {
+            view.hosts = hosts;
+            view.leaving_targets = leaving;
+            view.strikes = strikes;
+        });
+    }
+}
+
+fn has_strikes(message: &PeerMessage) -> bool {
+    let PeerMessage::Heartbeat { rumours, .. } = message else {
+        return false;
+    };
+    rumours.iter().any(|rumour| {
+        matches!(
+            rumour,
+            PeerRumour::Strike { .. } | PeerRumour::StrikesCleared { .. }
+        )
+    })
+}
+
+/// Kind, member and words of an event for the time line.
+fn describe(event: &MemberEvent) -> (EventKind, HostId, String) {
+    let none = String::new();
+    match event {
+        MemberEvent::Live { host, .. } => (EventKind::MemberLive, host.clone(), none),
+        MemberEvent::Suspect { host, .. } => (EventKind::MemberSuspect, host.clone(), none),
+        MemberEvent::Gone { host } => (EventKind::MemberGone, host.clone(), none),
+        MemberEvent::Leaving { host, .. } => (EventKind::MemberLeaving, host.clone(), none),
+        MemberEvent::SelfLeaving => (EventKind::Drain, none, String::from("told to leave")),
+        MemberEvent::SelfSuperseded { .. } => (
+            EventKind::Drain,
+            none,
+            String::from("a later process has this host's name"),
+        ),
+        MemberEvent::TargetLeaving { target, source } => (
+            EventKind::TargetLeaving,
+            none,
+            format!("{target} by {source:?}"),
+        ),
+        MemberEvent::TargetCleared { target } => (EventKind::TargetCleared, none, target.clone()),
+        MemberEvent::SheetSeen { host, version, .. } => (
+            EventKind::MemberLive,
+            host.clone(),
+            format!("has sheet {version}"),
+        ),
+        MemberEvent::ViewDoubted => (
+            EventKind::ViewDoubted,
+            none,
+            String::from("most are silent"),
+        ),
+        MemberEvent::ViewTrusted => (EventKind::MemberLive, none, String::from("most answer")),
+        MemberEvent::Paused { pause } => (
+            EventKind::ViewDoubted,
+            none,
+            format!("this process stood still for {pause:?}"),
+        ),
+    }
+}
+
+fn to_count(bytes: usize) -> i64 {
+    i64::try_from(bytes).unwrap_or(i64::MAX)
+}
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -1,9 +1,15 @@
 mod control_loop;
 mod control_state;
+mod life_controller;
+mod member_controller;
 mod operator_server;
+mod peer_frames;
 mod platform_client;
+mod sheet_controller;
 
 pub use {
     control_loop::{ControlParts, run_control},
     control_state::ControlState,
+    member_controller::MemberController,
+    sheet_controller::{SheetController, SheetWord},
 };
--- a/crates/entry/src/control/operator_server.rs
+++ b/crates/entry/src/control/operator_server.rs
@@ -1,13 +1,38 @@
 use {
-    crate::{control::ControlState, shared::EntryLife},
+    crate::{
+        control::{ControlState, MemberController, SheetController},
+        shared::EntryLife,
+    },
     actix_http::{Method, Request, StatusCode},
     base::TargetId,
     serde::Serialize,
     setup::{HttpReply, json_reply, text_reply},
     stamp::EventFilter,
     std::{collections::BTreeMap, rc::Rc},
+    wire::MarkSource,
 };
 
+/// What operators can see and change.
+pub struct OperatorDesk {
+    state: Rc<ControlState>,
+    members: Rc<MemberController>,
+    sheets: Rc<SheetController>,
+}
+
+impl OperatorDesk {
+    pub fn new(
+        state: &Rc<ControlState>,
+        members: &Rc<MemberController>,
+        sheets: &Rc<SheetController>,
+    ) -> Self {
+        Self {
+            state: Rc::clone(state),
+            members: Rc::clone(members),
+            sheets: Rc::clone(sheets),
+        }
+    }
+}
+
 /// What `GET /status` answers.
 #[derive(Debug, Clone, Serialize)]
 struct StatusAnswer {
@@ -23,39 +48,41 @@
 }
 
 /// Answers one request of an operator.
-pub async fn answer_operator(state: Rc<ControlState>, request: Request) -> HttpReply {
+pub async fn answer_operator(desk: Rc<OperatorDesk>, request: Request) -> HttpReply {
     let path = request.path().to_string();
     let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
+    let state = &desk.state;
     match (request.method(), segments.as_slice()) {
-        (&Method::GET, ["status"]) => json_reply(StatusCode::OK, &status(&state)),
-        (&Method::GET, ["members"]) => json_reply(StatusCode::OK, &state.view.borrow().hosts),
-        (&Method::GET, ["sheet"]) => sheet(&state),
+        (&Method::GET, ["status"]) => status(state),
+        (&Method::GET, ["members"]) => json_reply(StatusCode::OK, &desk.members.members()),
+        (&Method::GET, ["hosts"]) => json_reply(StatusCode::OK, &state.view.borrow().hosts),
+        (&Method::GET, ["sheet"]) => sheet(&desk),
         (&Method::GET, ["metrics"]) => json_reply(StatusCode::OK, &state.metrics.values()),
-        (&Method::GET, ["timeline"]) => timeline(&state, &request),
+        (&Method::GET, ["timeline"]) => timeline(state, &request),
         (&Method::POST, ["drain"]) => {
             state.drain();
-            json_reply(StatusCode::OK, &status(&state))
+            status(state)
         }
         (&Method::POST, ["targets", target, "leaving"]) => {
-            state.mark_target(target, true);
-            json_reply(StatusCode::OK, &status(&state))
+            desk.members.mark_target(target, MarkSource::Operator);
+            status(state)
         }
         (&Method::POST, ["targets", target, "live"]) => {
-            state.mark_target(target, false);
-            json_reply(StatusCode::OK, &status(&state))
+            desk.members.clear_target(target);
+            status(state)
         }
         _ => text_reply(
             StatusCode::NOT_FOUND,
-            "paths: GET /status /members /sheet /metrics /timeline, POST /drain \
+            "paths: GET /status /members /hosts /sheet /metrics /timeline, POST /drain \
              /targets/{name}/leaving /targets/{name}/live\n",
         ),
     }
 }
 
-fn status(state: &ControlState) -> StatusAnswer {
+fn status(state: &ControlState) -> HttpReply {
     let view = state.view.borrow();
     let digest = view.sheet.as_ref().map(|sheet| sheet.index.digest());
-    StatusAnswer {
+    let answer = StatusAnswer {
         host: state.settings.host.clone(),
         incarnation: state.incarnation,
         life: view.life,
@@ -65,27 +92,13 @@
         hosts: view.hosts.iter().map(|row| row.host.clone()).collect(),
         leaving_targets: view.leaving_targets.iter().cloned().collect(),
         counters: state.metrics.values(),
-    }
+    };
+    json_reply(StatusCode::OK, &answer)
 }
 
-fn sheet(state: &ControlState) -> HttpReply {
-    #[derive(Serialize)]
-    struct SheetAnswer<'a> {
-        index: &'a sheet::SheetIndex,
-        parts: &'a [String],
-    }
-    let view = state.view.borrow();
-    match &view.sheet {
-        Some(sheet) => {
-            let parts = state.texts.borrow();
-            json_reply(
-                StatusCode::OK,
-                &SheetAnswer {
-                    index: &sheet.index,
-                    parts: &parts,
-                },
-            )
-        }
+fn sheet(desk: &OperatorDesk) -> HttpReply {
+    match desk.sheets.bundle() {
+        Some(bundle) => json_reply(StatusCode::OK, bundle.as_ref()),
         None => text_reply(
             StatusCode::SERVICE_UNAVAILABLE,
             "no sheet is in force yet\n",
--- /dev/null
+++ b/crates/entry/src/control/peer_frames.rs
@@ -0,0 +1,99 @@
+use {
+    anyhow::{Context, bail},
+    sheet::SheetBundle,
+    std::{future::Future, rc::Rc, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+    },
+    wire::{FrameSeal, PeerFrame},
+};
+
+/// Longest time that one exchange with a peer may take.
+const EXCHANGE_TIME: Duration = Duration::from_secs(5);
+/// Time in which a peer must accept a connection.
+const DIAL_TIME: Duration = Duration::from_secs(1);
+/// Bytes that are read at once.
+const READ_BYTES: usize = 64 * 1024;
+/// Pause after the kernel refused a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Answers frames of peers for ever; one frame a connection.
+pub async fn serve_frames<Answer: Future<Output = PeerFrame> + 'static>(
+    listener: TcpListener,
+    seal: FrameSeal,
+    answer: impl Fn(PeerFrame) -> Answer + 'static,
+) {
+    let answer = Rc::new(answer);
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            actix_rt::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let answer = Rc::clone(&answer);
+        let seal = seal.clone();
+        actix_rt::spawn(async move {
+            let serving = serve_frame(stream, &seal, |frame| answer(frame));
+            let _ = actix_rt::time::timeout(EXCHANGE_TIME, serving).await;
+        });
+    }
+}
+
+/// Sends a frame to a peer and gives back its answer.
+///
+/// # Errors
+///
+/// Fails if the peer does not answer whole and in time.
+pub async fn ask_peer(
+    address: &str,
+    seal: &FrameSeal,
+    frame: &PeerFrame,
+) -> anyhow::Result<PeerFrame> {
+    let exchange = async {
+        let mut stream = actix_rt::time::timeout(DIAL_TIME, TcpStream::connect(address)).await??;
+        stream.write_all(&seal.encode(frame)?).await?;
+        read_frame(&mut stream, seal).await
+    };
+    actix_rt::time::timeout(EXCHANGE_TIME, exchange)
+        .await
+        .context("timed out")?
+}
+
+/// The frame that gives a peer the sheet in force, or says that there is none.
+pub fn sheet_frame(bundle: Option<&SheetBundle>, wanted: u64) -> PeerFrame {
+    let version = bundle.map_or(0, |bundle| bundle.index.version);
+    match bundle {
+        Some(bundle) if version >= wanted => PeerFrame::SheetReply {
+            index_text: toml::to_string(&bundle.index).unwrap_or_default(),
+            parts: bundle.parts.clone(),
+        },
+        _ => PeerFrame::SheetAbsent { version },
+    }
+}
+
+async fn serve_frame<Answer: Future<Output = PeerFrame>>(
+    mut stream: TcpStream,
+    seal: &FrameSeal,
+    answer: impl Fn(PeerFrame) -> Answer,
+) -> anyhow::Result<()> {
+    let frame = read_frame(&mut stream, seal).await?;
+    let reply = answer(frame).await;
+    stream.write_all(&seal.encode(&reply)?).await?;
+    stream.shutdown().await?;
+    Ok(())
+}
+
+async fn read_frame(stream: &mut TcpStream, seal: &FrameSeal) -> anyhow::Result<PeerFrame> {
+    let mut decoder = seal.decoder();
+    let mut buffer = vec![0; READ_BYTES];
+    loop {
+        let next = decoder.next_frame();
+        if let Some(frame) = next.map_err(|reason| anyhow::anyhow!("dropped: {reason}"))? {
+            return Ok(frame);
+        }
+        match stream.read(&mut buffer).await? {
+            0 => bail!("the peer closed the connection"),
+            count => decoder.push(&buffer[..count]),
+        }
+    }
+}
--- a/crates/entry/src/control/platform_client.rs
+++ b/crates/entry/src/control/platform_client.rs
@@ -7,6 +7,8 @@
 
 /// Bytes that one value of the configuration service may have.
 const VALUE_BYTES: usize = 1024 * 1024;
+/// Header that carries a value's revision.
+const REVISION_HEADER: &str = "x-revision";
 /// Bytes that the host list may have.
 const LIST_BYTES: usize = 8 * 1024 * 1024;
 
@@ -36,6 +38,36 @@
         String::from_utf8(bytes).ok()
     }
 
+    /// Reads a value, or waits until it is later than a revision; `None` if it did not change.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the service does not answer.
+    pub async fn watch(
+        &self,
+        key: &str,
+        after: Option<u64>,
+        wait: Duration,
+    ) -> Result<Option<(String, u64)>, ReadFailure> {
+        let (path, time) = match after {
+            None => (format!("values/{key}"), self.read_time),
+            Some(after) => {
+                let wait_ms = wait.as_millis();
+                let path = format!("values/{key}?after={after}&wait_ms={wait_ms}");
+                (path, wait + self.read_time)
+            }
+        };
+        let reading = self.fetch(&path, VALUE_BYTES);
+        let reply = actix_rt::time::timeout(time, reading)
+            .await
+            .map_err(|_| ReadFailure)??;
+        let Some((bytes, revision)) = reply else {
+            return Ok(None);
+        };
+        let text = String::from_utf8(bytes).map_err(|_| ReadFailure)?;
+        Ok(Some((text, revision)))
+    }
+
     /// Reads the host list.
     pub async fn hosts(&self) -> Option<HostList> {
         let bytes = self.read("hosts", LIST_BYTES).await?;
@@ -43,18 +75,36 @@
     }
 
     async fn read(&self, path: &str, limit: usize) -> Option<Vec<u8>> {
+        let reading = self.fetch(path, limit);
+        let reply = actix_rt::time::timeout(self.read_time, reading)
+            .await
+            .ok()?;
+        reply.ok().flatten().map(|(bytes, _)| bytes)
+    }
+
+    /// Body and revision of a value; `None` if it did not change.
+    async fn fetch(&self, path: &str, limit: usize) -> Result<Option<(Vec<u8>, u64)>, ReadFailure> {
         let url = format!("http://{}/{path}", self.address);
-        let reading = async {
-            let mut response = self.client.get(url).send().await.ok()?;
-            if response.status() != StatusCode::OK {
-                return None;
-            }
-            let body = response.body().limit(limit).await.ok()?;
-            Some(body.to_vec())
-        };
-        actix_rt::time::timeout(self.read_time, reading)
+        let mut response = self.client.get(url).send().await.map_err(|_| ReadFailure)?;
+        if response.status() == StatusCode::NOT_MODIFIED {
+            return Ok(None);
+        }
+        if response.status() != StatusCode::OK {
+            return Err(ReadFailure);
+        }
+        let revision = response.headers().get(REVISION_HEADER);
+        let revision = revision
+            .and_then(|value| value.to_str().ok()?.parse().ok())
+            .unwrap_or(0);
+        let body = response
+            .body()
+            .limit(limit)
             .await
-            .ok()
-            .flatten()
+            .map_err(|_| ReadFailure)?;
+        Ok(Some((body.to_vec(), revision)))
     }
 }
+
+/// The platform did not answer, or not with what was asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReadFailure;
--- /dev/null
+++ b/crates/entry/src/control/sheet_controller.rs
@@ -0,0 +1,329 @@
+use {
+    crate::control::{
+        ControlState, MemberController,
+        peer_frames::{ask_peer, sheet_frame},
+        platform_client::PlatformClient,
+    },
+    base::{HostId, SheetVersion},
+    sheet::{
+        FleetSheet, SheetAction, SheetBundle, SheetEvent, SheetIndex, SheetKeeper, SheetReport,
+        SheetSource, WatchRota,
+    },
+    slog::{info, warn},
+    stamp::EventKind,
+    std::{
+        cell::RefCell,
+        collections::BTreeSet,
+        rc::Rc,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    wire::{FrameSeal, PeerFrame, short_digest},
+};
+
+/// Key of the sheet's index at the configuration service.
+const INDEX_KEY: &str = "sheet/index";
+/// Longest time that a watch of the index may wait.
+const WATCH_TIME: Duration = Duration::from_secs(20);
+/// Pause after a failed read of the index.
+const FAILED_PAUSE: Duration = Duration::from_millis(500);
+/// Longest pause between two ticks of the keeper.
+const TICK_PAUSE: Duration = Duration::from_millis(200);
+
+/// What is heard of sheets besides the configuration service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SheetWord {
+    /// A peer has a sheet in force.
+    Peer {
+        host: HostId,
+        version: SheetVersion,
+        digest: [u8; 8],
+    },
+    /// A caller proved that a version was in force.
+    Proved(SheetVersion),
+}
+
+/// Runs the sheet's keeper: reads the service, asks peers, and puts sheets in force.
+pub struct SheetController {
+    state: Rc<ControlState>,
+    members: Rc<MemberController>,
+    client: PlatformClient,
+    seal: FrameSeal,
+    keeper: RefCell<SheetKeeper>,
+}
+
+impl SheetController {
+    pub fn new(
+        state: Rc<ControlState>,
+        members: Rc<MemberController>,
+        client: PlatformClient,
+    ) -> Self {
+        let seal = FrameSeal::new(state.settings.fleet_key().unwrap_or_default());
+        let keeper = RefCell::new(SheetKeeper::new(&state.settings.host, Instant::now()));
+        Self {
+            state,
+            members,
+            client,
+            seal,
+            keeper,
+        }
+    }
+
+    /// Secret of the fleet.
+    pub fn fleet_key(&self) -> [u8; 32] {
+        self.state.settings.fleet_key().unwrap_or_default()
+    }
+
+    /// Answers a frame of a peer.
+    pub fn answer(&self, frame: &PeerFrame) -> PeerFrame {
+        let keeper = self.keeper.borrow();
+        match frame {
+            PeerFrame::SheetRequest { version } => {
+                sheet_frame(keeper.bundle().map(AsRef::as_ref), *version)
+            }
+            _ => PeerFrame::SheetHas {
+                version: keeper.version(),
+                digest: keeper.digest().to_string(),
+            },
+        }
+    }
+
+    /// Sheet in force as it was read.
+    pub fn bundle(&self) -> Option<Arc<SheetBundle>> {
+        self.keeper.borrow().bundle().cloned()
+    }
+
+    /// Tells the keeper which peers it may ask.
+    pub fn list_peers(self: &Rc<Self>) {
+        let own = &self.state.settings.host;
+        let hosts = self.members.entries().into_iter().map(|row| row.host);
+        let hosts = hosts.filter(|host| host != own).collect();
+        self.handle(SheetEvent::PeersListed { hosts });
+    }
+
+    /// Takes in what was heard.
+    pub fn on_word(self: &Rc<Self>, word: SheetWord) {
+        match word {
+            SheetWord::Proved(version) => self.handle(SheetEvent::SeenVersion { version }),
+            SheetWord::Peer {
+                host,
+                version,
+                digest,
+            } => {
+                let digest = self.long_digest(digest);
+                self.list_peers();
+                self.handle(SheetEvent::PeerHas {
+                    host,
+                    version,
+                    digest,
+                });
+            }
+        }
+    }
+
+    /// Reads the index for ever: the watchers of a data centre by a watch, the others seldom.
+    pub async fn read_index(self: Rc<Self>) {
+        let mut revision = None;
+        loop {
+            let read = self.client.watch(INDEX_KEY, revision, WATCH_TIME).await;
+            match read {
+                Ok(Some((text, next))) => {
+                    revision = Some(next);
+                    self.on_index(&text);
+                }
+                Ok(None) => {}
+                Err(_) => {
+                    revision = None;
+                    self.handle(SheetEvent::ServiceFailed);
+                    actix_rt::time::sleep(FAILED_PAUSE).await;
+                }
+            }
+            let pause = self.index_pause();
+            if !pause.is_zero() {
+                revision = None;
+                actix_rt::time::sleep(pause).await;
+            }
+        }
+    }
+
+    /// Ticks the keeper for ever.
+    pub async fn tick(self: Rc<Self>) {
+        loop {
+            let now = Instant::now();
+            let next = self.keeper.borrow().next_wakeup(now);
+            let pause = next.map_or(TICK_PAUSE, |next| next.saturating_duration_since(now));
+            actix_rt::time::sleep(pause.min(TICK_PAUSE)).await;
+            self.handle(SheetEvent::Tick);
+        }
+    }
+
+    /// Pause before the next read; none for those that watch.
+    fn index_pause(&self) -> Duration {
+        let entries = self.members.entries().into_iter();
+        let rota = WatchRota::new(entries.map(|row| (row.host, row.data_centre)));
+        let host = &self.state.settings.host;
+        if rota.is_watcher(host) {
+            Duration::ZERO
+        } else {
+            rota.poll_period()
+        }
+    }
+
+    fn on_index(self: &Rc<Self>, text: &str) {
+        match toml::from_str::<SheetIndex>(text) {
+            Ok(index) => self.handle(SheetEvent::IndexRead { index }),
+            Err(error) => {
+                self.state.metrics.count("sheets.refused", 1);
+                warn!(self.state.log, "index refused"; "error" => error.message());
+            }
+        }
+    }
+
+    fn handle(self: &Rc<Self>, event: SheetEvent) {
+        let actions = self.keeper.borrow_mut().handle(event, Instant::now());
+        for action in actions {
+            self.perform(action);
+        }
+        self.publish_ready();
+    }
+
+    fn perform(self: &Rc<Self>, action: SheetAction) {
+        match action {
+            SheetAction::AskPeers { hosts } => {
+                for host in hosts {
+                    actix_rt::spawn(Rc::clone(self).ask(host));
+                }
+            }
+            SheetAction::FetchParts { index } => {
+                actix_rt::spawn(Rc::clone(self).fetch_parts(index));
+            }
+            SheetAction::FetchFromPeer { host } => {
+                actix_rt::spawn(Rc::clone(self).fetch_from_peer(host));
+            }
+            SheetAction::PutInForce { sheet } => self.put_in_force(&sheet),
+            SheetAction::Report { report } => self.report(&report),
+        }
+    }
+
+    async fn ask(self: Rc<Self>, host: HostId) {
+        let answer = self.exchange(&host, &PeerFrame::SheetAsk).await;
+        let event = match answer {
+            Some(PeerFrame::SheetHas { version, digest }) => SheetEvent::PeerHas {
+                host,
+                version,
+                digest,
+            },
+            _ => SheetEvent::PeerFailed { host },
+        };
+        self.handle(event);
+    }
+
+    async fn fetch_parts(self: Rc<Self>, index: SheetIndex) {
+        let mut parts = Vec::new();
+        for part in &index.part {
+            match self.client.value(&part.key).await {
+                Some(text) => parts.push(text),
+                None => return self.handle(SheetEvent::ServiceFailed),
+            }
+        }
+        let bundle = SheetBundle { index, parts };
+        self.handle(SheetEvent::PartsFetched {
+            source: SheetSource::Service,
+            bundle,
+        });
+    }
+
+    async fn fetch_from_peer(self: Rc<Self>, host: HostId) {
+        let answer = self
+            .exchange(&host, &PeerFrame::SheetRequest { version: 1 })
+            .await;
+        let event = match answer {
+            Some(PeerFrame::SheetReply { index_text, parts }) => {
+                match toml::from_str(&index_text) {
+                    Ok(index) => SheetEvent::PartsFetched {
+                        source: SheetSource::Peer(host),
+                        bundle: SheetBundle { index, parts },
+                    },
+                    Err(_) => SheetEvent::PeerFailed { host },
+                }
+            }
+            _ => SheetEvent::PeerFailed { host },
+        };
+        self.handle(event);
+    }
+
+    async fn exchange(&self, host: &str, frame: &PeerFrame) -> Option<PeerFrame> {
+        let entries = self.members.entries();
+        let row = entries.into_iter().find(|row| row.host == host)?;
+        ask_peer(&row.peers, &self.seal, frame).await.ok()
+    }
+
+    fn put_in_force(&self, sheet: &Arc<FleetSheet>) {
+        let version = sheet.version();
+        let digest = sheet.index.digest();
+        info!(self.state.log, "sheet in force"; "version" => version, "digest" => &digest);
+        self.state.metrics.gauge("sheet.version", version);
+        self.state
+            .recorder
+            .record(EventKind::SheetInForce, |event| {
+                event.with_sheet_version(version)
+            });
+        let leaving = sheet.targets.values().filter(|row| row.leaving);
+        let leaving: BTreeSet<String> = leaving.map(|row| row.name.clone()).collect();
+        self.members.on_sheet(version, &digest, leaving);
+    }
+
+    /// Gives the data path the sheet in force, as long as it may be trusted.
+    fn publish_ready(&self) {
+        let keeper = self.keeper.borrow();
+        let sheet = if keeper.is_ready() {
+            keeper.sheet().cloned()
+        } else {
+            None
+        };
+        let view = self.state.view.borrow();
+        let same = match (&view.sheet, &sheet) {
+            (Some(old), Some(new)) => Arc::ptr_eq(old, new),
+            (None, None) => true,
+            _ => false,
+        };
+        let heard = keeper.heard().max(keeper.version());
+        let unchanged = same && view.latest_version == heard;
+        drop(view);
+        drop(keeper);
+        if unchanged {
+            return;
+        }
+        let weights = sheet.iter().flat_map(|sheet| sheet.customers.values());
+        let total_weight = weights.map(|row| u64::from(row.weight)).sum();
+        self.state.change(|view| {
+            view.sheet = sheet;
+            view.latest_version = heard;
+            view.total_weight = total_weight;
+        });
+    }
+
+    fn report(&self, report: &SheetReport) {
+        self.state.metrics.count("sheets.reported", 1);
+        if let SheetReport::Refused { errors, .. } = report {
+            self.state.metrics.count("sheets.refused", 1);
+            for error in errors {
+                warn!(self.state.log, "sheet fault"; "fault" => error.to_string());
+            }
+        }
+        let text = report.to_string();
+        warn!(self.state.log, "sheet"; "report" => &text);
+        self.state
+            .recorder
+            .record(EventKind::SheetRefused, |event| event.with_detail(text));
+    }
+
+    /// Heartbeats carry the head of a digest only; the whole one is known if it is our own.
+    fn long_digest(&self, short: [u8; 8]) -> String {
+        let keeper = self.keeper.borrow();
+        if short_digest(keeper.digest()) == short {
+            return keeper.digest().to_string();
+        }
+        short.iter().map(|byte| format!("{byte:02x}")).collect()
+    }
+}
--- a/crates/entry/src/data/address_answer.rs
+++ b/crates/entry/src/data/address_answer.rs
@@ -1,6 +1,7 @@
 use {
     crate::{data::EntryCore, shared::FleetView},
     base::{EntryAddress, SheetVersion},
+    route::EntryRanking,
     serde::{Deserialize, Serialize},
     std::time::Duration,
 };
@@ -14,6 +15,8 @@
     pub keep_ms: u64,
     /// Version of the sheet in force.
     pub sheet_version: SheetVersion,
+    /// What to send as `x-camphor-sheet` with requests: the version with a proof.
+    pub sheet_proof: String,
     /// Single-use tickets for non-idempotent requests.
     pub tickets: Vec<String>,
 }
@@ -26,30 +29,35 @@
             addresses: entry_addresses(core, fleet, customer),
             keep_ms: millis(settings.keep),
             sheet_version: fleet.version(),
+            sheet_proof: core.proof.prove(fleet.version()),
             tickets: core.tickets(settings.tickets),
         }
     }
 }
 
-/// Entries that a customer should use, best first.
+/// Entries that a customer should use, best first; those that are not confirmed go last.
 pub fn entry_addresses(core: &EntryCore, fleet: &FleetView, customer: &str) -> Vec<EntryAddress> {
     let row = fleet
         .sheet
         .as_ref()
         .and_then(|sheet| sheet.customers.get(customer));
-    let count = row
+    let ranking = EntryRanking::new(fleet.hosts.iter().map(|row| (row.host.clone(), row.size)));
+    let stated = row
         .and_then(|row| row.entries)
-        .unwrap_or(core.settings.answers.entries);
-    let count = usize::try_from(count).unwrap_or(usize::MAX);
-    fleet
-        .hosts
+        .or(core.settings.answers.entries);
+    let weight = row.map_or(1, |row| row.weight);
+    let count = ranking.count_for(stated, weight, fleet.total_weight);
+    let ranked = ranking.rank(customer, count);
+    let rows = ranked
         .iter()
-        .take(count)
-        .map(|row| EntryAddress {
-            host: row.host.clone(),
-            address: row.callers.clone(),
-        })
-        .collect()
+        .filter_map(|host| fleet.hosts.iter().find(|row| row.host == *host));
+    let (confirmed, doubtful): (Vec<_>, Vec<_>) = rows.partition(|row| row.confirmed);
+    let rows = confirmed.into_iter().chain(doubtful);
+    rows.map(|row| EntryAddress {
+        host: row.host.clone(),
+        address: row.callers.clone(),
+    })
+    .collect()
 }
 
 fn millis(time: Duration) -> u64 {
--- a/crates/entry/src/data/caller_server.rs
+++ b/crates/entry/src/data/caller_server.rs
@@ -108,7 +108,7 @@
     let fleet = core.fleet();
     let end = |reason, detail: &str| Err(Box::new(refuse(core, Some(&head), reason, detail)));
     let Some(sheet) = fleet.sheet.clone() else {
-        core.note(ControlNote::SheetSeen(head.sheet_seen));
+        note_sheet(core, &head);
         return end(FailureReason::NoSheet, "no sheet is in force yet");
     };
     let Some(plan) = RunPlan::new(&sheet, pipeline, head.idempotent) else {
@@ -138,6 +138,17 @@
     })
 }
 
+/// Passes on a proof that a version was in force, while this entry has no sheet.
+fn note_sheet(core: &EntryCore, head: &RequestHead) {
+    let seen = head
+        .sheet_seen
+        .as_deref()
+        .and_then(|text| core.proof.read(text));
+    if let Some(seen) = seen.filter(|seen| seen.proved) {
+        core.note(ControlNote::SheetSeen(seen.version));
+    }
+}
+
 fn refuse(
     core: &EntryCore,
     head: Option<&RequestHead>,
--- a/crates/entry/src/data/entry_core.rs
+++ b/crates/entry/src/data/entry_core.rs
@@ -1,14 +1,20 @@
 use {
     crate::{
         EntrySettings,
-        data::{JoinDesk, pool_desk::PoolDesk, stage_desk::StageDesk, target_client::TargetClient},
+        data::{
+            JoinDesk, pool_desk::PoolDesk, sheet_proof::SheetProof, stage_desk::StageDesk,
+            target_client::TargetClient,
+        },
         shared::{ControlNote, EventRecorder, FleetView},
     },
     base::Incarnation,
     once::{BookLimits, TicketBook, TicketMint},
     rand::SeedableRng,
     rand_chacha::ChaCha8Rng,
-    retry::{BudgetSettings, CrashFingerprint, CrashLedger, LedgerSettings, RetryBudget},
+    retry::{
+        BudgetSettings, CrashFingerprint, CrashLedger, CrashRecord, LedgerSettings, RetryBudget,
+        TargetStrikes, target_hash,
+    },
     setup::MetricBoard,
     slog::Logger,
     std::{
@@ -20,8 +26,8 @@
     tokio::sync::{mpsc, watch},
 };
 
-/// Crash records that are looked through for one to share.
-const SHARED_RECORDS: usize = 1_024;
+/// Time for which a strike that a peer saw counts here.
+const FOREIGN_LIFETIME: Duration = Duration::from_secs(60);
 
 /// What the data path owns. All of it lives on one thread.
 pub struct EntryCore {
@@ -34,6 +40,7 @@
     pub mint: TicketMint,
     pub book: RefCell<TicketBook>,
     pub joins: JoinDesk,
+    pub proof: SheetProof,
     pub pools: RefCell<PoolDesk>,
     pub stages: RefCell<StageDesk>,
     pub budget: RefCell<RetryBudget>,
@@ -79,6 +86,7 @@
             mint,
             book: RefCell::new(TicketBook::new(limits)),
             joins: JoinDesk::default(),
+            proof: SheetProof::new(&key),
             pools: RefCell::new(PoolDesk::new(
                 &settings.data_centre,
                 parts.incarnation,
@@ -114,16 +122,17 @@
             .collect()
     }
 
-    /// Tells the peers of a request that a target died of.
-    pub fn share_strike(&self, fingerprint: &CrashFingerprint) {
+    /// Takes over what the controllers have learned since the last time.
+    pub fn refresh(&self) -> Arc<FleetView> {
+        let fleet = self.fleet();
         let now = Instant::now();
-        let records = self.crashes.borrow().records(SHARED_RECORDS, now);
-        for record in records
-            .into_iter()
-            .filter(|record| record.fingerprint == *fingerprint)
-        {
-            self.note(ControlNote::Strike(record));
+        if self.pools.borrow_mut().sync(&fleet, now) {
+            let mut crashes = self.crashes.borrow_mut();
+            for (fingerprint, witness, strikes) in &fleet.strikes {
+                crashes.merge(&foreign_record(*fingerprint, witness, *strikes), now);
+            }
         }
+        fleet
     }
 
     /// Tells the controllers something.
@@ -132,6 +141,19 @@
     }
 }
 
+/// What a peer saw, as a record of the ledger: each witness counts as one victim.
+fn foreign_record(fingerprint: CrashFingerprint, witness: &str, strikes: u8) -> CrashRecord {
+    CrashRecord {
+        fingerprint,
+        victims: vec![TargetStrikes {
+            target: target_hash(witness),
+            strikes: u32::from(strikes),
+            cleared: 0,
+        }],
+        remaining: FOREIGN_LIFETIME,
+    }
+}
+
 /// Counts a running request for as long as it lives.
 pub struct RunningPlace {
     core: Rc<EntryCore>,
--- a/crates/entry/src/data/mod.rs
+++ b/crates/entry/src/data/mod.rs
@@ -12,6 +12,7 @@
 mod request_draft;
 mod request_head;
 mod run_driver;
+mod sheet_proof;
 mod spend_guard;
 mod stage_call;
 mod stage_desk;
--- a/crates/entry/src/data/pool_desk.rs
+++ b/crates/entry/src/data/pool_desk.rs
@@ -70,21 +70,25 @@
         self.returns.clone()
     }
 
-    /// Takes over a changed view of the fleet.
-    pub fn sync(&mut self, view: &Arc<FleetView>, now: Instant) {
+    /// Takes over a view of the fleet; false if it is the same as before.
+    pub fn sync(&mut self, view: &Arc<FleetView>, now: Instant) -> bool {
         if Arc::ptr_eq(&self.view, view) {
-            return;
+            return false;
         }
         self.view = Arc::clone(view);
-        let Some(sheet) = view.sheet.clone() else {
-            return;
-        };
+        if let Some(sheet) = view.sheet.clone() {
+            self.take_sheet(&sheet, view, now);
+        }
+        true
+    }
+
+    fn take_sheet(&mut self, sheet: &FleetSheet, view: &FleetView, now: Instant) {
         self.pools.retain(|pool, _| sheet.pools.contains_key(pool));
         for pool in sheet.pools.keys() {
-            let specs = target_specs(&sheet, view, pool);
+            let specs = target_specs(sheet, view, pool);
             let range = limit_range(&specs);
             if !self.pools.contains_key(pool) {
-                let state = self.open_pool(&sheet, pool, range, now);
+                let state = self.open_pool(sheet, pool, range, now);
                 self.pools.insert(pool.clone(), state);
             }
             if let Some(state) = self.pools.get_mut(pool) {
--- a/crates/entry/src/data/request_draft.rs
+++ b/crates/entry/src/data/request_draft.rs
@@ -1,5 +1,5 @@
 use {
-    crate::data::{HeldSpend, RequestHead},
+    crate::data::{EntryCore, HeldSpend, RequestHead, sheet_proof::SeenSheet},
     base::{FailureReason, FailureReport, PipelineId, RunClaim, Unsent},
     bytes::Bytes,
     pipe::RunPlan,
@@ -23,6 +23,11 @@
 }
 
 impl RequestDraft {
+    /// Sheet that the caller has seen, if it says so.
+    pub fn seen_sheet(&self, core: &EntryCore) -> Option<SeenSheet> {
+        core.proof.read(self.head.sheet_seen.as_deref()?)
+    }
+
     /// Identity of what the caller sent, for the record of crashes.
     pub fn fingerprint(&self) -> CrashFingerprint {
         retry::fingerprint(&self.head.customer, &self.pipeline, &self.body)
--- a/crates/entry/src/data/request_head.rs
+++ b/crates/entry/src/data/request_head.rs
@@ -3,7 +3,7 @@
     base::{
         CREDENTIAL_HEADER, CUSTOMER_HEADER, CustomerId, FORWARDED_HEADER, HostId,
         IDEMPOTENT_HEADER, PRIORITY_HEADER, REMAINING_HEADER, REQUEST_HEADER, RequestId,
-        RequestPriority, SHEET_HEADER, STREAM_HEADER, SheetVersion, TICKET_HEADER,
+        RequestPriority, SHEET_HEADER, STREAM_HEADER, TICKET_HEADER,
     },
     std::{str::FromStr, time::Duration},
 };
@@ -22,7 +22,7 @@
     pub idempotent: bool,
     pub stream: bool,
     pub ticket: Option<String>,
-    pub sheet_seen: SheetVersion,
+    pub sheet_seen: Option<String>,
     pub forwarded_by: Option<HostId>,
 }
 
@@ -43,7 +43,7 @@
             idempotent: parse(headers, IDEMPOTENT_HEADER)?.unwrap_or(true),
             stream: parse(headers, STREAM_HEADER)?.unwrap_or(false),
             ticket: text(headers, TICKET_HEADER)?,
-            sheet_seen: parse(headers, SHEET_HEADER)?.unwrap_or(0),
+            sheet_seen: text(headers, SHEET_HEADER)?,
             forwarded_by: text(headers, FORWARDED_HEADER)?,
         })
     }
--- a/crates/entry/src/data/run_driver.rs
+++ b/crates/entry/src/data/run_driver.rs
@@ -1,9 +1,12 @@
 use {
-    crate::data::{
-        AnswerSink, EntryCore, RequestDraft, RunningSpend,
-        answer_sink::SinkStop,
-        entry_core::RunningPlace,
-        stage_call::{CallScope, StageCall},
+    crate::{
+        data::{
+            AnswerSink, EntryCore, RequestDraft, RunningSpend,
+            answer_sink::SinkStop,
+            entry_core::RunningPlace,
+            stage_call::{CallScope, StageCall},
+        },
+        shared::EntryLife,
     },
     actix_rt::task::JoinHandle,
     base::{AttemptNumber, FailureReport, RunVerdict},
@@ -136,9 +139,11 @@
 
     async fn next_event(&mut self, sink: &AnswerSink) -> RunEvent {
         let watched = self.run.plan().is_idempotent();
+        let mut view = self.scope.core.view.clone();
         tokio::select! {
             biased;
             () = sink.gone(), if watched => RunEvent::CallerGone,
+            _ = view.wait_for(|view| view.life == EntryLife::Stopping) => RunEvent::Stopped,
             event = self.inbox.recv() => event.unwrap_or(RunEvent::Tick),
             () = actix_rt::time::sleep_until(self.scope.deadline.into()) => RunEvent::Tick,
         }
--- a/crates/entry/src/data/stage_call.rs
+++ b/crates/entry/src/data/stage_call.rs
@@ -105,11 +105,8 @@
             deadline: scope.deadline,
             cost: self.cost,
         };
-        let waiting = {
-            let mut pools = scope.core.pools.borrow_mut();
-            pools.sync(&scope.core.fleet(), now);
-            pools.request(query, now)
-        };
+        scope.core.refresh();
+        let waiting = scope.core.pools.borrow_mut().request(query, now);
         match waiting.await {
             Ok(outcome) => outcome,
             Err(_) => Err(PlaceEnd::new(FailureReason::NoTarget, Duration::ZERO)),
@@ -125,8 +122,8 @@
             if now >= scope.deadline {
                 return Err(self.unsent(FailureReason::DeadlinePassed));
             }
+            scope.core.refresh();
             let mut pools = scope.core.pools.borrow_mut();
-            pools.sync(&scope.core.fleet(), now);
             let tried = scope.tried.borrow().clone();
             let Some(pick) = pools.pick(&self.stage.pool, prefix, &tried, now) else {
                 self.forget_tried()?;
@@ -224,7 +221,7 @@
                         &pick.target,
                         "target died under the call",
                     );
-                    scope.core.share_strike(&scope.fingerprint);
+                    scope.core.note(ControlNote::Strike(scope.fingerprint));
                 }
                 Err(failure)
             }
--- a/crates/entry/src/data/start_entry.rs
+++ b/crates/entry/src/data/start_entry.rs
@@ -4,12 +4,15 @@
         control::{ControlParts, run_control},
         data::{EntryCore, caller_server::answer_caller, entry_core::CoreParts},
         filters::FilterChain,
-        shared::{EventRecorder, FleetView, wall_us},
+        shared::{ControlNote, EntryLife, EventRecorder, FleetView, wall_us},
     },
     actix_rt::Arbiter,
     setup::{HttpLimits, MetricBoard, ReadyLine, StartError, open_log, serve_http},
+    slog::info,
     stamp::EventKind,
     std::{
+        future::Future,
+        io,
         net::{SocketAddr, TcpListener, UdpSocket},
         rc::Rc,
         sync::Arc,
@@ -23,6 +26,8 @@
 
 /// Name of the program in logs and on the ready line.
 const PROGRAM: &str = "camphor-entry";
+/// Time between two looks at what still runs at the end.
+const END_PAUSE: Duration = Duration::from_millis(10);
 /// Time between two looks for calls that can no longer finish.
 const QUEUE_TICK: Duration = Duration::from_millis(10);
 /// Tries to get the same port number over UDP and TCP where the kernel chooses it.
@@ -49,7 +54,9 @@
     let recorder = EventRecorder::new(&settings.host);
     let incarnation = wall_us();
     recorder.record(EventKind::ProcessStarted, |event| event);
+    let (closing, _) = watch::channel(false);
     let control = ControlParts {
+        callers: address.to_string(),
         settings: settings.clone(),
         incarnation,
         metrics: metrics.clone(),
@@ -60,6 +67,7 @@
         operators,
         peer_frames,
         peer_datagrams,
+        closing: closing.subscribe(),
     };
     let arbiter = Arbiter::new();
     arbiter.spawn_fn(move || {
@@ -75,13 +83,14 @@
         callers: address.to_string(),
     };
     let core = Rc::new(EntryCore::new(settings, parts));
-    serve_callers(core, callers, ready).await
+    serve_callers(core, callers, ready, closing).await
 }
 
 async fn serve_callers(
     core: Rc<EntryCore>,
     callers: TcpListener,
     ready: ReadyLine,
+    closing: watch::Sender<bool>,
 ) -> anyhow::Result<()> {
     let settings = &core.settings.limits;
     let limits = HttpLimits {
@@ -90,18 +99,42 @@
         connections: settings.connections,
     };
     actix_rt::spawn(run_queues(Rc::clone(&core)));
+    actix_rt::spawn(watch_signals(Rc::clone(&core))?);
     let chain = Rc::new(FilterChain::new());
-    let handler = move |request| answer_caller(Rc::clone(&core), Rc::clone(&chain), request);
-    let mut terminate = signal(SignalKind::terminate())?;
+    let handler = {
+        let core = Rc::clone(&core);
+        move |request| answer_caller(Rc::clone(&core), Rc::clone(&chain), request)
+    };
     let callers = tokio::net::TcpListener::from_std(callers)?;
     ready.print()?;
-    tokio::select! {
-        () = serve_http(callers, limits, handler) => {}
-        _ = terminate.recv() => {}
-    }
+    let closing_inbox = closing.subscribe();
+    tokio::join!(serve_http(callers, limits, closing_inbox, handler), async {
+        wait_end(&core).await;
+        closing.send_replace(true);
+    });
+    info!(core.log, "ended"; "uptime_s" => core.uptime().as_secs());
     Ok(())
 }
 
+/// Passes each word of the operating system that the process should end to the controllers.
+fn watch_signals(core: Rc<EntryCore>) -> io::Result<impl Future<Output = ()>> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    Ok(async move {
+        while terminate.recv().await.is_some() {
+            core.note(ControlNote::Terminate);
+        }
+    })
+}
+
+/// Returns once nothing runs any more and nothing new is let in.
+async fn wait_end(core: &EntryCore) {
+    let mut view = core.view.clone();
+    let _ = view.wait_for(|view| view.life >= EntryLife::Refusing).await;
+    while core.running.get() > 0 {
+        actix_rt::time::sleep(END_PAUSE).await;
+    }
+}
+
 /// Hands out places that calls gave back, and ends calls that waited too long.
 async fn run_queues(core: Rc<EntryCore>) {
     let returns = core.pools.borrow().returns();
--- a/crates/entry/src/entry_settings.rs
+++ b/crates/entry/src/entry_settings.rs
@@ -78,6 +78,9 @@
 pub struct PeerSettings {
     /// Secret of the fleet, 64 hexadecimal digits.
     pub key: String,
+    /// Addresses of peers to try while the host list cannot be read.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
     /// Address that peers reach this host under, where it is not the one it listens on.
     #[serde(default)]
     pub advertise: Option<SocketAddr>,
@@ -147,8 +150,8 @@
     /// Time for which a caller may keep an answer.
     #[serde(with = "humantime_serde")]
     pub keep: Duration,
-    /// Entries that an ordinary customer is told to use.
-    pub entries: u32,
+    /// Entries that a customer is told to use; absent means as many as its share needs.
+    pub entries: Option<u32>,
     /// Tickets in each answer.
     pub tickets: u32,
 }
@@ -157,7 +160,7 @@
     fn default() -> Self {
         Self {
             keep: Duration::from_secs(5),
-            entries: 3,
+            entries: None,
             tickets: 4,
         }
     }
@@ -222,7 +225,7 @@
         if self.size == 0 {
             return wrong("size", "at least 1");
         }
-        if self.answers.entries == 0 {
+        if self.answers.entries == Some(0) {
             return wrong("answers.entries", "at least 1");
         }
         if self.tickets.lifetime.is_zero() {
--- a/crates/entry/src/filters/admission_filter.rs
+++ b/crates/entry/src/filters/admission_filter.rs
@@ -24,7 +24,7 @@
 fn admit(core: &EntryCore, mut draft: RequestDraft) -> FilterStep {
     let now = Instant::now();
     let gate = AdmissionGate::default();
-    core.pools.borrow_mut().sync(&core.fleet(), now);
+    core.refresh();
     let expected = expected_times(core, &draft, now);
     let waits = expected
         .iter()
--- a/crates/entry/src/filters/crash_filter.rs
+++ b/crates/entry/src/filters/crash_filter.rs
@@ -15,10 +15,10 @@
 impl RequestFilter for CrashFilter {
     fn apply(&self, core: Rc<EntryCore>, draft: RequestDraft) -> LocalBoxFuture<'_, FilterStep> {
         Box::pin(async move {
-            let verdict = core
-                .crashes
-                .borrow()
-                .verdict(&draft.fingerprint(), Instant::now());
+            core.refresh();
+            let crashes = core.crashes.borrow();
+            let verdict = crashes.verdict(&draft.fingerprint(), Instant::now());
+            drop(crashes);
             if verdict != CrashVerdict::Refused {
                 return Ok(draft);
             }
--- a/crates/entry/src/filters/sheet_filter.rs
+++ b/crates/entry/src/filters/sheet_filter.rs
@@ -16,12 +16,16 @@
 impl RequestFilter for SheetFilter {
     fn apply(&self, core: Rc<EntryCore>, draft: RequestDraft) -> LocalBoxFuture<'_, FilterStep> {
         Box::pin(async move {
-            let seen = draft.head.sheet_seen;
-            if seen <= draft.sheet.version() {
+            let Some(seen) = draft.seen_sheet(&core) else {
                 return Ok(draft);
+            };
+            if seen.version <= draft.sheet.version() {
+                return Ok(draft);
+            }
+            if seen.proved {
+                core.note(ControlNote::SheetSeen(seen.version));
             }
-            core.note(ControlNote::SheetSeen(seen));
-            let detail = format!("caller has seen sheet version {seen}");
+            let detail = format!("caller has seen sheet version {}", seen.version);
             refused(draft.refuse(FailureReason::SheetBehind, detail))
         })
     }
--- a/crates/entry/src/shared/fleet_view.rs
+++ b/crates/entry/src/shared/fleet_view.rs
@@ -1,6 +1,7 @@
 use {
     crate::shared::EntryLife,
-    base::{HostRow, SheetVersion, TargetId},
+    base::{HostId, SheetVersion, TargetId},
+    member::EntryRow,
     sheet::FleetSheet,
     std::{collections::BTreeSet, sync::Arc},
 };
@@ -8,14 +9,18 @@
 /// What the controllers know, as the data path sees it. Each snapshot is immutable.
 #[derive(Debug, Clone, Default)]
 pub struct FleetView {
-    /// Sheet in force; absent until one was adopted.
+    /// Sheet in force; absent while none may be trusted.
     pub sheet: Option<Arc<FleetSheet>>,
-    /// Latest version that anyone is known to have.
+    /// Latest version that is known to have been in force anywhere.
     pub latest_version: SheetVersion,
+    /// Weight of all customers together.
+    pub total_weight: u64,
     /// Entries that callers may be told to use.
-    pub hosts: Vec<HostRow>,
+    pub hosts: Vec<EntryRow>,
     /// Targets that are to receive no new work.
     pub leaving_targets: BTreeSet<TargetId>,
+    /// Strikes that peers witnessed: fingerprint, witness, number.
+    pub strikes: Vec<([u8; 16], HostId, u8)>,
     /// How far this daemon is with its shutdown.
     pub life: EntryLife,
 }
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -17,6 +17,7 @@
 mod table_lists;
 mod table_messages;
 mod table_rounds;
+mod table_strikes;
 mod target_marks;
 
 pub use {
--- a/crates/member/src/strike_book.rs
+++ b/crates/member/src/strike_book.rs
@@ -54,6 +54,16 @@
         alive.fold(0, |sum, count| sum.saturating_add(count.strikes))
     }
 
+    /// Strikes by fingerprint and witness.
+    pub(crate) fn witnessed_strikes(&self, now: Instant) -> Vec<(Fingerprint, HostId, u8)> {
+        let rows = self.records.iter().flat_map(|(fingerprint, record)| {
+            let counts = record.witnesses.iter();
+            let alive = counts.filter(move |(_, count)| count.expires > now);
+            alive.map(|(witness, count)| (*fingerprint, witness.clone(), count.strikes))
+        });
+        rows.collect()
+    }
+
     /// Number of strikes that one witness holds.
     pub(crate) fn witnessed(&self, fingerprint: &Fingerprint, witness: &str, now: Instant) -> u8 {
         self.records
--- a/crates/pipe/src/run_event.rs
+++ b/crates/pipe/src/run_event.rs
@@ -48,4 +48,6 @@
     CallerGone,
     /// The caller does not read its answer.
     CallerStuck,
+    /// The process ends before the run does.
+    Stopped,
 }
--- a/crates/pipe/src/run_state.rs
+++ b/crates/pipe/src/run_state.rs
@@ -111,6 +111,7 @@
             RunEvent::HedgeDue { attempt } => self.on_hedge(attempt, now, permit),
             RunEvent::Tick => self.on_tick(now),
             RunEvent::CallerGone => self.on_caller_gone(),
+            RunEvent::Stopped => self.fail(FailureReason::Leaving, "the entry was stopped"),
             RunEvent::CallerStuck => self.fail(FailureReason::SlowReader, "caller does not read"),
         }
     }
--- a/crates/proofs/tests/caller.rs
+++ b/crates/proofs/tests/caller.rs
@@ -15,8 +15,14 @@
 async fn outcome_of(stream: bool, reply: impl Fn() -> HttpReply + Clone + 'static) -> RunOutcome {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap().to_string();
+    let (_, closing) = tokio::sync::watch::channel(false);
     let handler = move |_| std::future::ready(reply());
-    let server = actix_rt::spawn(serve_http(listener, HttpLimits::default(), handler));
+    let server = actix_rt::spawn(serve_http(
+        listener,
+        HttpLimits::default(),
+        closing,
+        handler,
+    ));
     let mut request = RunRequest::new("farm", "read", "r1", b"hay");
     request.stream = stream;
     let outcome = TestCaller::new().run(&address, &request).await;
--- a/crates/retry/src/crash_record.rs
+++ b/crates/retry/src/crash_record.rs
@@ -47,7 +47,7 @@
 }
 
 /// Short hash of a target's name.
-pub(crate) fn target_hash(target: &str) -> u64 {
+pub fn target_hash(target: &str) -> u64 {
     let hash = blake3::hash(target.as_bytes());
     let mut short = [0; 8];
     short.copy_from_slice(&hash.as_bytes()[..8]);
--- a/crates/retry/src/lib.rs
+++ b/crates/retry/src/lib.rs
@@ -7,7 +7,7 @@
 
 pub use {
     crash_ledger::{CrashLedger, CrashVerdict, LedgerSettings, RunEnd, RunPermit},
-    crash_record::{CrashFingerprint, CrashRecord, TargetStrikes, fingerprint},
+    crash_record::{CrashFingerprint, CrashRecord, TargetStrikes, fingerprint, target_hash},
     hedge_policy::{HedgeCall, HedgePolicy},
     retry_budget::{BudgetSettings, RetryBudget},
 };
--- a/crates/setup/src/http_server.rs
+++ b/crates/setup/src/http_server.rs
@@ -9,13 +9,24 @@
     bytes::{Bytes, BytesMut},
     futures_util::StreamExt,
     serde::Serialize,
-    std::{cell::Cell, convert::Infallible, future::Future, rc::Rc, time::Duration},
-    tokio::net::TcpListener,
+    std::{
+        cell::Cell,
+        convert::Infallible,
+        future::Future,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    tokio::{net::TcpListener, sync::watch},
 };
 
 /// Pause after the kernel refused a connection, for instance for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Longest time that open connections are waited for at the end.
+const CLOSE_LIMIT: Duration = Duration::from_secs(2);
+/// Pause between two looks at the open connections at the end.
+const CLOSE_PAUSE: Duration = Duration::from_millis(5);
+
 /// Body of a reply.
 pub type HttpBody = BoxBody;
 /// Reply of a handler.
@@ -62,11 +73,13 @@
     }
 }
 
-/// Serves HTTP/1.1 on the listener until the future is dropped; every request runs on this
-/// thread.
+/// Serves HTTP/1.1 on the listener; every request runs on this thread. Once `closing` is true,
+/// no connection is accepted any more, and it returns when the open ones have ended after the
+/// answers that they carry, or after `CLOSE_LIMIT`.
 pub async fn serve_http<Handler, Answer>(
     listener: TcpListener,
     limits: HttpLimits,
+    closing: watch::Receiver<bool>,
     handler: Handler,
 ) where
     Handler: Fn(Request) -> Answer + Clone + 'static,
@@ -80,12 +93,34 @@
     let factory = HttpService::build()
         .client_request_timeout(limits.head_time)
         .keep_alive(limits.idle_time)
+        .graceful_shutdown_signal({
+            let closing = closing.clone();
+            move || wait_closing(closing.clone())
+        })
         .h1(handler)
         .tcp();
     let Ok(service) = factory.new_service(()).await else {
         return;
     };
     let service = Rc::new(service);
+    let accepting = accept_streams(&listener, &limits, &open, service);
+    tokio::select! {
+        () = accepting => {}
+        () = wait_closing(closing) => {}
+    }
+    drop(listener);
+    let limit = Instant::now() + CLOSE_LIMIT;
+    while open.get() > 0 && Instant::now() < limit {
+        actix_rt::time::sleep(CLOSE_PAUSE).await;
+    }
+}
+
+async fn accept_streams<S: Service<TcpStream> + 'static>(
+    listener: &TcpListener,
+    limits: &HttpLimits,
+    open: &Rc<Cell<usize>>,
+    service: Rc<S>,
+) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             actix_rt::time::sleep(ACCEPT_PAUSE).await;
@@ -95,9 +130,15 @@
             drop(stream);
             continue;
         }
-        let place = ConnectionPlace::take(&open);
-        let service = Rc::clone(&service);
-        actix_rt::spawn(serve_stream(service, stream, place));
+        let place = ConnectionPlace::take(open);
+        actix_rt::spawn(serve_stream(Rc::clone(&service), stream, place));
+    }
+}
+
+/// Returns once the value is true, or never if it can no longer become so.
+async fn wait_closing(mut closing: watch::Receiver<bool>) {
+    if closing.wait_for(|closing| *closing).await.is_err() {
+        std::future::pending::<()>().await;
     }
 }
 
--- a/crates/sheet/src/watch_rota.rs
+++ b/crates/sheet/src/watch_rota.rs
@@ -7,9 +7,9 @@
 /// Daemons of one data centre that hold a watch at the configuration service.
 const WATCHERS_PER_CENTRE: usize = 2;
 /// Time between the polls of all other daemons together, whatever their number.
-const FLEET_POLL_GAP: Duration = Duration::from_secs(1);
+const FLEET_POLL_GAP: Duration = Duration::from_millis(30);
 /// Shortest time between two polls of one daemon.
-const POLL_PERIOD_MIN: Duration = Duration::from_secs(10);
+const POLL_PERIOD_MIN: Duration = Duration::from_secs(2);
 
 /// Says which daemons watch the configuration service, so that its load does not grow with the
 /// fleet. All daemons work it out alike from the live hosts; while their lists differ a few more
@@ -30,7 +30,7 @@
     /// assert_eq!(rota.watchers().len(), 8);
     /// let watcher = rota.watchers()[0].clone();
     /// assert!(rota.is_watcher(&watcher));
-    /// assert_eq!(rota.poll_period(), Duration::from_secs(100));
+    /// assert_eq!(rota.poll_period(), Duration::from_secs(3));
     /// assert!(rota.poll_phase("h7") < rota.poll_period());
     /// ```
     pub fn new(live: impl IntoIterator<Item = (HostId, CentreId)>) -> Self {
--- a/crates/wire/src/peer_frame.rs
+++ b/crates/wire/src/peer_frame.rs
@@ -23,4 +23,13 @@
         /// Version in force, 0 if none.
         version: SheetVersion,
     },
+    /// Asks which sheet is in force.
+    SheetAsk,
+    /// Says which sheet is in force.
+    SheetHas {
+        /// Version in force, 0 if none.
+        version: SheetVersion,
+        /// Digest of that sheet, hexadecimal; empty if none.
+        digest: String,
+    },
 }
