--- /dev/null
+++ b/crates/pipe/src/call_failure.rs
@@ -0,0 +1,79 @@
+use base::FailureReason;
+
+/// Proof that a target ran no part of a call. It can be had in three ways only.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UnsentProof {
+    _private: (),
+}
+
+impl UnsentProof {
+    /// No target was called, so nothing was sent.
+    ///
+    /// ```
+    /// use pipe::{CallFailure, UnsentProof};
+    ///
+    /// assert!(CallFailure::NoTarget(UnsentProof::not_called()).is_unsent());
+    /// assert!(!CallFailure::Lost.is_unsent());
+    /// ```
+    pub fn not_called() -> Self {
+        Self { _private: () }
+    }
+
+    /// The dial of a fresh connection failed, so no byte left.
+    pub fn failed_dial() -> Self {
+        Self { _private: () }
+    }
+
+    /// The target itself says that it ran nothing.
+    pub fn target_refused() -> Self {
+        Self { _private: () }
+    }
+}
+
+/// How a call ended without its answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallFailure {
+    /// No target of the pool can be used.
+    NoTarget(UnsentProof),
+    /// The call got no place, or may not run; the reason says why.
+    Withheld(UnsentProof, FailureReason),
+    /// The target could not be reached.
+    NotSent(UnsentProof),
+    /// The target refused the call and ran nothing.
+    Refused(UnsentProof),
+    /// The target answered with an error.
+    Errored,
+    /// The connection was lost under the call.
+    Lost,
+    /// The answer was not whole, or not the answer to this call.
+    Broken,
+    /// The call took longer than it may.
+    TimedOut,
+}
+
+impl CallFailure {
+    /// True if it is proved that the target ran nothing.
+    pub fn is_unsent(self) -> bool {
+        match self {
+            Self::NoTarget(_) | Self::Withheld(..) | Self::NotSent(_) | Self::Refused(_) => true,
+            Self::Errored | Self::Lost | Self::Broken | Self::TimedOut => false,
+        }
+    }
+
+    /// True if trying another target is of no use.
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::NoTarget(_) | Self::Withheld(..))
+    }
+
+    /// Reason that the caller is given if the request fails by this.
+    pub fn reason(self) -> FailureReason {
+        match self {
+            Self::NoTarget(_) => FailureReason::NoTarget,
+            Self::Withheld(_, reason) => reason,
+            Self::NotSent(_) | Self::Lost => FailureReason::TargetLost,
+            Self::Refused(_) | Self::Errored => FailureReason::TargetFailed,
+            Self::Broken => FailureReason::AnswerBroken,
+            Self::TimedOut => FailureReason::DeadlinePassed,
+        }
+    }
+}
--- a/crates/proofs/src/fleet_harness.rs
+++ b/crates/proofs/src/fleet_harness.rs
@@ -1,13 +1,12 @@
 use {
     crate::{
-        ChildProcess, EntryPlan, FleetPlan, JsonProbe, TargetPlan, TestCaller,
-        process_table::ProcessTable, wait_until,
+        ChildProcess, EntryPlan, FleetPlan, JsonProbe, TargetPlan, process_table::ProcessTable,
     },
     anyhow::Context,
     base::{HostList, HostRow, HostState, SheetVersion},
     sheet::{PoolKind, SheetPart},
     stand::{CallRecord, SheetPublisher},
-    std::{collections::BTreeMap, fs, path::PathBuf, process::ExitStatus, time::Duration},
+    std::{collections::BTreeMap, fs, path::PathBuf, time::Duration},
 };
 
 /// Name of the platform's process.
@@ -55,6 +54,7 @@
         harness.publish_hosts().await?;
         for entry in harness.plan.entries.clone() {
             harness.wait_sheet(&entry.host, 1, START_LIMIT).await?;
+            harness.wait_hosts(&entry.host, START_LIMIT).await?;
         }
         Ok(harness)
     }
@@ -114,30 +114,6 @@
         &mut self.hosts
     }
 
-    /// Waits until an entry answers with this sheet version, or a later one, in force.
-    ///
-    /// # Errors
-    ///
-    /// Fails if it does not within the limit.
-    pub async fn wait_sheet(
-        &self,
-        host: &str,
-        version: SheetVersion,
-        limit: Duration,
-    ) -> anyhow::Result<()> {
-        let caller = TestCaller::new();
-        let entry = self.callers(host);
-        let customer = self.rows.customer.first().map(|row| row.name.clone());
-        let customer = customer.unwrap_or_default();
-        let what = format!("{host} has sheet {version}");
-        let waited = wait_until(&what, limit, async || {
-            let answer = caller.addresses(&entry, &customer).await;
-            answer.is_ok_and(|answer| answer.sheet_version >= version)
-        });
-        let waited = waited.await;
-        waited.with_context(|| format!("log of {host}: {}", self.log_text(host)))
-    }
-
     /// Address of an entry for callers.
     pub fn callers(&self, host: &str) -> String {
         self.process(host).address("callers")
@@ -171,22 +147,6 @@
         self.processes.get_mut(name)
     }
 
-    /// Waits until a process has ended.
-    ///
-    /// # Errors
-    ///
-    /// Fails if it has not within the limit.
-    pub async fn wait_exit(&mut self, name: &str, limit: Duration) -> anyhow::Result<ExitStatus> {
-        let process = self.process_mut(name);
-        let mut ended = None;
-        wait_until(&format!("{name} ends"), limit, async || {
-            ended = process.ended();
-            ended.is_some()
-        })
-        .await?;
-        ended.context("it has ended")
-    }
-
     /// Starts an entry again under its old host name at new addresses, and publishes them.
     ///
     /// # Errors
@@ -240,6 +200,11 @@
         Ok(postings)
     }
 
+    /// Sheet as it was published last.
+    pub fn rows(&self) -> &SheetPart {
+        &self.rows
+    }
+
     /// What was started.
     pub fn plan(&self) -> &FleetPlan {
         &self.plan
