--- /dev/null
+++ b/crates/ctl/src/sheet_folder.rs
@@ -0,0 +1,101 @@
+use {
+    setup::{StartError, load_settings},
+    sheet::{IndexPart, SheetBundle, SheetIndex},
+    std::{
+        fs,
+        path::{Path, PathBuf},
+    },
+};
+
+/// Name of the file that holds the index.
+const INDEX_FILE: &str = "index.toml";
+
+/// A folder that holds a sheet: parts as `.toml` files and, if it is ready to be published, the
+/// index beside them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SheetFolder {
+    folder: PathBuf,
+}
+
+impl SheetFolder {
+    /// Folder that is given by its path or by that of its index.
+    pub fn new(path: impl Into<PathBuf>) -> Self {
+        let path = path.into();
+        let folder = if path.is_file() {
+            let parent = path.parent().map(Path::to_path_buf);
+            parent.unwrap_or_default()
+        } else {
+            path
+        };
+        Self { folder }
+    }
+
+    /// Index and parts; without an index file, all parts in the order of their names.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a file cannot be read, or if the index is malformed.
+    pub fn load(&self) -> Result<SheetBundle, StartError> {
+        let index_path = self.folder.join(INDEX_FILE);
+        if !index_path.is_file() {
+            return self.gather(1);
+        }
+        let index: SheetIndex = load_settings(&index_path)?;
+        let parts = index.part.iter().map(|part| {
+            let name = part.key.rsplit('/').next().unwrap_or(&part.key);
+            read(&self.folder.join(format!("{name}.toml")))
+        });
+        Ok(SheetBundle {
+            parts: parts.collect::<Result<_, _>>()?,
+            index,
+        })
+    }
+
+    /// All parts in the order of their names, under an index of the given version.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a file cannot be read, or if there is none.
+    pub fn gather(&self, version: u64) -> Result<SheetBundle, StartError> {
+        let mut bundle = SheetBundle {
+            index: SheetIndex {
+                version,
+                part: Vec::new(),
+            },
+            parts: Vec::new(),
+        };
+        for path in self.part_paths()? {
+            let text = read(&path)?;
+            let name = path.file_stem().unwrap_or_default().to_string_lossy();
+            bundle.index.part.push(IndexPart {
+                key: format!("sheet/{name}"),
+                digest: SheetIndex::part_digest(&text),
+            });
+            bundle.parts.push(text);
+        }
+        Ok(bundle)
+    }
+
+    fn part_paths(&self) -> Result<Vec<PathBuf>, StartError> {
+        let wrong = |reason: String| {
+            let folder = self.folder.display();
+            StartError::Settings(format!("{folder}: {reason}"))
+        };
+        let entries = fs::read_dir(&self.folder).map_err(|error| wrong(error.to_string()))?;
+        let mut paths: Vec<PathBuf> = entries
+            .filter_map(|entry| entry.ok().map(|entry| entry.path()))
+            .filter(|path| path.extension().is_some_and(|kind| kind == "toml"))
+            .filter(|path| path.file_name().is_none_or(|name| name != INDEX_FILE))
+            .collect();
+        if paths.is_empty() {
+            return Err(wrong(String::from("no part; a part is a file *.toml")));
+        }
+        paths.sort();
+        Ok(paths)
+    }
+}
+
+fn read(path: &Path) -> Result<String, StartError> {
+    fs::read_to_string(path)
+        .map_err(|error| StartError::Settings(format!("{}: {error}", path.display())))
+}
