--- a/crates/route/src/pool_settings.rs
+++ b/crates/route/src/pool_settings.rs
@@ -11,6 +11,8 @@
     pub expected: Duration,
     /// What a call to another data centre costs unless it was measured.
     pub centre_cost: Duration,
+    /// Targets that are drawn for each call; the call goes to the best of them.
+    pub choices: usize,
     /// Part of a call's cost that a cached prefix saves.
     pub prefix_saving: f64,
     /// Largest part of the pool that may be ejected.
@@ -34,6 +36,7 @@
         Self {
             expected: Duration::from_millis(100),
             centre_cost: Duration::from_millis(1),
+            choices: 2,
             prefix_saving: 0.5,
             eject_share: 0.34,
             eject_slowness: 4.0,
--- a/crates/route/src/target_pool.rs
+++ b/crates/route/src/target_pool.rs
@@ -254,13 +254,11 @@
         query: PickQuery<'_>,
         now: Instant,
     ) -> Option<usize> {
-        let first = self.draw(open, None)?;
-        let second = self.draw(open, Some(first)).unwrap_or(first);
+        let drawn = self.draw(open);
         let cost = |place: usize| self.cost(place, query, now);
-        let best = match cost(second) < cost(first) {
-            true => second,
-            false => first,
-        };
+        let best = drawn
+            .into_iter()
+            .min_by(|left, right| cost(*left).total_cmp(&cost(*right)))?;
         let Some(owner) = query
             .prefix
             .and_then(|prefix| self.prefix_owner(open, prefix))
@@ -278,18 +276,21 @@
         }
     }
 
-    /// Draws a place at random by weight.
-    fn draw(&mut self, open: &[(usize, f64)], except: Option<usize>) -> Option<usize> {
-        let allowed = || open.iter().filter(|(place, _)| Some(*place) != except);
-        let total: f64 = allowed().map(|(_, weight)| weight).sum();
-        let mut rest = self.generator.random::<f64>() * total;
-        for (place, weight) in allowed() {
-            rest -= weight;
-            if rest < 0.0 {
-                return Some(*place);
-            }
+    /// Draws different places at random by weight.
+    fn draw(&mut self, open: &[(usize, f64)]) -> Vec<usize> {
+        let mut rest = open.to_vec();
+        let mut drawn = Vec::with_capacity(self.settings.choices);
+        while drawn.len() < self.settings.choices.max(1) && !rest.is_empty() {
+            let total: f64 = rest.iter().map(|(_, weight)| weight).sum();
+            let mut point = self.generator.random::<f64>() * total;
+            let hit = rest.iter().position(|(_, weight)| {
+                point -= weight;
+                point < 0.0
+            });
+            let (place, _) = rest.swap_remove(hit.unwrap_or(rest.len() - 1));
+            drawn.push(place);
         }
-        allowed().next_back().map(|(place, _)| *place)
+        drawn
     }
 
     /// Seconds until a call would be answered, the way to the target included.
