--- a/crates/load/src/command/publish.rs
+++ b/crates/load/src/command/publish.rs
@@ -1,9 +1,16 @@
 use {
+    crate::drive::EntryClient,
     base::SheetVersion,
-    load::{ReadyBook, SheetTemplate, TopologyFile},
+    load::{CustomerLoad, ReadyBook, SheetTemplate, TopologyFile, WorkloadFile},
     stand::SheetPublisher,
+    std::time::{Duration, Instant},
 };
 
+/// Longest time in which every entry should have a published sheet in force.
+const FORCE_TIME: Duration = Duration::from_secs(12);
+/// Pause between two questions whether a sheet is in force.
+const FORCE_POLL: Duration = Duration::from_millis(50);
+
 /// Publish a sheet and a host list at the platform stand-in.
 #[derive(argh::FromArgs)]
 #[argh(subcommand, name = "publish")]
@@ -20,6 +27,9 @@
     /// topology file; gives the host list
     #[argh(option)]
     topology: Option<String>,
+    /// workload file; its first customer asks the entries until the sheet is in force
+    #[argh(option)]
+    workload: Option<String>,
     /// version of the sheet (default 1)
     #[argh(option, default = "1")]
     version: SheetVersion,
@@ -30,11 +40,49 @@
     let ready = ReadyBook::load(&args.ready)?;
     let parts = SheetTemplate::load(&args.sheet)?.fill(&ready)?;
     let publisher = SheetPublisher::new(args.platform.as_str());
+    let mut entries = Vec::new();
     if let Some(path) = &args.topology {
-        let hosts = TopologyFile::load(path)?.host_list(&ready)?;
-        publisher.put_hosts(&hosts).await?;
+        let list = TopologyFile::load(path)?.host_list(&ready)?;
+        publisher.put_hosts(&list).await?;
+        entries.extend(list.hosts.into_iter().map(|row| row.callers));
     }
     publisher.publish(args.version, &parts).await?;
-    println!("published version {}", args.version);
+    let Some(path) = &args.workload else {
+        println!("published version {}", args.version);
+        return Ok(());
+    };
+    let workload = WorkloadFile::load(path)?;
+    let start = Instant::now();
+    if let Some(customer) = workload.customer.first() {
+        await_version(&entries, customer, args.version).await?;
+    }
+    println!(
+        "version {} in force at {} entries after {} ms",
+        args.version,
+        entries.len(),
+        start.elapsed().as_millis()
+    );
+    Ok(())
+}
+
+/// Waits until every entry names the version.
+async fn await_version(
+    entries: &[String],
+    customer: &CustomerLoad,
+    version: SheetVersion,
+) -> anyhow::Result<()> {
+    let client = EntryClient::new();
+    let deadline = Instant::now() + FORCE_TIME;
+    for entry in entries {
+        loop {
+            let answer = client.addresses(entry, customer).await;
+            if answer.is_some_and(|answer| answer.sheet_version >= version) {
+                break;
+            }
+            let late = Instant::now() >= deadline;
+            anyhow::ensure!(!late, "version {version} is not in force at {entry}");
+            actix_rt::time::sleep(FORCE_POLL).await;
+        }
+    }
     Ok(())
 }
--- a/crates/load/src/drive/mod.rs
+++ b/crates/load/src/drive/mod.rs
@@ -5,8 +5,4 @@
 mod record_reader;
 mod request_driver;
 
-pub use {
-    entry_client::{EntryCall, EntryClient, SentCall},
-    load_driver::LoadDriver,
-    record_reader::RecordReader,
-};
+pub use {entry_client::EntryClient, load_driver::LoadDriver, record_reader::RecordReader};
--- a/crates/load/src/latency_record.rs
+++ b/crates/load/src/latency_record.rs
@@ -33,7 +33,7 @@
     pub fn add(&mut self, time: Duration) {
         let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
         if let Some(histogram) = &mut self.histogram {
-            histogram.saturating_record(micros);
+            let _ = histogram.record(micros);
         }
     }
 
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -16,6 +16,7 @@
 mod sheet_template;
 mod stage_cost;
 mod topology_file;
+mod workload_fault;
 mod workload_file;
 
 pub use {
@@ -34,5 +35,6 @@
     sheet_template::SheetTemplate,
     stage_cost::{CostBook, StageCost},
     topology_file::{EntryStand, TargetStand, TopologyFile},
+    workload_fault::WorkloadFault,
     workload_file::{ArrivalFlow, CustomerLoad, PipelineLoad, StageLoad, WorkloadFile},
 };
--- a/crates/load/src/request_caller.rs
+++ b/crates/load/src/request_caller.rs
@@ -50,6 +50,9 @@
 
 /// Decides what the caller of one request does next; does no I/O.
 ///
+/// A caller knows all its sends: if each was not sent or not run, nothing ran, even where an entry
+/// cannot rule out an earlier send.
+///
 /// ```
 /// use {load::{CallerStep, RequestCaller, SendResult}, std::time::{Duration, Instant}};
 ///
@@ -149,7 +152,7 @@
 
     fn refused(&mut self, now: Instant, mut report: FailureReport) -> CallerStep {
         self.reached = true;
-        self.doubt |= report.earlier_may_have_run || report.verdict != RunVerdict::NotRun;
+        self.doubt |= report.verdict != RunVerdict::NotRun;
         let addresses = mem::take(&mut report.addresses);
         let delay = report.retry_after_ms.map(Duration::from_millis);
         let renewed = self.renew_ticket(&report);
--- /dev/null
+++ b/crates/load/src/workload_fault.rs
@@ -0,0 +1,52 @@
+use std::path::Path;
+
+/// A fault of a workload file that its types do not rule out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WorkloadFault {
+    /// Key that is wrong, with its table.
+    pub key: String,
+    /// Value that stands there.
+    pub value: String,
+    /// What is wrong and what would be right.
+    pub message: String,
+}
+
+impl WorkloadFault {
+    /// Fault of one value.
+    pub fn new(key: impl Into<String>, value: impl ToString, message: impl Into<String>) -> Self {
+        Self {
+            key: key.into(),
+            value: value.to_string(),
+            message: message.into(),
+        }
+    }
+
+    /// The fault as one line that names file, line and key; `text` is what stands in the file.
+    ///
+    /// ```
+    /// let fault = load::WorkloadFault::new("flow.pipeline", "hay", "no pipeline `hay`");
+    /// let line = fault.to_line("work.toml".as_ref(), "[[flow]]\npipeline = \"hay\"\n");
+    /// assert_eq!(line, "work.toml:2: `flow.pipeline`: no pipeline `hay`");
+    /// ```
+    pub fn to_line(&self, path: &Path, text: &str) -> String {
+        let line = self.line(text);
+        format!(
+            "{}:{line}: `{}`: {}",
+            path.display(),
+            self.key,
+            self.message
+        )
+    }
+
+    /// Last line with key and value, else the last with the key; 0 if there is none.
+    fn line(&self, text: &str) -> usize {
+        let key = self.key.rsplit('.').next().unwrap_or_default();
+        let with_key = |line: &&str| line.contains(key) && line.contains('=');
+        let lines: Vec<&str> = text.lines().collect();
+        let exact = lines
+            .iter()
+            .rposition(|line| with_key(line) && line.contains(&self.value));
+        let found = exact.or_else(|| lines.iter().rposition(|line| with_key(line)));
+        found.map_or(0, |index| index + 1)
+    }
+}
--- a/crates/load/src/workload_file.rs
+++ b/crates/load/src/workload_file.rs
@@ -1,9 +1,9 @@
 use {
-    crate::ArrivalShape,
+    crate::{ArrivalShape, WorkloadFault},
     base::{CustomerId, PipelineId, RequestPriority},
     serde::{Deserialize, Serialize},
     setup::StartError,
-    std::{collections::BTreeSet, path::Path, time::Duration},
+    std::{collections::BTreeSet, fs, path::Path, time::Duration},
 };
 
 /// A workload as it stands in its TOML file: who asks for what, how often.
@@ -119,8 +119,9 @@
     pub fn load(path: impl AsRef<Path>) -> Result<Self, StartError> {
         let path = path.as_ref();
         let workload: Self = setup::load_settings(path)?;
-        workload.check().map_err(|(key, message)| {
-            StartError::Settings(format!("{}: `{key}`: {message}", path.display()))
+        workload.check().map_err(|fault| {
+            let text = fs::read_to_string(path).unwrap_or_default();
+            StartError::Settings(fault.to_line(path, &text))
         })?;
         Ok(workload)
     }
@@ -129,8 +130,8 @@
     ///
     /// # Errors
     ///
-    /// Returns the key that is wrong and what would be right.
-    pub fn check(&self) -> Result<(), (String, String)> {
+    /// Returns the key that is wrong, its value and what would be right.
+    pub fn check(&self) -> Result<(), WorkloadFault> {
         unique("pipeline.name", self.pipeline.iter().map(|row| &row.name))?;
         unique("customer.name", self.customer.iter().map(|row| &row.name))?;
         for flow in &self.flow {
@@ -139,12 +140,12 @@
         for pipeline in &self.pipeline {
             if pipeline.stage.is_empty() {
                 let message = format!("`{}` needs at least one stage", pipeline.name);
-                return Err((String::from("pipeline.stage"), message));
+                return Err(WorkloadFault::new("pipeline.stage", "", message));
             }
         }
-        if self.customer.iter().any(|row| !valid_rate(row.share)) {
-            let message = String::from("a share must be a number not below zero");
-            return Err((String::from("customer.share"), message));
+        if let Some(row) = self.customer.iter().find(|row| !valid_rate(row.share)) {
+            let message = "a share must be a number not below zero";
+            return Err(WorkloadFault::new("customer.share", row.share, message));
         }
         Ok(())
     }
@@ -159,10 +160,10 @@
         self.customer.iter().find(|row| row.name == name)
     }
 
-    fn check_flow(&self, flow: &ArrivalFlow) -> Result<(), (String, String)> {
+    fn check_flow(&self, flow: &ArrivalFlow) -> Result<(), WorkloadFault> {
         if self.pipeline(&flow.pipeline).is_none() {
             let message = format!("no pipeline `{}`; name one of the file", flow.pipeline);
-            return Err((String::from("flow.pipeline"), message));
+            return Err(WorkloadFault::new("flow.pipeline", &flow.pipeline, message));
         }
         if let Some(name) = flow
             .customers
@@ -170,21 +171,22 @@
             .find(|name| self.customer(name).is_none())
         {
             let message = format!("no customer `{name}`; name one of the file");
-            return Err((String::from("flow.customers"), message));
+            return Err(WorkloadFault::new("flow.customers", name, message));
         }
         if !valid_rate(flow.arrival.peak_rate()) {
-            let message = String::from("a rate must be a number not below zero");
-            return Err((String::from("flow.arrival"), message));
+            let message = "a rate must be a number not below zero";
+            return Err(WorkloadFault::new("flow.arrival", "", message));
         }
         Ok(())
     }
 }
 
-fn unique<'a>(key: &str, names: impl Iterator<Item = &'a String>) -> Result<(), (String, String)> {
+fn unique<'a>(key: &str, names: impl Iterator<Item = &'a String>) -> Result<(), WorkloadFault> {
     let mut seen = BTreeSet::new();
     for name in names {
         if !seen.insert(name) {
-            return Err((String::from(key), format!("`{name}` stands twice")));
+            let message = format!("`{name}` stands twice");
+            return Err(WorkloadFault::new(key, name, message));
         }
     }
     Ok(())
--- /dev/null
+++ b/crates/load/tests/schedule.rs
@@ -0,0 +1,130 @@
+//! The arrival schedule: equal for equal seeds, at the stated rates and shares.
+
+use {
+    load::{ArrivalSchedule, ScheduleTweaks, WorkloadFile},
+    std::time::Duration,
+};
+
+const RUN: Duration = Duration::from_secs(400);
+
+fn workload(arrival: &str) -> WorkloadFile {
+    let text = format!(
+        r#"
+        name = "test"
+        duration = "400s"
+        pipeline = [{{ name = "lookup", deadline = "1s", tokens = 7, stage = [{{ call = "f" }}] }}]
+        customer = [
+            {{ name = "large", credential = "a", share = 3.0 }},
+            {{ name = "small", credential = "b", share = 1.0 }},
+        ]
+        flow = [{{ pipeline = "lookup", arrival = {arrival} }}]
+        "#
+    );
+    let workload: WorkloadFile = toml::from_str(&text).unwrap();
+    workload.check().unwrap();
+    workload
+}
+
+fn draw(arrival: &str, seed: u64) -> ArrivalSchedule {
+    ArrivalSchedule::draw(&workload(arrival), &ScheduleTweaks::new(seed, RUN))
+}
+
+fn count(schedule: &ArrivalSchedule, chosen: impl Fn(&load::PlannedRequest) -> bool) -> f64 {
+    let chosen = schedule.requests.iter().filter(|planned| chosen(planned));
+    chosen.count() as f64
+}
+
+/// Fails unless a Poisson count is within five standard deviations of its mean.
+fn assert_poisson(count: f64, mean: f64) {
+    assert!(
+        (count - mean).abs() < 5.0 * mean.sqrt(),
+        "{count} is far from {mean}"
+    );
+}
+
+#[test]
+fn same_seed_gives_the_same_schedule_and_another_seed_another() {
+    let arrival = r#"{ kind = "poisson", rate = 20.0 }"#;
+    assert_eq!(draw(arrival, 3), draw(arrival, 3));
+    assert_ne!(draw(arrival, 3).requests, draw(arrival, 4).requests);
+}
+
+#[test]
+fn poisson_keeps_rate_and_shares_in_order_of_time() {
+    let schedule = draw(r#"{ kind = "poisson", rate = 20.0 }"#, 5);
+    assert_poisson(count(&schedule, |_| true), 8_000.0);
+    assert_poisson(count(&schedule, |row| row.customer == "large"), 6_000.0);
+    assert!(schedule.requests.is_sorted_by_key(|row| row.at));
+    assert!(
+        schedule
+            .requests
+            .iter()
+            .all(|row| row.body.ends_with(" tokens=7"))
+    );
+}
+
+#[test]
+fn burst_stands_at_the_start_of_each_period() {
+    let arrival = r#"{ kind = "burst", rate = 10.0, peak = 40.0, every = "10s", length = "2s" }"#;
+    let schedule = draw(arrival, 6);
+    let burst = count(&schedule, |row| row.at.as_secs_f64() % 10.0 < 2.0);
+    assert_poisson(burst, 40.0 * 80.0);
+    assert_poisson(count(&schedule, |_| true) - burst, 10.0 * 320.0);
+}
+
+#[test]
+fn ramp_rises_evenly() {
+    let schedule = draw(r#"{ kind = "ramp", from = 0.0, to = 40.0 }"#, 7);
+    let early = count(&schedule, |row| row.at < RUN / 2);
+    assert_poisson(early, 2_000.0);
+    assert_poisson(count(&schedule, |_| true) - early, 6_000.0);
+}
+
+#[test]
+fn scaling_one_customer_leaves_the_others_as_they_are() {
+    let workload = workload(r#"{ kind = "poisson", rate = 20.0 }"#);
+    let plain = ScheduleTweaks::new(8, RUN);
+    let mut scaled = plain.clone();
+    scaled.customer_scale.insert(String::from("small"), 10.0);
+    let large = |tweaks| {
+        let mut requests = ArrivalSchedule::draw(&workload, tweaks).requests;
+        requests.retain(|row| row.customer == "large");
+        requests
+    };
+    assert_eq!(large(&plain), large(&scaled));
+    let schedule = ArrivalSchedule::draw(&workload, &scaled);
+    assert_poisson(count(&schedule, |row| row.customer == "small"), 20_000.0);
+}
+
+#[test]
+fn request_ids_are_unique() {
+    let schedule = draw(r#"{ kind = "poisson", rate = 20.0 }"#, 9);
+    let ids: std::collections::BTreeSet<_> =
+        schedule.requests.iter().map(|row| &row.request).collect();
+    assert_eq!(ids.len(), schedule.requests.len());
+}
+
+#[test]
+fn checked_in_workloads_and_sheets_are_sound() {
+    let root = concat!(env!("CARGO_MANIFEST_DIR"), "/../..");
+    let cases = [
+        (
+            "examples/workloads/furrowline.toml",
+            "examples/sheets/furrowline",
+        ),
+        (
+            "examples/workloads/tamarind.toml",
+            "examples/sheets/tamarind",
+        ),
+        ("demo/workload.toml", "demo/sheet"),
+    ];
+    for (workload, sheet) in cases {
+        let workload = WorkloadFile::load(format!("{root}/{workload}")).unwrap();
+        load::SheetTemplate::load(format!("{root}/{sheet}")).unwrap();
+        assert!(!workload.flow.is_empty());
+    }
+    for topology in ["furrowline", "tamarind"] {
+        let path = format!("{root}/examples/topology/{topology}.toml");
+        assert!(load::TopologyFile::load(path).unwrap().entry.len() >= 7);
+    }
+}
