Check that example sheets, topologies and workloads match

The examples are only of use if an entry accepts the sheet and the workload's stages, credentials and capacities are those of the sheet. The test now assembles each checked-in sheet and compares all three.

--- a/crates/load/src/sheet_template.rs
+++ b/crates/load/src/sheet_template.rs
@@ -92,7 +92,7 @@
                 host: entry.host.clone(),
                 data_centre: entry.data_centre.clone(),
                 callers: address("callers")?,
-                peers: address("peers").or_else(|_| address("callers"))?,
+                peers: address("peers")?,
                 size: entry.size,
                 state: HostState::Live,
             })
--- a/crates/load/src/workload_fault.rs
+++ b/crates/load/src/workload_fault.rs
@@ -46,7 +46,7 @@
         let exact = lines
             .iter()
             .rposition(|line| with_key(line) && line.contains(&self.value));
-        let found = exact.or_else(|| lines.iter().rposition(|line| with_key(line)));
+        let found = exact.or_else(|| lines.iter().rposition(with_key));
         found.map_or(0, |index| index + 1)
     }
 }
--- a/crates/load/tests/schedule.rs
+++ b/crates/load/tests/schedule.rs
@@ -1,8 +1,13 @@
 //! The arrival schedule: equal for equal seeds, at the stated rates and shares.
 
 use {
-    load::{ArrivalSchedule, ScheduleTweaks, WorkloadFile},
-    std::time::Duration,
+    load::{ArrivalSchedule, ScheduleTweaks, TopologyFile, WorkloadFile},
+    sheet::FleetSheet,
+    std::{
+        fs,
+        path::{Path, PathBuf},
+        time::Duration,
+    },
 };
 
 const RUN: Duration = Duration::from_secs(400);
@@ -105,26 +110,63 @@
 }
 
 #[test]
-fn checked_in_workloads_and_sheets_are_sound() {
-    let root = concat!(env!("CARGO_MANIFEST_DIR"), "/../..");
+fn checked_in_workloads_match_their_sheets_and_topologies() {
     let cases = [
-        (
-            "examples/workloads/furrowline.toml",
+        [
+            "examples/workloads/furrowline",
             "examples/sheets/furrowline",
-        ),
-        (
-            "examples/workloads/tamarind.toml",
+            "examples/topology/furrowline",
+        ],
+        [
+            "examples/workloads/tamarind",
             "examples/sheets/tamarind",
-        ),
-        ("demo/workload.toml", "demo/sheet"),
+            "examples/topology/tamarind",
+        ],
+        ["demo/workload", "demo/sheet", "demo/topology"],
     ];
-    for (workload, sheet) in cases {
-        let workload = WorkloadFile::load(format!("{root}/{workload}")).unwrap();
-        load::SheetTemplate::load(format!("{root}/{sheet}")).unwrap();
-        assert!(!workload.flow.is_empty());
-    }
-    for topology in ["furrowline", "tamarind"] {
-        let path = format!("{root}/examples/topology/{topology}.toml");
-        assert!(load::TopologyFile::load(path).unwrap().entry.len() >= 7);
+    for [workload, sheet, topology] in cases {
+        let workload = WorkloadFile::load(rooted(workload).with_extension("toml")).unwrap();
+        let topology = TopologyFile::load(rooted(topology).with_extension("toml")).unwrap();
+        let sheet = read_sheet(&rooted(sheet));
+        for row in &workload.pipeline {
+            let stages = &sheet.pipelines[&row.name].stage;
+            let calls: Vec<&String> = stages.iter().map(|stage| &stage.call).collect();
+            let loads: Vec<&String> = row.stage.iter().map(|stage| &stage.call).collect();
+            assert_eq!(calls, loads);
+            for (stage, load) in stages.iter().zip(&row.stage) {
+                assert_eq!(sheet.is_engine_pool(&stage.pool), load.engine);
+            }
+        }
+        for row in &workload.customer {
+            let digest = base::AnswerDigest::of(row.credential.as_bytes()).hex();
+            assert_eq!(sheet.customers[&row.name].credential, digest);
+        }
+        assert_eq!(sheet.targets.len(), topology.target.len());
+        for row in &topology.target {
+            let target = &sheet.targets[&row.name];
+            assert_eq!((&target.pool, target.capacity), (&row.pool, row.slots));
+            assert_eq!(
+                (&target.data_centre, &target.models),
+                (&row.data_centre, &row.models)
+            );
+        }
     }
 }
+
+fn rooted(path: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("../..")
+        .join(path)
+}
+
+fn read_sheet(directory: &Path) -> FleetSheet {
+    let entries = fs::read_dir(directory).unwrap();
+    let mut paths: Vec<PathBuf> = entries.map(|entry| entry.unwrap().path()).collect();
+    paths.sort();
+    let texts: Vec<String> = paths
+        .iter()
+        .map(|path| fs::read_to_string(path).unwrap())
+        .collect();
+    let index = stand::SheetPublisher::index_of(1, &texts);
+    FleetSheet::assemble(index, &texts).unwrap()
+}
