Engines cancel waiting streams whose caller left

Cause: a stream that waited for a slot noticed only at its first token that its caller had gone, and so still took its turn and its prefill. Closing idle connections also hit a connection that was sending a stream.

Change: engines and the platform drop requests once their caller sends no more (`CallerEnd::Cancels`); plain services go on, as real ones do. A request counts as running until its body is sent.

--- a/crates/stand/src/serve/engine.rs
+++ b/crates/stand/src/serve/engine.rs
@@ -5,7 +5,7 @@
         engine_floor::EngineFloor,
         engine_orders::EngineOrders,
         engine_stream::EngineStream,
-        stand_server::serve_stand,
+        stand_server::{CallerEnd, serve_stand},
         target_call::TargetCall,
         target_core::{TargetCore, put_identity},
     },
@@ -108,7 +108,7 @@
     let answering = Rc::clone(&engine);
     let handler = move |request| Rc::clone(&answering).answer(request);
     tokio::join!(
-        serve_stand(listener, connections, handler),
+        serve_stand(listener, connections, CallerEnd::Cancels, handler),
         engine.report_load(),
     );
     Ok(())
--- a/crates/stand/src/serve/plain.rs
+++ b/crates/stand/src/serve/plain.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         call_ledger::CallLedger,
-        stand_server::serve_stand,
+        stand_server::{CallerEnd, serve_stand},
         target_call::TargetCall,
         target_core::{TargetCore, crash, put_header, put_identity},
     },
@@ -78,7 +78,7 @@
         .print()?;
     let connections = service.core.connections();
     let handler = move |request| Rc::clone(&service).answer(request);
-    serve_stand(listener, connections, handler).await;
+    serve_stand(listener, connections, CallerEnd::Answers, handler).await;
     Ok(())
 }
 
--- a/crates/stand/src/serve/platform.rs
+++ b/crates/stand/src/serve/platform.rs
@@ -2,7 +2,7 @@
     super::{
         connection_set::ConnectionSet,
         platform_store::{PlatformStore, StoredValue},
-        stand_server::serve_stand,
+        stand_server::{CallerEnd, serve_stand},
         target_core::put_header,
     },
     actix_http::{Method, Request, Response, StatusCode, body::MessageBody},
@@ -64,8 +64,13 @@
     let read = move |request| Rc::clone(&for_readers).answer_reader(request);
     let operate = move |request| Rc::clone(&platform).answer_operator(request);
     tokio::join!(
-        serve_stand(readers, connections, read),
-        serve_stand(operators, ConnectionSet::default(), operate),
+        serve_stand(readers, connections, CallerEnd::Cancels, read),
+        serve_stand(
+            operators,
+            ConnectionSet::default(),
+            CallerEnd::Answers,
+            operate
+        ),
     );
     Ok(())
 }
--- a/crates/stand/src/serve/proxy.rs
+++ b/crates/stand/src/serve/proxy.rs
@@ -1,7 +1,9 @@
 use {
     super::{
-        connection_set::ConnectionSet, proxy_tcp::serve_tcp, proxy_udp::serve_udp,
-        stand_server::serve_stand,
+        connection_set::ConnectionSet,
+        proxy_tcp::serve_tcp,
+        proxy_udp::serve_udp,
+        stand_server::{CallerEnd, serve_stand},
     },
     actix_http::{Method, Request, StatusCode},
     anyhow::{Context, ensure},
@@ -60,7 +62,12 @@
     let faults = Rc::new(faults);
     let handler = move |request| answer(Rc::clone(&faults), request);
     tokio::join!(
-        serve_stand(control, ConnectionSet::default(), handler),
+        serve_stand(
+            control,
+            ConnectionSet::default(),
+            CallerEnd::Answers,
+            handler
+        ),
         async {
             if let Some(to) = args.tcp_to {
                 serve_tcp(listener, to, for_tcp).await;
--- a/crates/stand/src/serve/stand_server.rs
+++ b/crates/stand/src/serve/stand_server.rs
@@ -1,10 +1,21 @@
 use {
-    super::connection_set::{ConnectionHandle, ConnectionSet},
-    actix_http::{HttpService, Request},
+    super::connection_set::{ConnectionHandle, ConnectionSet, RequestGuard},
+    actix_http::{
+        HttpService, Request,
+        body::{BodySize, MessageBody},
+    },
     actix_rt::net::TcpStream,
     actix_service::{Service, ServiceFactory},
-    setup::HttpReply,
-    std::{convert::Infallible, future::Future, rc::Rc, time::Duration},
+    bytes::Bytes,
+    setup::{HttpBody, HttpReply},
+    std::{
+        convert::Infallible,
+        future::Future,
+        pin::Pin,
+        rc::Rc,
+        task::{Context, Poll},
+        time::Duration,
+    },
     tokio::net::TcpListener,
 };
 
@@ -15,10 +26,41 @@
 /// Pause after the kernel refused a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// What happens to running requests once their caller sends no more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallerEnd {
+    /// They are answered all the same.
+    Answers,
+    /// They are dropped.
+    Cancels,
+}
+
+/// Body of a reply; its request counts as running until the body is sent or dropped.
+struct GuardedBody {
+    body: HttpBody,
+    _guard: RequestGuard,
+}
+
+impl MessageBody for GuardedBody {
+    type Error = <HttpBody as MessageBody>::Error;
+
+    fn size(&self) -> BodySize {
+        self.body.size()
+    }
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
+        Pin::new(&mut self.body).poll_next(context)
+    }
+}
+
 /// Serves HTTP/1.1 like `setup::serve_http`, but lets tests close connections at will.
 pub async fn serve_stand<Handler, Answer>(
     listener: TcpListener,
     connections: ConnectionSet,
+    end: CallerEnd,
     handler: Handler,
 ) where
     Handler: Fn(Request) -> Answer + Clone + 'static,
@@ -36,7 +78,7 @@
         let handler = handler.clone();
         actix_rt::spawn(async move {
             tokio::select! {
-                () = serve_stream(stream, Rc::clone(&handle), handler) => {}
+                () = serve_stream(stream, Rc::clone(&handle), end, handler) => {}
                 () = handle.closed() => {}
             }
             connections.leave(&handle);
@@ -47,6 +89,7 @@
 async fn serve_stream<Handler, Answer>(
     stream: TcpStream,
     handle: Rc<ConnectionHandle>,
+    end: CallerEnd,
     handler: Handler,
 ) where
     Handler: Fn(Request) -> Answer + Clone + 'static,
@@ -57,13 +100,17 @@
         let answer = handler(request);
         async move {
             let reply = answer.await;
-            drop(guard);
+            let reply = reply.map_body(|_, body| GuardedBody {
+                body,
+                _guard: guard,
+            });
             Ok::<_, Infallible>(reply)
         }
     };
     let factory = HttpService::build()
         .client_request_timeout(HEAD_TIME)
         .keep_alive(IDLE_TIME)
+        .h1_allow_half_closed(end == CallerEnd::Answers)
         .h1(handler)
         .tcp();
     let Ok(service) = factory.new_service(()).await else {
--- a/crates/stand/tests/engine.rs
+++ b/crates/stand/tests/engine.rs
@@ -66,6 +66,37 @@
     .await
 }
 
+#[actix_rt::test]
+async fn waiting_stream_whose_caller_leaves_is_cancelled() -> anyhow::Result<()> {
+    let folder = TempDir::new()?;
+    let engine = start(folder.path(), &["engine", "--name", "e1", "--slots", "1"]).await?;
+    let address = engine.address("calls");
+    let (probe, url) = (JsonProbe::new(), format!("http://{address}/records"));
+    let outcomes = async || {
+        let records = probe.get::<Vec<CallRecord>>(&url).await.unwrap_or_default();
+        let outcomes = records.iter().map(|record| record.outcome);
+        outcomes.collect::<Vec<_>>()
+    };
+    let long = StandCall {
+        input: b"tokens=100000",
+        ..PROMPT
+    };
+    let leave = |limit| {
+        let (address, long) = (&address, &long);
+        async move { actix_rt::time::timeout(limit, call(address, long)).await }
+    };
+    tokio::select! {
+        _ = leave(LIMIT) => panic!("the first stream goes on"),
+        outcome = async {
+            wait_until("it runs", LIMIT, async || outcomes().await.len() == 1).await?;
+            let left = leave(Duration::from_millis(200)).await;
+            assert!(left.is_err(), "the caller of the second left first");
+            let right = [CallOutcome::Running, CallOutcome::Cancelled];
+            wait_until("it is cancelled", LIMIT, async || outcomes().await == right).await
+        } => outcome,
+    }
+}
+
 #[actix_rt::test]
 async fn urgent_stream_overtakes_those_that_wait() -> anyhow::Result<()> {
     let folder = TempDir::new()?;
