--- a/crates/base/src/failure_report.rs
+++ b/crates/base/src/failure_report.rs
@@ -48,8 +48,6 @@
     AnswerBroken,
     /// The request has crashed targets before.
     CrashSuspect,
-    /// The retry budget is spent.
-    RetriesSpent,
     /// The entry that the request was forwarded to was lost.
     PeerLost,
     /// The caller was too slow to read its answer.
--- a/crates/pipe/src/run_state.rs
+++ b/crates/pipe/src/run_state.rs
@@ -247,7 +247,8 @@
         }
         let free = matches!(failure, CallFailure::NotSent(_));
         if !free && !permit() {
-            return self.fail(FailureReason::RetriesSpent, detail);
+            let detail = format!("{detail}, and the retry budget is spent");
+            return self.fail(failure.reason(), detail);
         }
         self.start_stage(now)
     }
--- a/crates/proofs/src/fleet_waits.rs
+++ b/crates/proofs/src/fleet_waits.rs
@@ -77,4 +77,32 @@
         .await?;
         ended.context("it has ended")
     }
+
+    /// Waits until these entries give these targets no new work.
+    ///
+    /// # Errors
+    ///
+    /// Fails if they still do after the limit.
+    pub async fn wait_leaving(
+        &self,
+        hosts: &[&str],
+        targets: &[&str],
+        limit: Duration,
+    ) -> anyhow::Result<()> {
+        for host in hosts {
+            let url = format!("{}/status", self.operators(host));
+            wait_until(&format!("{host} avoids {targets:?}"), limit, async || {
+                let status: serde_json::Value = self.probe().get(&url).await.unwrap_or_default();
+                let leaving = status["leaving_targets"]
+                    .as_array()
+                    .cloned()
+                    .unwrap_or_default();
+                targets
+                    .iter()
+                    .all(|target| leaving.iter().any(|name| name == target))
+            })
+            .await?;
+        }
+        Ok(())
+    }
 }
