--- a/crates/proofs/tests/not_run_is_true.rs
+++ b/crates/proofs/tests/not_run_is_true.rs
@@ -168,7 +168,7 @@
             ..Default::default()
         },
     ] {
-        for target in ["encode1", "ledger1", "model1"] {
+        for target in TARGETS {
             audit.fleet.proxy_fault(target, &fault).await.unwrap();
         }
         audit
@@ -176,7 +176,7 @@
                 request.remaining = Duration::from_millis(700)
             })
             .await;
-        for target in ["encode1", "ledger1", "model1"] {
+        for target in TARGETS {
             audit
                 .fleet
                 .proxy_fault(target, &ProxyFault::default())
