--- a/bench/fleet.sh
+++ b/bench/fleet.sh
@@ -114,6 +114,16 @@
         --sheet "$2" --ready "$WORK/ready.txt" --topology "$1" --workload "$3"
 }
 
+# fleet_busiest WORKLOAD: prints the name of the entry that the largest customer uses first.
+fleet_busiest() {
+    local name first
+    first="$("$BIN/camphor-load" address --workload "$1" \
+        --entry "$(fleet_address "${ENTRIES[0]}" callers)" | head -n 1)"
+    for name in "${ENTRIES[@]}"; do
+        [ "$(fleet_address "$name" callers)" = "$first" ] && echo "$name"
+    done
+}
+
 # fleet_options: prints the options of `camphor-load run` that name entries and targets.
 fleet_options() {
     local name
--- /dev/null
+++ b/crates/load/src/command/address.rs
@@ -0,0 +1,33 @@
+use {crate::drive::EntryClient, load::WorkloadFile};
+
+/// Print which entries the customer with the largest share is told to use, best first.
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "address")]
+pub struct AddressArgs {
+    /// callers' address of the entry that is asked
+    #[argh(option)]
+    entry: String,
+    /// workload file (TOML)
+    #[argh(option)]
+    workload: String,
+}
+
+/// Asks an entry and prints one address a line.
+pub async fn address(args: AddressArgs) -> anyhow::Result<()> {
+    let workload = WorkloadFile::load(&args.workload)?;
+    let largest = workload
+        .customer
+        .iter()
+        .max_by(|one, other| one.share.total_cmp(&other.share));
+    let Some(customer) = largest else {
+        anyhow::bail!("{} has no customer", args.workload);
+    };
+    let answer = EntryClient::new().addresses(&args.entry, customer).await;
+    let Some(answer) = answer else {
+        anyhow::bail!("{} did not answer", args.entry);
+    };
+    for row in answer.addresses {
+        println!("{}", row.address);
+    }
+    Ok(())
+}
--- a/crates/load/src/command/bench.rs
+++ b/crates/load/src/command/bench.rs
@@ -1,9 +1,99 @@
-/// Measure.
+use {
+    crate::drive::{BenchDriver, CallRoute},
+    anyhow::Context,
+    load::{BenchReport, CustomerLoad, PipelineLoad, WorkloadFile},
+    setup::StartError,
+    std::{fs, rc::Rc, time::Duration},
+};
+
+/// Callers of the sustained rate of unary pipelines.
+const UNARY_CALLERS: usize = 64;
+/// Callers of the sustained rate of streams.
+const STREAM_CALLERS: usize = 100;
+
+/// Measure one entry against direct calls to the same stand-ins, and what it sustains.
 #[derive(argh::FromArgs)]
 #[argh(subcommand, name = "bench")]
-pub struct BenchArgs {}
+pub struct BenchArgs {
+    /// workload file; its pipelines with one stage are also called directly
+    #[argh(option)]
+    workload: String,
+    /// callers' address of the entry
+    #[argh(option)]
+    entry: String,
+    /// address of a plain stand-in
+    #[argh(option)]
+    plain: String,
+    /// address of an engine stand-in
+    #[argh(option)]
+    engine: String,
+    /// process whose processor time is read, for instance the entry; may be repeated
+    #[argh(option)]
+    pid: Vec<u32>,
+    /// calls a second on each way (default 500)
+    #[argh(option, default = "500.0")]
+    rate: f64,
+    /// seconds for each measurement (default 5)
+    #[argh(option, default = "5.0")]
+    seconds: f64,
+    /// file for the report in JSON
+    #[argh(option)]
+    json: Option<String>,
+}
 
-/// Measures.
-pub async fn bench(_args: BenchArgs) -> anyhow::Result<()> {
+/// Runs all measurements one after another.
+pub async fn bench(args: BenchArgs) -> anyhow::Result<()> {
+    let workload = WorkloadFile::load(&args.workload)?;
+    let run = Duration::try_from_secs_f64(args.seconds)
+        .map_err(|error| StartError::Settings(format!("--seconds: {error}")))?;
+    let rate_stands = args.rate.is_finite() && args.rate > 0.0;
+    if !rate_stands {
+        return Err(StartError::Settings(String::from("--rate must be above zero")).into());
+    }
+    let driver = BenchDriver::new(first_customer(&workload)?);
+    let mut report = BenchReport::default();
+    for pipeline in &workload.pipeline {
+        if let [stage] = pipeline.stage.as_slice() {
+            let target = if stage.engine {
+                &args.engine
+            } else {
+                &args.plain
+            };
+            let routes = [
+                CallRoute::Direct(target.clone()),
+                CallRoute::Entry(args.entry.clone()),
+            ];
+            let added = driver.added_time(pipeline, routes, args.rate, run).await;
+            report.added.insert(pipeline.name.clone(), added);
+        }
+        add_sustained(&mut report, &driver, pipeline, &args, run).await;
+    }
+    print!("{}", report.to_text());
+    if let Some(path) = &args.json {
+        let text = serde_json::to_string_pretty(&report)?;
+        fs::write(path, text).with_context(|| path.clone())?;
+    }
     Ok(())
 }
+
+async fn add_sustained(
+    report: &mut BenchReport,
+    driver: &Rc<BenchDriver>,
+    pipeline: &PipelineLoad,
+    args: &BenchArgs,
+    run: Duration,
+) {
+    let callers = if pipeline.stream {
+        STREAM_CALLERS
+    } else {
+        UNARY_CALLERS
+    };
+    let sustained = driver.sustained(pipeline, &args.entry, callers, run, &args.pid);
+    let sustained = sustained.await;
+    report.sustained.insert(pipeline.name.clone(), sustained);
+}
+
+fn first_customer(workload: &WorkloadFile) -> Result<CustomerLoad, StartError> {
+    let none = || StartError::Settings(String::from("the workload has no customer"));
+    workload.customer.first().cloned().ok_or_else(none)
+}
--- a/crates/load/src/command/mod.rs
+++ b/crates/load/src/command/mod.rs
@@ -1,13 +1,17 @@
 //! One module for each subcommand.
 
+mod address;
 mod bench;
+mod control;
 mod publish;
 mod report;
 mod run;
 mod topology;
 
 pub use {
+    address::{AddressArgs, address},
     bench::{BenchArgs, bench},
+    control::{ControlArgs, control},
     publish::{PublishArgs, publish},
     report::{ReportArgs, report},
     run::{RunArgs, run},
--- a/crates/load/src/drive/entry_client.rs
+++ b/crates/load/src/drive/entry_client.rs
@@ -1,13 +1,14 @@
 use {
     awc::{
-        Client, ClientResponse, Connector,
+        Client, ClientRequest, ClientResponse, Connector,
         error::{ConnectError, SendRequestError},
         http::StatusCode,
     },
     base::{
-        CREDENTIAL_HEADER, CUSTOMER_HEADER, DIGEST_HEADER, FailureReport, IDEMPOTENT_HEADER,
-        LENGTH_HEADER, PRIORITY_HEADER, REMAINING_HEADER, REQUEST_HEADER, SHEET_HEADER,
-        STREAM_HEADER, SheetVersion, StreamEvent, TICKET_HEADER,
+        ATTEMPT_HEADER, CALL_HEADER, CREDENTIAL_HEADER, CUSTOMER_HEADER, DIGEST_HEADER,
+        FailureReport, IDEMPOTENT_HEADER, LENGTH_HEADER, PRIORITY_HEADER, REMAINING_HEADER,
+        REQUEST_HEADER, SHEET_HEADER, STAGE_HEADER, STREAM_HEADER, SheetVersion, StreamEvent,
+        TICKET_HEADER,
     },
     bytes::{Bytes, BytesMut},
     futures_util::{Stream, StreamExt},
@@ -115,12 +116,41 @@
         if let Some(ticket) = call.ticket {
             request = request.insert_header((TICKET_HEADER, ticket));
         }
-        let body = Bytes::from(call.planned.body.clone());
-        match request.send_body(body).await {
-            Ok(reply) => read_reply(reply, call.pipeline.stream, &mut check, sent).await,
-            Err(SendRequestError::Connect(ConnectError::Io(_))) => SendResult::NotSent,
-            Err(_) => SendResult::Interrupted,
-        }
+        send_request(request, call, &mut check, sent).await
+    }
+
+    /// Makes the call of a pipeline's first stage directly at a target, to compare with.
+    pub async fn send_direct(
+        &self,
+        call: &EntryCall<'_>,
+        mut check: AnswerCheck,
+        sent: &mut SentCall,
+    ) -> SendResult {
+        let kind = call.pipeline.stage.first().map(|stage| stage.call.as_str());
+        let request = self
+            .client
+            .post(format!("http://{}/call", call.address))
+            .insert_header((CUSTOMER_HEADER, call.customer.name.as_str()))
+            .insert_header((REQUEST_HEADER, call.planned.request.as_str()))
+            .insert_header((STAGE_HEADER, "0"))
+            .insert_header((ATTEMPT_HEADER, "1"))
+            .insert_header((CALL_HEADER, kind.unwrap_or_default()))
+            .insert_header((PRIORITY_HEADER, call.pipeline.priority.to_string()));
+        send_request(request, call, &mut check, sent).await
+    }
+}
+
+async fn send_request(
+    request: ClientRequest,
+    call: &EntryCall<'_>,
+    check: &mut AnswerCheck,
+    sent: &mut SentCall,
+) -> SendResult {
+    let body = Bytes::from(call.planned.body.clone());
+    match request.send_body(body).await {
+        Ok(reply) => read_reply(reply, call.pipeline.stream, check, sent).await,
+        Err(SendRequestError::Connect(ConnectError::Io(_))) => SendResult::NotSent,
+        Err(_) => SendResult::Interrupted,
     }
 }
 
--- a/crates/load/src/drive/load_driver.rs
+++ b/crates/load/src/drive/load_driver.rs
@@ -1,5 +1,5 @@
 use {
-    super::{entry_client::EntryClient, request_driver::RequestDriver},
+    super::{arrival_clock::sleep_until, entry_client::EntryClient, request_driver::RequestDriver},
     base::SheetVersion,
     load::{AddressBook, ArrivalSchedule, CustomerLoad, LoadTally, WorkloadFile},
     std::{
@@ -49,7 +49,7 @@
         let mut tasks = Vec::with_capacity(schedule.requests.len());
         for planned in schedule.requests {
             let arrival = start + planned.at;
-            actix_rt::time::sleep(arrival.saturating_duration_since(Instant::now())).await;
+            sleep_until(arrival).await;
             let request = RequestDriver::new(Rc::clone(&self), planned, arrival);
             let tally = Rc::clone(&tally);
             tasks.push(actix_rt::spawn(async move {
--- a/crates/load/src/drive/mod.rs
+++ b/crates/load/src/drive/mod.rs
@@ -1,8 +1,16 @@
 //! The part of the tool that has sockets.
 
+mod arrival_clock;
+mod bench_driver;
 mod entry_client;
 mod load_driver;
+mod processor_time;
 mod record_reader;
 mod request_driver;
 
-pub use {entry_client::EntryClient, load_driver::LoadDriver, record_reader::RecordReader};
+pub use {
+    bench_driver::{BenchDriver, CallRoute},
+    entry_client::EntryClient,
+    load_driver::LoadDriver,
+    record_reader::RecordReader,
+};
--- a/crates/load/src/drive/request_driver.rs
+++ b/crates/load/src/drive/request_driver.rs
@@ -1,5 +1,6 @@
 use {
     super::{
+        arrival_clock::sleep_until,
         entry_client::{EntryCall, SentCall},
         load_driver::LoadDriver,
     },
@@ -146,7 +147,3 @@
         }
     }
 }
-
-async fn sleep_until(at: Instant) {
-    actix_rt::time::sleep(at.saturating_duration_since(Instant::now())).await;
-}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -5,6 +5,7 @@
 mod answer_check;
 mod arrival_schedule;
 mod arrival_shape;
+mod bench_report;
 mod latency_record;
 mod load_report;
 mod load_tally;
@@ -24,6 +25,7 @@
     answer_check::{AnswerCheck, AnswerState},
     arrival_schedule::{ArrivalSchedule, PlannedRequest, ScheduleTweaks},
     arrival_shape::ArrivalShape,
+    bench_report::{AddedTime, BenchReport, SustainedRate},
     latency_record::{LatencyRecord, LatencySummary},
     load_report::{CellReport, FaultCount, LoadReport},
     load_tally::{LoadTally, RequestResult},
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -4,7 +4,9 @@
 mod drive;
 
 use {
-    command::{BenchArgs, PublishArgs, ReportArgs, RunArgs, TopologyArgs},
+    command::{
+        AddressArgs, BenchArgs, ControlArgs, PublishArgs, ReportArgs, RunArgs, TopologyArgs,
+    },
     std::process::ExitCode,
 };
 
@@ -23,6 +25,8 @@
     Bench(BenchArgs),
     Publish(PublishArgs),
     Topology(TopologyArgs),
+    Control(ControlArgs),
+    Address(AddressArgs),
 }
 
 fn main() -> ExitCode {
@@ -34,6 +38,8 @@
             LoadCommand::Bench(args) => command::bench(args).await,
             LoadCommand::Publish(args) => command::publish(args).await,
             LoadCommand::Topology(args) => command::topology(&args),
+            LoadCommand::Control(args) => command::control(args).await,
+            LoadCommand::Address(args) => command::address(args).await,
         }
     });
     setup::exit_code(outcome)
--- a/crates/load/tests/cli.rs
+++ b/crates/load/tests/cli.rs
@@ -44,7 +44,9 @@
     let output = camphor_load(&["--help"]);
     assert!(output.status.success());
     let text = String::from_utf8_lossy(&output.stdout);
-    for name in ["run", "report", "bench", "publish", "topology"] {
+    for name in [
+        "run", "report", "bench", "publish", "topology", "control", "address",
+    ] {
         assert!(text.contains(name), "{name} is missing");
         assert!(camphor_load(&[name, "--help"]).status.success());
     }
--- a/demo.sh
+++ b/demo.sh
@@ -4,10 +4,11 @@
 set -u
 cd "$(dirname "$0")" || exit 1
 
-# Entry and target that are killed, and the seconds into the load at which they are.
-KILLED_ENTRY="entry-1"
+# Target that is killed beside the busiest entry.
 KILLED_TARGET="model-2"
+# Seconds into the load at which the entry is killed.
 ENTRY_KILL_TIME=6
+# Seconds from there until the target is killed.
 TARGET_KILL_TIME=5
 
 cargo build --quiet -p entry -p stand -p load || exit 1
@@ -16,6 +17,7 @@
 fleet_open
 fleet_up demo/topology.toml demo/sheet demo/workload.toml || exit 1
 
+KILLED_ENTRY="$(fleet_busiest demo/workload.toml)"
 read -r -a options < <(fleet_options | tr '\n' ' ')
 "$BIN/camphor-load" run --workload demo/workload.toml --seed "${1:-1}" --case demo --strict \
     --may-die "$(fleet_address "$KILLED_ENTRY" callers)" "${options[@]}" &
