Prove that answers reach their own callers whole

The first run showed a caller that asks a pipeline of plain services for a stream getting a bare body. Such an answer is now streamed as one token with its end, unless it is no text.

--- a/crates/entry/src/data/answer_sink.rs
+++ b/crates/entry/src/data/answer_sink.rs
@@ -5,7 +5,7 @@
         body::{BodyStream, BoxBody, MessageBody},
         header::{CONTENT_TYPE, HeaderValue},
     },
-    base::{FailureReport, StreamEvent},
+    base::{AnswerDigest, FailureReport, StreamEvent},
     bytes::Bytes,
     futures_util::stream,
     once::RecordedAnswer,
@@ -91,10 +91,29 @@
                 let body = std::mem::take(&mut self.text);
                 Some(self.reply(recorded(BODY_TYPE, body)))
             }
-            RunAnswer::Body(body) => Some(self.reply(recorded(BODY_TYPE, body.to_vec()))),
+            RunAnswer::Body(body) => self.finish_body(body).await,
         }
     }
 
+    /// A plain service's answer is streamed as one token, unless it is no text.
+    async fn finish_body(mut self, body: Bytes) -> Option<RecordedAnswer> {
+        let text = match std::str::from_utf8(&body) {
+            Ok(text) if self.streaming => text.to_string(),
+            _ => return Some(self.reply(recorded(BODY_TYPE, body.to_vec()))),
+        };
+        let digest = AnswerDigest::of(text.as_bytes());
+        let (length, digest) = (digest.length(), digest.hex());
+        let _ = self.send(&StreamEvent::Token { index: 0, text }).await;
+        let _ = self
+            .send(&StreamEvent::End {
+                tokens: 1,
+                length,
+                digest,
+            })
+            .await;
+        self.record.map(|body| recorded(STREAM_TYPE, body))
+    }
+
     /// Ends the answer as failed, at once.
     pub async fn fail(mut self, report: &FailureReport) -> RecordedAnswer {
         let report = with_delay(report.clone());
--- /dev/null
+++ b/crates/proofs/tests/right_caller.rs
@@ -0,0 +1,120 @@
+//! Every caller gets the whole answer to its own request, however replies come.
+
+use {
+    proofs::{FleetHarness, FleetPlan, RunOutcome, RunRequest, TestCaller},
+    rand::{Rng, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    serde_json::json,
+    stand::{EchoRule, EchoStage, FlowFault, ProxyFault},
+    std::time::Duration,
+};
+
+const SEED: u64 = 0x3a11;
+const TARGETS: [&str; 6] = [
+    "encode1", "encode2", "ledger1", "ledger2", "model1", "model2",
+];
+const CUSTOMERS: [&str; 2] = ["farm", "show"];
+const ROUND: usize = 60;
+
+/// Stages of the pipelines `look` and `read`.
+fn stages(pipeline: &str) -> Vec<EchoStage> {
+    let encode = EchoStage::Plain(String::from("encode"));
+    match pipeline {
+        "look" => vec![encode],
+        _ => vec![encode, EchoStage::Engine],
+    }
+}
+
+/// Sends a round of requests at once: both customers use the same request ids, with inputs of
+/// their own. Each answer must be the whole right one or say that it is none.
+async fn send_round(fleet: &FleetHarness, round: usize, random: &mut ChaCha8Rng) -> usize {
+    let caller = TestCaller::new();
+    let mut runs = Vec::new();
+    for number in 0..ROUND {
+        let customer = CUSTOMERS[number % 2];
+        let pipeline = ["look", "read"][random.random_range(0..2)];
+        let id = format!("round{round}-{}", number / 2);
+        let input = format!(
+            "input of {customer} {number} tokens={}",
+            random.random_range(1..20)
+        );
+        let mut request = RunRequest::new(customer, pipeline, &id, input.as_bytes())
+            .within(Duration::from_millis(1_500));
+        request.stream = random.random();
+        let entry = fleet.callers(["h1", "h2"][random.random_range(0..2)]);
+        let caller = caller.clone();
+        runs.push(actix_rt::spawn(async move {
+            let outcome = caller.run(&entry, &request).await;
+            let expected = EchoRule::pipeline(customer, &id, input.as_bytes(), &stages(pipeline));
+            (id, expected, outcome)
+        }));
+    }
+    let mut whole = 0;
+    for run in runs {
+        let (id, expected, outcome) = run.await.unwrap();
+        match outcome {
+            RunOutcome::Whole(answer) => {
+                assert!(answer == expected, "{id} got another answer");
+                whole += 1;
+            }
+            RunOutcome::Failed(_) => {}
+            RunOutcome::Broken(text) => panic!("{id}: {text}"),
+        }
+    }
+    whole
+}
+
+#[actix_rt::test]
+async fn answers_reach_their_own_callers_whole() {
+    let fleet = FleetHarness::start(FleetPlan::small(2).proxied())
+        .await
+        .unwrap();
+    let mut random = ChaCha8Rng::seed_from_u64(SEED);
+    assert_eq!(send_round(&fleet, 0, &mut random).await, ROUND);
+    let slow = FlowFault {
+        delay_ms: 30,
+        ..FlowFault::default()
+    };
+    let faults = [
+        (json!({ "reply_twice": true }), ProxyFault::default()),
+        (json!({ "wrong_identity": true }), ProxyFault::default()),
+        (json!({ "cut_answer": true }), ProxyFault::default()),
+        (
+            json!({ "spread": 0.9 }),
+            ProxyFault {
+                from: slow,
+                ..ProxyFault::default()
+            },
+        ),
+        (json!({ "close_pooled": true }), ProxyFault::default()),
+    ];
+    for (number, (patch, fault)) in faults.into_iter().enumerate() {
+        for target in TARGETS.iter().step_by(2) {
+            fleet.control(target, &patch).await.unwrap();
+            fleet.proxy_fault(target, &fault).await.unwrap();
+        }
+        send_round(&fleet, number + 1, &mut random).await;
+        let calm = json!({
+            "reply_twice": false, "wrong_identity": false, "cut_answer": false, "spread": 0.0,
+        });
+        for target in TARGETS.iter().step_by(2) {
+            fleet.control(target, &calm).await.unwrap();
+            fleet
+                .proxy_fault(target, &ProxyFault::default())
+                .await
+                .unwrap();
+        }
+    }
+}
+
+#[actix_rt::test]
+async fn targets_restarted_on_their_port_mix_nothing_up() {
+    let mut fleet = FleetHarness::start(FleetPlan::small(2)).await.unwrap();
+    let mut random = ChaCha8Rng::seed_from_u64(SEED);
+    for round in 0..4 {
+        let target = TARGETS[random.random_range(0..2) + 4 * (round % 2)];
+        fleet.process_mut(target).kill().unwrap();
+        fleet.restart_target(target).await.unwrap();
+        assert!(send_round(&fleet, round, &mut random).await > 0);
+    }
+}
