Let the concurrency limit learn its baseline without a queue

The limit started at its upper bound and took the first, already queued latency for the baseline; and the baseline rose with every slower window, so that ten minutes of overload passed for the normal state (mean latency 570 ms for a 50 ms call on 20 places). The limit now starts at its lower bound, which is to be the entry's fair share, and the baseline rises only while the limit holds no call back or stands at its lower bound. Refusals and timeouts count as a share of the calls of a window, so that one straggler does not shrink the whole pool's limit.

The fair queue's promises are tested by properties: share of target time by weight, no starvation, nothing lost or doubled.

--- a/crates/limit/src/concurrency_limit.rs
+++ b/crates/limit/src/concurrency_limit.rs
@@ -11,10 +11,17 @@
 const TOLERANCE: f64 = 1.5;
 /// Smallest factor of one change.
 const LEAST_FACTOR: f64 = 0.7;
-/// Factor after a refusal or timeout.
+/// Factor after a window with refusals or timeouts.
 const BACKOFF_FACTOR: f64 = 0.85;
-/// Part of the way to the baseline that one slower window moves it.
+/// Share of refused or late calls in a window that shrinks the limit.
+const BACKOFF_SHARE: f64 = 0.1;
+/// Part of the way to a slower window that the baseline moves while the limit holds no call
+/// back; a queue that the limit lets in is never taken for service.
 const BASELINE_RISE: f64 = 0.01;
+/// The same while the limit is at its lower bound.
+const BASELINE_RISE_AT_MIN: f64 = 0.05;
+/// Least mean latency in seconds, so that nothing is divided by zero.
+const LEAST_LATENCY: f64 = 0.000_001;
 /// Part of the limit that must be in use before it grows.
 const GROWTH_USE: f64 = 0.8;
 
@@ -50,7 +57,7 @@
 /// use limit::{ConcurrencyLimit, LimitRange, ReleaseOutcome};
 ///
 /// let now = Instant::now();
-/// let mut limit = ConcurrencyLimit::new(LimitRange { min: 1, max: 2 }, now);
+/// let mut limit = ConcurrencyLimit::new(LimitRange { min: 2, max: 8 }, now);
 /// assert!(limit.try_acquire());
 /// assert!(limit.try_acquire());
 /// assert!(!limit.try_acquire());
@@ -73,7 +80,7 @@
     calls: u32,
     seconds: f64,
     busiest: u32,
-    refused: bool,
+    refused: u32,
 }
 
 impl LatencyWindow {
@@ -83,17 +90,17 @@
             calls: 0,
             seconds: 0.0,
             busiest: 0,
-            refused: false,
+            refused: 0,
         }
     }
 }
 
 impl ConcurrencyLimit {
-    /// Limit that starts at its upper bound.
+    /// Limit that starts at its lower bound, so that the baseline is learnt without a queue.
     pub fn new(range: LimitRange, now: Instant) -> Self {
         Self {
             range,
-            limit: f64::from(range.max.max(range.min).max(1)),
+            limit: f64::from(range.min.max(1)),
             in_flight: 0,
             baseline: None,
             window: LatencyWindow::new(now),
@@ -102,11 +109,7 @@
 
     /// Takes over new bounds, for instance when targets came or went.
     pub fn set_range(&mut self, range: LimitRange) {
-        let grown = range.max > self.range.max && self.limit() >= self.range.max;
         self.range = range;
-        if grown {
-            self.limit = f64::from(range.max);
-        }
         self.set_limit(self.limit);
     }
 
@@ -128,11 +131,11 @@
                 self.window.calls += 1;
                 self.window.seconds += elapsed.as_secs_f64();
             }
-            ReleaseOutcome::Refused | ReleaseOutcome::TimedOut => self.window.refused = true,
+            ReleaseOutcome::Refused | ReleaseOutcome::TimedOut => self.window.refused += 1,
             ReleaseOutcome::Ignored => {}
         }
         let age = now.saturating_duration_since(self.window.since);
-        let full = self.window.calls >= WINDOW_CALLS || self.window.refused;
+        let full = self.window.calls + self.window.refused >= WINDOW_CALLS;
         if age >= WINDOW_TIME && full {
             self.adjust(now);
         }
@@ -152,25 +155,37 @@
         let next = LatencyWindow::new(now);
         let window = std::mem::replace(&mut self.window, next);
         self.window.busiest = self.in_flight;
-        if window.refused {
+        let ended = f64::from(window.calls + window.refused);
+        if f64::from(window.refused) >= BACKOFF_SHARE * ended {
             self.set_limit(self.limit * BACKOFF_FACTOR);
             return;
         }
-        let mean = (window.seconds / f64::from(window.calls)).max(0.000_001);
-        let baseline = match self.baseline {
-            Some(baseline) if mean > baseline => baseline + BASELINE_RISE * (mean - baseline),
-            _ => mean,
-        };
+        let mean = (window.seconds / f64::from(window.calls)).max(LEAST_LATENCY);
+        let in_use = f64::from(window.busiest) >= GROWTH_USE * self.limit;
+        let baseline = self.next_baseline(mean, in_use);
         self.baseline = Some(baseline);
         let factor = (TOLERANCE * baseline / mean).clamp(LEAST_FACTOR, 1.0);
-        let in_use = f64::from(window.busiest) >= GROWTH_USE * self.limit;
         if factor < 1.0 {
-            self.set_limit(self.limit * factor + self.limit.sqrt() * factor.powi(2));
+            self.set_limit(self.limit * factor);
         } else if in_use {
             self.set_limit(self.limit + self.limit.sqrt());
         }
     }
 
+    /// The baseline falls at once and rises slowly.
+    fn next_baseline(&self, mean: f64, in_use: bool) -> f64 {
+        let at_min = self.limit() <= self.range.min.max(1);
+        let rise = match (at_min, in_use) {
+            (true, _) => BASELINE_RISE_AT_MIN,
+            (false, false) => BASELINE_RISE,
+            (false, true) => 0.0,
+        };
+        match self.baseline {
+            Some(baseline) if mean > baseline => baseline + rise * (mean - baseline),
+            _ => mean,
+        }
+    }
+
     fn set_limit(&mut self, limit: f64) {
         let least = f64::from(self.range.min.max(1));
         let most = f64::from(self.range.max).max(least);
--- /dev/null
+++ b/crates/limit/tests/fair_queue.rs
@@ -0,0 +1,238 @@
+//! What the fair queue promises: shares by weight, no starvation, nothing lost or doubled.
+
+use {
+    base::{FailureReason, RequestPriority},
+    limit::{FairQueue, QueueSettings, WaitingCall},
+    proptest::{prelude::*, test_runner::RngSeed},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::{Duration, Instant},
+    },
+};
+
+const LONG: Duration = Duration::from_secs(10_000);
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(31),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn priority() -> impl Strategy<Value = RequestPriority> {
+    prop::sample::select(vec![
+        RequestPriority::Urgent,
+        RequestPriority::Normal,
+        RequestPriority::Bulk,
+    ])
+}
+
+fn call(customer: &str, weight: u32, cost: f64, item: u32, now: Instant) -> WaitingCall<u32> {
+    WaitingCall {
+        customer: customer.to_string(),
+        weight,
+        priority: RequestPriority::Normal,
+        deadline: now + LONG,
+        cost,
+        item,
+    }
+}
+
+fn queue_of(places: usize) -> FairQueue<u32> {
+    FairQueue::new(QueueSettings {
+        places,
+        ..QueueSettings::default()
+    })
+}
+
+/// Pops a call and tops its customer's backlog up again; returns the customer and the cost.
+fn serve_one(queue: &mut FairQueue<u32>, now: Instant) -> (String, f64) {
+    let popped = queue.pop(now).expect("there is a backlog");
+    let served = (popped.call.customer.clone(), popped.call.cost);
+    queue.push(popped.call, now).expect("there is room");
+    served
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn backlogged_customers_get_their_share_of_target_time(
+        rows in prop::collection::vec((1_u32..8, 1_u32..20, priority()), 2..8),
+    ) {
+        let now = Instant::now();
+        let mut queue = queue_of(usize::MAX);
+        for (name, (weight, tenths, priority)) in rows.iter().enumerate() {
+            for item in 0..3 {
+                let cost = f64::from(*tenths) / 10.0;
+                let call = WaitingCall {
+                    priority: *priority,
+                    ..call(&name.to_string(), *weight, cost, item, now)
+                };
+                queue.push(call, now).unwrap();
+            }
+        }
+        let mut served: BTreeMap<String, f64> = BTreeMap::new();
+        for _ in 0..2_000 {
+            let (customer, cost) = serve_one(&mut queue, now);
+            *served.entry(customer).or_default() += cost;
+        }
+        let weights: u32 = rows.iter().map(|(weight, _, _)| weight).sum();
+        let total: f64 = served.values().sum();
+        let settings = QueueSettings::default();
+        for (name, (weight, _, _)) in rows.iter().enumerate() {
+            let share = f64::from(*weight) / f64::from(weights);
+            let got = served.get(&name.to_string()).copied().unwrap_or(0.0);
+            // The lead of urgent calls, the lag of bulk ones, and one call of each customer.
+            let bound = settings.urgent_lead + settings.bulk_lag + 2.0 * rows.len() as f64;
+            prop_assert!((got - share * total).abs() <= bound, "{name}: {got} of {total}");
+        }
+    }
+
+    #[test]
+    fn nothing_is_lost_or_doubled(
+        steps in prop::collection::vec(
+            (0_u8..8, 0_u8..5, 1_u32..5, 1_u32..60, priority()),
+            1..300,
+        ),
+        places in 1_usize..30,
+    ) {
+        let mut now = Instant::now();
+        let mut queue = queue_of(places);
+        let mut inside = BTreeSet::new();
+        let mut numbers = BTreeMap::new();
+        let mut next = 0;
+        for (kind, customer, weight, tenths, priority) in steps {
+            now += Duration::from_millis(100);
+            let mut out = Vec::new();
+            match kind {
+                0..5 => {
+                    next += 1;
+                    let cost = f64::from(tenths) / 10.0;
+                    let pushed = queue.push(WaitingCall {
+                        priority,
+                        deadline: now + Duration::from_millis(200) * tenths,
+                        ..call(&customer.to_string(), weight, cost, next, now)
+                    }, now);
+                    match pushed {
+                        Ok(queued) => {
+                            inside.insert(next);
+                            numbers.insert(next, queued.place);
+                            out.extend(queued.evicted);
+                        }
+                        Err(refusal) => prop_assert_eq!(refusal.item, next),
+                    }
+                }
+                5 => if let Some(popped) = queue.pop(now) {
+                    let left = popped.call.deadline.saturating_duration_since(now);
+                    prop_assert!(left.as_secs_f64() + 1e-6 >= popped.call.cost);
+                    out.push(popped.call.item);
+                },
+                6 => out.extend(queue.expire(now)),
+                _ => {
+                    let first = inside.first().and_then(|item| numbers.get(item));
+                    out.extend(first.and_then(|place| queue.cancel(*place)));
+                }
+            }
+            for item in out {
+                prop_assert!(inside.remove(&item), "{} came out twice", item);
+            }
+            prop_assert!(queue.len() <= places);
+        }
+        let mut rest = queue.expire(now);
+        while let Some(popped) = queue.pop(now) {
+            rest.push(popped.call.item);
+        }
+        rest.sort_unstable();
+        prop_assert_eq!(rest, inside.into_iter().collect::<Vec<_>>());
+    }
+}
+
+#[test]
+fn one_customer_may_use_everything_while_the_others_are_idle() {
+    let now = Instant::now();
+    let mut queue = queue_of(50);
+    for item in 0..50 {
+        queue.push(call("a", 1, 1.0, item, now), now).unwrap();
+    }
+    let refusal = queue.push(call("a", 1, 1.0, 50, now), now).unwrap_err();
+    assert_eq!(refusal.reason, FailureReason::Overloaded);
+    for item in 0..50 {
+        assert_eq!(queue.pop(now).unwrap().call.item, item);
+    }
+}
+
+#[test]
+fn a_full_queue_takes_places_back_from_who_is_above_its_share() {
+    let now = Instant::now();
+    let mut queue = queue_of(40);
+    for item in 0..40 {
+        queue.push(call("flood", 1, 1.0, item, now), now).unwrap();
+    }
+    for item in 0..20 {
+        let queued = queue.push(call("small", 1, 1.0, 100 + item, now), now);
+        assert_eq!(queued.unwrap().evicted, [39 - item]);
+    }
+    let refusal = queue.push(call("small", 1, 1.0, 200, now), now);
+    let refusal = refusal.unwrap_err();
+    assert_eq!(refusal.reason, FailureReason::ShareExceeded);
+    assert!(refusal.retry_after > Duration::ZERO);
+}
+
+#[test]
+fn urgent_calls_go_first_and_bulk_calls_are_not_starved() {
+    let now = Instant::now();
+    let mut queue = queue_of(usize::MAX);
+    for (item, priority) in [(0, RequestPriority::Bulk), (1, RequestPriority::Normal)] {
+        let call = WaitingCall {
+            priority,
+            ..call("a", 1, 0.1, item, now)
+        };
+        queue.push(call, now).unwrap();
+    }
+    let mut served = Vec::new();
+    for item in 10..90 {
+        for customer in ["a", "b"] {
+            let call = WaitingCall {
+                priority: RequestPriority::Urgent,
+                ..call(customer, 1, 1.0, item, now)
+            };
+            queue.push(call, now).unwrap();
+        }
+        served.push(queue.pop(now).unwrap().call.item);
+    }
+    assert!(served[..5].iter().all(|item| *item >= 10));
+    assert!(served.contains(&0) && served.contains(&1), "{served:?}");
+}
+
+#[test]
+fn a_flood_does_not_delay_the_others() {
+    let now = Instant::now();
+    let mut queue = queue_of(usize::MAX);
+    for item in 0..1_000 {
+        queue.push(call("flood", 1, 1.0, item, now), now).unwrap();
+    }
+    queue.set_capacity(10.0);
+    assert!(queue.wait_estimate("small", 1, 1.0) <= Duration::from_millis(100));
+    assert!(queue.wait_estimate("flood", 1, 1.0) >= Duration::from_secs(100));
+    queue.push(call("small", 1, 1.0, 5_000, now), now).unwrap();
+    let first: Vec<u32> = (0..2).map(|_| queue.pop(now).unwrap().call.item).collect();
+    assert!(first.contains(&5_000));
+}
+
+#[test]
+fn calls_expire_as_soon_as_they_cannot_finish() {
+    let now = Instant::now();
+    let mut queue = queue_of(usize::MAX);
+    let short = WaitingCall {
+        deadline: now + Duration::from_secs(3),
+        ..call("a", 1, 1.0, 1, now)
+    };
+    queue.push(short, now).unwrap();
+    assert_eq!(queue.next_expiry(), Some(now + Duration::from_secs(2)));
+    assert!(queue.expire(now + Duration::from_secs(2)).is_empty());
+    let late = now + Duration::from_millis(2_001);
+    assert!(queue.pop(late).is_none());
+    assert_eq!(queue.expire(late), [1]);
+}
