Keep strikes by stage and hold back copies of an unproven request

A request that crashed its target at a late stage was cleared by the whole run of an early one. Strikes now belong to a stage, and only a whole run of that stage clears them. A request that has not yet run to its end runs on no more targets at once than it may still crash, so that copies sent together on one entry can't crash a third; 'permit' answers 'later' to the next copy.

API: 'permit' and 'finish' take a SuspectCall (fingerprint, stage, target); 'strike' and 'absolve' are what 'finish' does.

What it can't do: copies at several entries that start before any of them has heard of a crash can crash one target each; and an innocent that runs twice at once, both times beside the crasher, can't be told from it.

--- a/crates/retry/src/crash_ledger.rs
+++ b/crates/retry/src/crash_ledger.rs
@@ -1,8 +1,12 @@
 use {
-    crate::{CrashFingerprint, CrashRecord, TargetStrikes, crash_record::target_hash},
-    base::TargetId,
+    crate::{
+        CrashFingerprint, CrashRecord, SuspectCall, crash_entry::CrashEntry,
+        running_calls::RunningCalls,
+    },
+    base::StageIndex,
     serde::{Deserialize, Serialize},
     std::{
+        cmp::Reverse,
         collections::BTreeMap,
         time::{Duration, Instant},
     },
@@ -10,9 +14,6 @@
 
 /// Strikes at which a request is refused.
 const REFUSED_STRIKES: u32 = 2;
-/// Victims that one record names; a request has no more before it is refused, but peers that
-/// do not hear of each other may each add some.
-const RECORD_VICTIMS: usize = 8;
 /// A peer's record counts as later only beyond this, so that time under way adds up nowhere.
 const MERGE_SLACK: Duration = Duration::from_secs(2);
 
@@ -53,7 +54,7 @@
     Granted,
     /// Not on this target; another may do.
     Elsewhere,
-    /// Not now: the same request runs already, and its end decides.
+    /// Not now: the same request runs already, and how that ends decides.
     Later,
     /// It may run nowhere.
     Refused,
@@ -70,55 +71,34 @@
     Other,
 }
 
-#[derive(Debug, Clone)]
-struct Entry {
-    victims: Vec<TargetStrikes>,
-    until: Instant,
-}
-
-impl Entry {
-    fn strikes(&self) -> u32 {
-        let open = |victim: &TargetStrikes| victim.strikes.saturating_sub(victim.cleared);
-        self.victims.iter().map(open).sum()
-    }
-
-    fn victim(&mut self, target: u64) -> Option<&mut TargetStrikes> {
-        let place = self.victims.iter().position(|row| row.target == target);
-        if place.is_none() && self.victims.len() < RECORD_VICTIMS {
-            self.victims.push(TargetStrikes {
-                target,
-                strikes: 0,
-                cleared: 0,
-            });
-        }
-        let place = place.unwrap_or(self.victims.len() - 1);
-        self.victims
-            .get_mut(place)
-            .filter(|row| row.target == target)
-    }
-}
-
 /// Remembers which requests targets died of, so that one that crashes its targets is stopped
 /// at the second, whichever entries it is sent to.
 ///
+/// A request that has not yet shown that it can run to its end runs on no more targets at once
+/// than it may still crash.
+///
 /// ```
 /// use std::time::Instant;
-/// use retry::{CrashLedger, CrashVerdict, LedgerSettings, RunEnd, RunPermit, fingerprint};
+/// use retry::{
+///     CrashLedger, CrashVerdict, LedgerSettings, RunEnd, RunPermit, SuspectCall, fingerprint,
+/// };
 ///
 /// let now = Instant::now();
 /// let mut ledger = CrashLedger::new(LedgerSettings::default());
-/// let request = fingerprint("farm", "receipts", b"body");
+/// let fingerprint = fingerprint("farm", "receipts", b"body");
 /// for target in ["t1", "t2"] {
-///     assert_eq!(ledger.permit(&request, target, now), RunPermit::Granted);
-///     ledger.finish(&request, target, RunEnd::TargetDied, now);
+///     let call = SuspectCall { fingerprint, stage: 0, target };
+///     assert_eq!(ledger.permit(call, now), RunPermit::Granted);
+///     ledger.finish(call, RunEnd::TargetDied, now);
 /// }
-/// assert_eq!(ledger.verdict(&request, now), CrashVerdict::Refused);
+/// assert_eq!(ledger.verdict(&fingerprint, now), CrashVerdict::Refused);
 /// ```
 #[derive(Debug, Clone)]
 pub struct CrashLedger {
     settings: LedgerSettings,
-    entries: BTreeMap<CrashFingerprint, Entry>,
-    running: BTreeMap<CrashFingerprint, Vec<TargetId>>,
+    entries: BTreeMap<CrashFingerprint, CrashEntry>,
+    running: RunningCalls,
+    proven: BTreeMap<(CrashFingerprint, StageIndex), Instant>,
 }
 
 impl CrashLedger {
@@ -127,7 +107,8 @@
         Self {
             settings,
             entries: BTreeMap::new(),
-            running: BTreeMap::new(),
+            running: RunningCalls::default(),
+            proven: BTreeMap::new(),
         }
     }
 
@@ -140,63 +121,29 @@
         }
     }
 
-    /// Asks whether the request may run on the target now; a granted run must be finished.
-    pub fn permit(
-        &mut self,
-        fingerprint: &CrashFingerprint,
-        target: &str,
-        now: Instant,
-    ) -> RunPermit {
-        let verdict = self.verdict(fingerprint, now);
-        let permit = match verdict {
+    /// Asks whether the call may run now; a granted call must be finished.
+    pub fn permit(&mut self, call: SuspectCall<'_>, now: Instant) -> RunPermit {
+        let permit = match self.verdict(&call.fingerprint, now) {
             CrashVerdict::Refused => RunPermit::Refused,
-            CrashVerdict::Suspect if self.running.contains_key(fingerprint) => RunPermit::Later,
-            CrashVerdict::Suspect if self.has_suspect(target, now) => RunPermit::Elsewhere,
-            CrashVerdict::Suspect | CrashVerdict::Clear => RunPermit::Granted,
+            CrashVerdict::Suspect => self.permit_suspect(call, now),
+            CrashVerdict::Clear => self.permit_clear(call, now),
         };
         if permit == RunPermit::Granted {
-            let running = self.running.entry(*fingerprint).or_default();
-            running.push(target.to_string());
+            self.running.insert(call);
         }
         permit
     }
 
-    /// Records how a granted run ended.
-    pub fn finish(
-        &mut self,
-        fingerprint: &CrashFingerprint,
-        target: &str,
-        end: RunEnd,
-        now: Instant,
-    ) {
-        self.forget_run(fingerprint, target);
+    /// Records how a granted call ended.
+    pub fn finish(&mut self, call: SuspectCall<'_>, end: RunEnd, now: Instant) {
+        self.running.remove(call);
         match end {
-            RunEnd::Whole => self.absolve(fingerprint),
-            RunEnd::TargetDied => self.strike(fingerprint, target, now),
+            RunEnd::Whole => self.absolve(call, now),
+            RunEnd::TargetDied => self.strike(call, now),
             RunEnd::Other => {}
         }
     }
 
-    /// Gives the request a strike because the target died while it ran it.
-    pub fn strike(&mut self, fingerprint: &CrashFingerprint, target: &str, now: Instant) {
-        let until = now + self.settings.lifetime;
-        let entry = self.live_entry(fingerprint, now);
-        entry.until = entry.until.max(until);
-        if let Some(victim) = entry.victim(target_hash(target)) {
-            victim.strikes += 1;
-        }
-        self.make_room();
-    }
-
-    /// Clears the request of its strikes, since it has run to its end.
-    pub fn absolve(&mut self, fingerprint: &CrashFingerprint) {
-        if let Some(entry) = self.entries.get_mut(fingerprint) {
-            for victim in &mut entry.victims {
-                victim.cleared = victim.strikes;
-            }
-        }
-    }
-
     /// Takes in what a peer knows; the larger of each count wins.
     pub fn merge(&mut self, record: &CrashRecord, now: Instant) {
         let until = now + record.remaining.min(self.settings.lifetime);
@@ -207,12 +154,7 @@
         if until > entry.until + MERGE_SLACK || entry.victims.is_empty() {
             entry.until = entry.until.max(until);
         }
-        for row in record.victims.iter().take(RECORD_VICTIMS) {
-            if let Some(victim) = entry.victim(row.target) {
-                victim.strikes = victim.strikes.max(row.strikes);
-                victim.cleared = victim.cleared.max(row.cleared);
-            }
-        }
+        entry.merge(&record.victims);
         self.make_room();
     }
 
@@ -220,7 +162,7 @@
     pub fn records(&self, limit: usize, now: Instant) -> Vec<CrashRecord> {
         let mut live: Vec<_> = self.entries.iter().collect();
         live.retain(|(_, entry)| entry.until > now);
-        live.sort_by_key(|(fingerprint, entry)| (std::cmp::Reverse(entry.until), **fingerprint));
+        live.sort_by_key(|(fingerprint, entry)| (Reverse(entry.until), **fingerprint));
         live.truncate(limit);
         live.into_iter()
             .map(|(fingerprint, entry)| CrashRecord {
@@ -241,6 +183,53 @@
         self.entries.is_empty()
     }
 
+    fn permit_suspect(&self, call: SuspectCall<'_>, now: Instant) -> RunPermit {
+        if self.running.is_running(&call.fingerprint) {
+            return RunPermit::Later;
+        }
+        let mut running = self.running.on_target(call.target);
+        match running.any(|other| self.strikes(other, now) > 0) {
+            true => RunPermit::Elsewhere,
+            false => RunPermit::Granted,
+        }
+    }
+
+    fn permit_clear(&self, call: SuspectCall<'_>, now: Instant) -> RunPermit {
+        let proven = self.proven.get(&(call.fingerprint, call.stage));
+        if proven.is_some_and(|until| *until > now) {
+            return RunPermit::Granted;
+        }
+        match self.running.other_targets(call) < REFUSED_STRIKES as usize {
+            true => RunPermit::Granted,
+            false => RunPermit::Later,
+        }
+    }
+
+    /// Gives the request a strike because the target died while it ran the call.
+    fn strike(&mut self, call: SuspectCall<'_>, now: Instant) {
+        self.proven.remove(&(call.fingerprint, call.stage));
+        let until = now + self.settings.lifetime;
+        let entry = self.live_entry(&call.fingerprint, now);
+        entry.until = entry.until.max(until);
+        entry.strike(call);
+        self.make_room();
+    }
+
+    /// Clears the request of its strikes at the stage, since that has run to its end.
+    fn absolve(&mut self, call: SuspectCall<'_>, now: Instant) {
+        if let Some(entry) = self.entries.get_mut(&call.fingerprint) {
+            entry.clear(call.stage);
+        }
+        let until = now + self.settings.lifetime;
+        self.proven.insert((call.fingerprint, call.stage), until);
+        if self.proven.len() > self.settings.records {
+            let oldest = self.proven.iter().min_by_key(|(_, until)| **until);
+            if let Some((&key, _)) = oldest {
+                self.proven.remove(&key);
+            }
+        }
+    }
+
     fn strikes(&self, fingerprint: &CrashFingerprint, now: Instant) -> u32 {
         match self.entries.get(fingerprint) {
             Some(entry) if entry.until > now => entry.strikes(),
@@ -248,36 +237,17 @@
         }
     }
 
-    fn has_suspect(&self, target: &str, now: Instant) -> bool {
-        self.running.iter().any(|(fingerprint, targets)| {
-            targets.iter().any(|name| name == target) && self.strikes(fingerprint, now) > 0
-        })
-    }
-
-    fn live_entry(&mut self, fingerprint: &CrashFingerprint, now: Instant) -> &mut Entry {
-        let fresh = Entry {
-            victims: Vec::new(),
-            until: now,
-        };
-        let entry = self.entries.entry(*fingerprint).or_insert(fresh);
+    fn live_entry(&mut self, fingerprint: &CrashFingerprint, now: Instant) -> &mut CrashEntry {
+        let entry = self
+            .entries
+            .entry(*fingerprint)
+            .or_insert_with(|| CrashEntry::new(now));
         if entry.until <= now {
             entry.victims.clear();
         }
         entry
     }
 
-    fn forget_run(&mut self, fingerprint: &CrashFingerprint, target: &str) {
-        let Some(targets) = self.running.get_mut(fingerprint) else {
-            return;
-        };
-        if let Some(place) = targets.iter().position(|name| name == target) {
-            targets.swap_remove(place);
-        }
-        if targets.is_empty() {
-            self.running.remove(fingerprint);
-        }
-    }
-
     fn make_room(&mut self) {
         while self.entries.len() > self.settings.records {
             let oldest = self.entries.iter().min_by_key(|(_, entry)| entry.until);
--- a/crates/retry/src/crash_record.rs
+++ b/crates/retry/src/crash_record.rs
@@ -1,4 +1,5 @@
 use {
+    base::StageIndex,
     serde::{Deserialize, Serialize},
     std::time::Duration,
 };
@@ -24,17 +25,30 @@
     short
 }
 
-/// Strikes that a request has from one target; both counts only grow.
+/// Strikes that a request has from one target at one stage; both counts only grow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetStrikes {
     /// Short hash of the target's name.
     pub target: u64,
+    /// Stage that the target ran when it died.
+    pub stage: StageIndex,
     /// Times that the target died while it ran the request.
     pub strikes: u32,
     /// How many of them a whole run has shown to be another request's fault.
     pub cleared: u32,
 }
 
+/// A call of a request to a target, as the ledger sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SuspectCall<'a> {
+    /// The request.
+    pub fingerprint: CrashFingerprint,
+    /// Stage that is to run.
+    pub stage: StageIndex,
+    /// Target that is to run it.
+    pub target: &'a str,
+}
+
 /// What an entry tells its peers about a request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashRecord {
@@ -46,9 +60,9 @@
     pub remaining: Duration,
 }
 
-/// Short hash of a target's name.
-pub(crate) fn target_hash(target: &str) -> u64 {
-    let hash = blake3::hash(target.as_bytes());
+/// Short hash of a name.
+pub(crate) fn short_hash(name: &str) -> u64 {
+    let hash = blake3::hash(name.as_bytes());
     let mut short = [0; 8];
     short.copy_from_slice(&hash.as_bytes()[..8]);
     u64::from_le_bytes(short)
--- /dev/null
+++ b/crates/retry/tests/crash_ledger.rs
@@ -0,0 +1,260 @@
+//! A request that crashes its targets is stopped at the second; innocent neighbours finish.
+
+use {
+    proptest::{prelude::*, test_runner::RngSeed},
+    retry::{
+        CrashFingerprint, CrashLedger, CrashVerdict, LedgerSettings, RunEnd, RunPermit,
+        SuspectCall, fingerprint,
+    },
+    std::{
+        collections::BTreeSet,
+        time::{Duration, Instant},
+    },
+};
+
+const REQUESTS: usize = 5;
+const TARGETS: usize = 4;
+/// The request that crashes every target that runs it; all others are innocent.
+const CRASHER: usize = 0;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(53),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn request(number: usize) -> CrashFingerprint {
+    fingerprint("farm", "receipts", &number.to_le_bytes())
+}
+
+fn target(number: usize) -> String {
+    format!("t{number}")
+}
+
+/// Entries before the same targets, with what runs where.
+struct CrashTrial {
+    now: Instant,
+    ledgers: Vec<CrashLedger>,
+    /// Entry, request and target of each call.
+    running: Vec<(usize, usize, usize)>,
+    crashes: usize,
+}
+
+impl CrashTrial {
+    fn new(entries: usize) -> Self {
+        Self {
+            now: Instant::now(),
+            ledgers: vec![CrashLedger::new(LedgerSettings::default()); entries],
+            running: Vec::new(),
+            crashes: 0,
+        }
+    }
+
+    fn start(&mut self, entry: usize, number: usize, place: usize) -> RunPermit {
+        let target = target(place);
+        let call = SuspectCall {
+            fingerprint: request(number),
+            stage: 1,
+            target: &target,
+        };
+        let permit = self.ledgers[entry].permit(call, self.now);
+        if permit == RunPermit::Granted {
+            self.running.push((entry, number, place));
+        }
+        permit
+    }
+
+    /// Ends a call as its request does: the crasher takes its target along.
+    fn end(&mut self, place: usize) {
+        let call = self.running.swap_remove(place);
+        if call.1 != CRASHER {
+            self.finish(call, RunEnd::Whole);
+            return;
+        }
+        self.crashes += 1;
+        self.finish(call, RunEnd::TargetDied);
+        let (died, rest) = std::mem::take(&mut self.running)
+            .into_iter()
+            .partition(|other| other.2 == call.2);
+        self.running = rest;
+        for neighbour in died {
+            self.finish(neighbour, RunEnd::TargetDied);
+        }
+    }
+
+    fn finish(&mut self, (entry, number, place): (usize, usize, usize), end: RunEnd) {
+        let target = target(place);
+        let call = SuspectCall {
+            fingerprint: request(number),
+            stage: 1,
+            target: &target,
+        };
+        self.ledgers[entry].finish(call, end, self.now);
+    }
+
+    /// Every entry tells every other what it knows.
+    fn gossip(&mut self) {
+        for from in 0..self.ledgers.len() {
+            let records = self.ledgers[from].records(100, self.now);
+            for ledger in &mut self.ledgers {
+                for record in &records {
+                    ledger.merge(record, self.now);
+                }
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn no_third_target_crashes_and_innocents_finish(
+        steps in prop::collection::vec((any::<bool>(), 0..REQUESTS, 0..TARGETS), 1..200),
+    ) {
+        let mut trial = CrashTrial::new(1);
+        for (start, number, place) in steps {
+            trial.now += Duration::from_millis(100);
+            // An innocent that runs twice at once, each time beside the crasher, can't be told
+            // from it; so an innocent is sent again only when its last call has ended.
+            let again = number != CRASHER && trial.running.iter().any(|call| call.1 == number);
+            if start && !again {
+                trial.start(0, number, place);
+            } else if !trial.running.is_empty() {
+                trial.end(number % trial.running.len());
+            }
+            prop_assert!(trial.crashes <= 2);
+        }
+        while !trial.running.is_empty() {
+            trial.end(0);
+        }
+        prop_assert!(trial.crashes <= 2);
+        for number in (0..REQUESTS).filter(|number| *number != CRASHER) {
+            prop_assert_eq!(trial.start(0, number, 0), RunPermit::Granted);
+            trial.end(0);
+            prop_assert_eq!(trial.ledgers[0].verdict(&request(number), trial.now), CrashVerdict::Clear);
+        }
+    }
+
+    #[test]
+    fn entries_that_hear_of_each_other_stop_a_request_together(
+        steps in prop::collection::vec((0_usize..3, 0..REQUESTS, 0..TARGETS), 1..100),
+    ) {
+        let mut trial = CrashTrial::new(3);
+        for (entry, number, place) in steps {
+            trial.now += Duration::from_millis(100);
+            if trial.start(entry, number, place) == RunPermit::Granted {
+                trial.end(0);
+            }
+            trial.gossip();
+            let verdicts: BTreeSet<u8> = trial
+                .ledgers
+                .iter()
+                .map(|ledger| ledger.verdict(&request(CRASHER), trial.now) as u8)
+                .collect();
+            prop_assert_eq!(verdicts.len(), 1);
+        }
+        prop_assert!(trial.crashes <= 2);
+    }
+}
+
+#[test]
+fn a_crash_that_two_entries_report_counts_once() {
+    let mut trial = CrashTrial::new(2);
+    for entry in [0, 1] {
+        assert_eq!(trial.start(entry, 1, 0), RunPermit::Granted);
+    }
+    for call in std::mem::take(&mut trial.running) {
+        trial.finish(call, RunEnd::TargetDied);
+    }
+    trial.gossip();
+    for ledger in &trial.ledgers {
+        assert_eq!(
+            ledger.verdict(&request(1), trial.now),
+            CrashVerdict::Suspect
+        );
+    }
+}
+
+#[test]
+fn an_old_record_does_not_bring_a_cleared_strike_back() {
+    let mut trial = CrashTrial::new(2);
+    trial.start(0, 1, 0);
+    let call = trial.running.remove(0);
+    trial.finish(call, RunEnd::TargetDied);
+    let old = trial.ledgers[0].records(1, trial.now).remove(0);
+    assert_eq!(trial.start(0, 1, 1), RunPermit::Granted);
+    trial.end(0);
+    trial.ledgers[0].merge(&old, trial.now);
+    let verdict = trial.ledgers[0].verdict(&request(1), trial.now);
+    assert_eq!(verdict, CrashVerdict::Clear);
+}
+
+#[test]
+fn a_whole_run_of_another_stage_clears_nothing() {
+    let now = Instant::now();
+    let mut ledger = CrashLedger::new(LedgerSettings::default());
+    let call = |stage| SuspectCall {
+        fingerprint: request(1),
+        stage,
+        target: "t1",
+    };
+    for (stage, end) in [
+        (0, RunEnd::Whole),
+        (2, RunEnd::TargetDied),
+        (0, RunEnd::Whole),
+    ] {
+        assert_eq!(ledger.permit(call(stage), now), RunPermit::Granted);
+        ledger.finish(call(stage), end, now);
+    }
+    assert_eq!(ledger.verdict(&request(1), now), CrashVerdict::Suspect);
+}
+
+#[test]
+fn strikes_expire_and_peers_cannot_keep_them_alive() {
+    let mut trial = CrashTrial::new(2);
+    for place in [0, 1] {
+        trial.start(0, CRASHER, place);
+        trial.end(0);
+    }
+    let lifetime = LedgerSettings::default().lifetime;
+    let end = trial.now + lifetime;
+    while trial.now < end {
+        trial.gossip();
+        assert_eq!(trial.start(1, CRASHER, 2), RunPermit::Refused);
+        // A record is a little later at its receiver than at its sender.
+        trial.now += Duration::from_secs(10);
+    }
+    trial.now = end + Duration::from_secs(5);
+    for ledger in &trial.ledgers {
+        assert_eq!(
+            ledger.verdict(&request(CRASHER), trial.now),
+            CrashVerdict::Clear
+        );
+    }
+}
+
+#[test]
+fn memory_is_bounded_and_the_oldest_record_goes_first() {
+    let settings = LedgerSettings {
+        records: 10,
+        ..LedgerSettings::default()
+    };
+    let mut now = Instant::now();
+    let mut ledger = CrashLedger::new(settings);
+    for number in 0..50 {
+        now += Duration::from_secs(1);
+        let call = SuspectCall {
+            fingerprint: request(number),
+            stage: 0,
+            target: "t1",
+        };
+        ledger.permit(call, now);
+        ledger.finish(call, RunEnd::TargetDied, now);
+        assert!(ledger.len() <= 10);
+    }
+    assert_eq!(ledger.verdict(&request(39), now), CrashVerdict::Clear);
+    assert_eq!(ledger.verdict(&request(40), now), CrashVerdict::Suspect);
+}
--- /dev/null
+++ b/crates/retry/tests/retry_budget.rs
@@ -0,0 +1,66 @@
+//! Retries and hedges never take more than their share.
+
+use {
+    proptest::{prelude::*, test_runner::RngSeed},
+    retry::{BudgetSettings, HedgeCall, HedgePolicy, RetryBudget},
+    std::time::{Duration, Instant},
+};
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(59),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn retries_stay_within_the_budget(
+        steps in prop::collection::vec((any::<bool>(), 0_u64..500), 1..500),
+    ) {
+        let start = Instant::now();
+        let settings = BudgetSettings::default();
+        let mut budget = RetryBudget::new(settings, start);
+        let (mut now, mut successes, mut retries) = (start, 0.0, 0.0);
+        for (success, millis) in steps {
+            now += Duration::from_millis(millis);
+            if success {
+                budget.on_success();
+                successes += 1.0;
+            } else if budget.may_retry(now) {
+                retries += 1.0;
+            }
+            let floor = settings.floor_per_second * (now - start).as_secs_f64();
+            let allowed = settings.saved + settings.share * successes + floor;
+            prop_assert!(retries <= allowed + 1e-6);
+        }
+    }
+}
+
+#[test]
+fn low_traffic_can_retry() {
+    let mut now = Instant::now();
+    let mut budget = RetryBudget::new(BudgetSettings::default(), now);
+    while budget.may_retry(now) {}
+    now += Duration::from_secs(10);
+    assert!(budget.may_retry(now));
+}
+
+#[test]
+fn one_call_in_twenty_is_hedged() {
+    let mut policy = HedgePolicy::new();
+    let unary = HedgeCall {
+        idempotent: true,
+        streaming: false,
+    };
+    assert_eq!(policy.hedge_after(unary), None);
+    let latency = |call: u64| Duration::from_millis(50 + call * 37 % 100);
+    (0..1_000).for_each(|call| policy.observe(latency(call)));
+    let delay = policy.hedge_after(unary).unwrap();
+    let hedged = (0..1_000).filter(|call| latency(*call) > delay).count();
+    assert!((20..=60).contains(&hedged), "{hedged} of 1000");
+    let streamed = HedgeCall {
+        streaming: true,
+        ..unary
+    };
+    assert_eq!(policy.hedge_after(streamed), None);
+}
