--- a/crates/ctl/tests/cli.rs
+++ b/crates/ctl/tests/cli.rs
@@ -48,8 +48,9 @@
                 let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
                 sender.send(listener.local_addr().unwrap()).unwrap();
                 let handler = move |request| answer(request, events.clone());
+                let (_, closing) = tokio::sync::watch::channel(false);
                 tokio::select! {
-                    () = serve_http(listener, HttpLimits::default(), handler) => {}
+                    () = serve_http(listener, HttpLimits::default(), closing, handler) => {}
                     _ = stopped => {}
                 }
             });
--- a/crates/entry/src/data/call_guard.rs
+++ b/crates/entry/src/data/call_guard.rs
@@ -1,7 +1,7 @@
 use {
     crate::data::{EntryCore, pool_desk::CallResult},
-    base::{PoolId, TargetId},
-    retry::{CrashFingerprint, RunEnd},
+    base::{PoolId, StageIndex, TargetId},
+    retry::{CrashFingerprint, RunEnd, SuspectCall},
     route::CallOutcome,
     std::{
         rc::Rc,
@@ -15,26 +15,23 @@
     pool: PoolId,
     target: TargetId,
     fingerprint: CrashFingerprint,
+    stage: StageIndex,
     started: Instant,
     open: bool,
 }
 
 impl CallGuard {
-    /// Accounts for a call that is about to leave.
-    pub fn start(
-        core: &Rc<EntryCore>,
-        pool: impl Into<PoolId>,
-        target: impl Into<TargetId>,
-        fingerprint: CrashFingerprint,
-    ) -> Self {
+    /// Accounts for a call that the crash ledger has granted and that is about to leave.
+    pub fn start(core: &Rc<EntryCore>, pool: impl Into<PoolId>, call: SuspectCall<'_>) -> Self {
         let started = Instant::now();
-        let (pool, target) = (pool.into(), target.into());
-        core.pools.borrow_mut().started(&pool, &target, started);
+        let pool = pool.into();
+        core.pools.borrow_mut().started(&pool, call.target, started);
         Self {
             core: Rc::clone(core),
             pool,
-            target,
-            fingerprint,
+            target: call.target.to_string(),
+            fingerprint: call.fingerprint,
+            stage: call.stage,
             started,
             open: true,
         }
@@ -58,7 +55,12 @@
             .borrow_mut()
             .answered(&self.pool, &self.target, result, now);
         let mut crashes = self.core.crashes.borrow_mut();
-        crashes.finish(&self.fingerprint, &self.target, end, now);
+        let call = SuspectCall {
+            fingerprint: self.fingerprint,
+            stage: self.stage,
+            target: &self.target,
+        };
+        crashes.finish(call, end, now);
     }
 }
 
--- a/crates/entry/src/data/entry_core.rs
+++ b/crates/entry/src/data/entry_core.rs
@@ -13,7 +13,7 @@
     rand_chacha::ChaCha8Rng,
     retry::{
         BudgetSettings, CrashFingerprint, CrashLedger, CrashRecord, LedgerSettings, RetryBudget,
-        TargetStrikes, target_hash,
+        TargetStrikes, short_hash,
     },
     setup::MetricBoard,
     slog::Logger,
@@ -146,7 +146,8 @@
     CrashRecord {
         fingerprint,
         victims: vec![TargetStrikes {
-            target: target_hash(witness),
+            target: short_hash(witness),
+            stage: 0,
             strikes: u32::from(strikes),
             cleared: 0,
         }],
--- a/crates/entry/src/data/pool_desk.rs
+++ b/crates/entry/src/data/pool_desk.rs
@@ -15,6 +15,9 @@
     tokio::sync::oneshot,
 };
 
+/// Part of its equal share of a pool that an entry may always use, as a divisor.
+const LEAST_SHARE: u32 = 4;
+
 /// Gets the place of a call, or the reason why there is none.
 pub type PlaceSender = oneshot::Sender<Result<CallPlace, PlaceEnd>>;
 
@@ -86,7 +89,7 @@
         self.pools.retain(|pool, _| sheet.pools.contains_key(pool));
         for pool in sheet.pools.keys() {
             let specs = target_specs(sheet, view, pool);
-            let range = limit_range(&specs);
+            let range = limit_range(&specs, view.hosts.len());
             if !self.pools.contains_key(pool) {
                 let state = self.open_pool(sheet, pool, range, now);
                 self.pools.insert(pool.clone(), state);
@@ -279,11 +282,17 @@
     specs.collect()
 }
 
-/// An entry may use all that the targets can take; the limit finds out what others leave it.
-fn limit_range(specs: &[TargetSpec]) -> LimitRange {
+/// An entry may use all that the targets can take; the limit finds out what others leave it,
+/// but never falls below a part of its equal share.
+fn limit_range(specs: &[TargetSpec], entries: usize) -> LimitRange {
     let usable = specs.iter().filter(|spec| !spec.leaving);
     let max = usable.map(|spec| spec.capacity).sum::<u32>().max(1);
-    LimitRange { min: 1, max }
+    let entries = u32::try_from(entries.max(1)).unwrap_or(u32::MAX);
+    let min = max / entries.saturating_mul(LEAST_SHARE);
+    LimitRange {
+        min: min.max(1),
+        max,
+    }
 }
 
 /// Mean of what the sheet expects of the pool's stages.
--- a/crates/entry/src/data/stage_call.rs
+++ b/crates/entry/src/data/stage_call.rs
@@ -13,7 +13,7 @@
     base::{CallIdentity, FailureReason, PipelineId, RequestPriority, TargetId},
     limit::ReleaseOutcome,
     pipe::{CallFailure, CallOrder, PlanStage, RunEvent, UnsentProof},
-    retry::{CrashFingerprint, HedgeCall, RunEnd, RunPermit},
+    retry::{CrashFingerprint, HedgeCall, RunEnd, RunPermit, SuspectCall},
     route::{CallOutcome, Pick},
     stamp::EventKind,
     std::{
@@ -26,6 +26,8 @@
 
 /// Tokens that an engine's call is scaled to, so that long and short answers compare.
 const NOMINAL_TOKENS: f64 = 16.0;
+/// Pause before a suspect asks again whether it may run.
+const SUSPECT_PAUSE: Duration = Duration::from_millis(10);
 /// Bytes at the beginning of a prompt that an engine may have cached.
 const PREFIX_BYTES: usize = 256;
 
@@ -83,12 +85,11 @@
 
     async fn try_run(&self) -> Result<(), CallFailure> {
         let place = self.wait_place().await.map_err(|end| self.withheld(end))?;
-        let pick = self.pick_target()?;
+        let pick = self.pick_target().await?;
         let guard = CallGuard::start(
             &self.scope.core,
             &self.stage.pool,
-            &pick.target,
-            self.scope.fingerprint,
+            self.suspect_call(&pick.target),
         );
         self.record(EventKind::CallSent, &pick.target, "");
         self.make_call(pick, place, guard).await
@@ -114,38 +115,58 @@
     }
 
     /// A target that the request has not tried and may run on.
-    fn pick_target(&self) -> Result<Pick, CallFailure> {
+    async fn pick_target(&self) -> Result<Pick, CallFailure> {
         let scope = &self.scope;
-        let prefix = self.stage.engine.then(|| prefix_hash(&self.order.input));
+        let mut passed = Vec::new();
         loop {
             let now = Instant::now();
             if now >= scope.deadline {
                 return Err(self.unsent(FailureReason::DeadlinePassed));
             }
-            scope.core.refresh();
-            let mut pools = scope.core.pools.borrow_mut();
-            let tried = scope.tried.borrow().clone();
-            let Some(pick) = pools.pick(&self.stage.pool, prefix, &tried, now) else {
-                self.forget_tried()?;
+            let Some(pick) = self.pick_open(&passed, now) else {
+                if passed.is_empty() {
+                    self.forget_tried()?;
+                } else {
+                    passed.clear();
+                    actix_rt::time::sleep(SUSPECT_PAUSE).await;
+                }
                 continue;
             };
-            scope.tried.borrow_mut().push(pick.target.clone());
-            let permit =
-                scope
-                    .core
-                    .crashes
-                    .borrow_mut()
-                    .permit(&scope.fingerprint, &pick.target, now);
+            let call = self.suspect_call(&pick.target);
+            let permit = scope.core.crashes.borrow_mut().permit(call, now);
             match permit {
-                RunPermit::Granted => return Ok(pick),
-                RunPermit::Elsewhere => {}
-                RunPermit::Later | RunPermit::Refused => {
-                    return Err(self.unsent(FailureReason::CrashSuspect));
+                RunPermit::Granted => {
+                    scope.tried.borrow_mut().push(pick.target.clone());
+                    return Ok(pick);
                 }
+                RunPermit::Elsewhere | RunPermit::Later => passed.push(pick.target),
+                RunPermit::Refused => return Err(self.unsent(FailureReason::CrashSuspect)),
             }
         }
     }
 
+    /// A target that was neither tried nor passed over.
+    fn pick_open(&self, passed: &[TargetId], now: Instant) -> Option<Pick> {
+        let scope = &self.scope;
+        scope.core.refresh();
+        let prefix = self.stage.engine.then(|| prefix_hash(&self.order.input));
+        let mut closed = scope.tried.borrow().clone();
+        closed.extend_from_slice(passed);
+        scope
+            .core
+            .pools
+            .borrow_mut()
+            .pick(&self.stage.pool, prefix, &closed, now)
+    }
+
+    fn suspect_call<'a>(&self, target: &'a str) -> SuspectCall<'a> {
+        SuspectCall {
+            fingerprint: self.scope.fingerprint,
+            stage: self.order.stage,
+            target,
+        }
+    }
+
     /// Lets all tried targets but the last one be tried again.
     fn forget_tried(&self) -> Result<(), CallFailure> {
         let mut tried = self.scope.tried.borrow_mut();
@@ -160,12 +181,12 @@
     async fn make_call(
         &self,
         pick: Pick,
-        mut place: CallPlace,
+        place: CallPlace,
         guard: CallGuard,
     ) -> Result<(), CallFailure> {
         let scope = &self.scope;
         let call = self.target_call(&pick);
-        let mut report = CallReport::new(scope.events.clone());
+        let mut report = CallReport::new(scope.events.clone(), place);
         let end = {
             let calling = call.run(&scope.core.client, &mut report);
             tokio::pin!(calling);
@@ -193,9 +214,11 @@
                 .core
                 .note(ControlNote::TargetLeaving(pick.target.clone()));
         }
-        let elapsed = guard.elapsed();
+        let elapsed = guard.elapsed().saturating_sub(report.blocked);
         let scaled = scaled_time(elapsed, self.stage.engine, report.tokens);
-        place.note(release_outcome(&end), scaled);
+        if let Some(place) = &mut report.place {
+            place.note(release_outcome(&end), scaled);
+        }
         let load = report.word.load;
         guard.finish(
             CallResult {
--- a/crates/entry/src/data/target_call.rs
+++ b/crates/entry/src/data/target_call.rs
@@ -1,5 +1,5 @@
 use {
-    crate::data::{line_buffer::LineBuffer, target_client::TargetClient},
+    crate::data::{call_place::CallPlace, line_buffer::LineBuffer, target_client::TargetClient},
     actix_http::{StatusCode, header::HeaderMap},
     awc::{
         ClientRequest, ClientResponse,
@@ -14,13 +14,20 @@
     bytes::{Bytes, BytesMut},
     futures_util::{Stream, StreamExt},
     pipe::{CallFailure, RunEvent, UnsentProof},
-    std::{io::ErrorKind, str::FromStr, time::Duration},
-    tokio::sync::mpsc,
+    std::{
+        io::ErrorKind,
+        str::FromStr,
+        time::{Duration, Instant},
+    },
+    tokio::sync::mpsc::{self, error::TrySendError},
 };
 
 /// Bytes that one line of an engine's stream may have.
 const LINE_BYTES: usize = 256 * 1024;
 
+/// Time after which a caller that does not read counts as slow.
+const SLOW_TIME: Duration = Duration::from_millis(100);
+
 /// Everything that one call to a target needs.
 pub struct TargetCall {
     pub identity: CallIdentity,
@@ -44,18 +51,43 @@
 
 /// What is known of a call while it runs; tokens leave as they come.
 pub struct CallReport {
-    pub events: mpsc::Sender<RunEvent>,
     pub word: TargetWord,
     pub tokens: u64,
+    /// Time for which the call waited for its own caller.
+    pub blocked: Duration,
+    /// Right to make the call, unless its caller reads too slowly to need it.
+    pub place: Option<CallPlace>,
+    events: mpsc::Sender<RunEvent>,
 }
 
 impl CallReport {
-    pub fn new(events: mpsc::Sender<RunEvent>) -> Self {
+    pub fn new(events: mpsc::Sender<RunEvent>, place: CallPlace) -> Self {
         Self {
-            events,
             word: TargetWord::default(),
             tokens: 0,
+            blocked: Duration::ZERO,
+            place: Some(place),
+            events,
+        }
+    }
+
+    /// Passes a token on; a caller that reads slowly keeps no place from others.
+    async fn pass(&mut self, token: RunEvent) {
+        self.tokens += 1;
+        let Err(TrySendError::Full(token)) = self.events.try_send(token) else {
+            return;
+        };
+        let start = Instant::now();
+        let sending = self.events.send(token);
+        tokio::pin!(sending);
+        if actix_rt::time::timeout(SLOW_TIME, &mut sending)
+            .await
+            .is_err()
+        {
+            self.place = None;
+            let _ = sending.await;
         }
+        self.blocked += start.elapsed();
     }
 }
 
@@ -164,10 +196,7 @@
                 match self.run_event(event, &mut begun)? {
                     None => {}
                     Some(end @ RunEvent::Ended { .. }) => return Ok(end),
-                    Some(token) => {
-                        report.tokens += 1;
-                        let _ = report.events.send(token).await;
-                    }
+                    Some(token) => report.pass(token).await,
                 }
             }
         }
--- a/crates/retry/src/crash_ledger.rs
+++ b/crates/retry/src/crash_ledger.rs
@@ -136,11 +136,11 @@
 
     /// Records how a granted call ended.
     pub fn finish(&mut self, call: SuspectCall<'_>, end: RunEnd, now: Instant) {
-        self.running.remove(call);
+        let struck = self.running.remove(call);
         match end {
             RunEnd::Whole => self.absolve(call, now),
-            RunEnd::TargetDied => self.strike(call, now),
-            RunEnd::Other => {}
+            RunEnd::TargetDied if !struck => self.strike(call, now),
+            RunEnd::TargetDied | RunEnd::Other => {}
         }
     }
 
@@ -212,6 +212,7 @@
         let entry = self.live_entry(&call.fingerprint, now);
         entry.until = entry.until.max(until);
         entry.strike(call);
+        self.running.mark_struck(call);
         self.make_room();
     }
 
--- a/crates/retry/src/crash_record.rs
+++ b/crates/retry/src/crash_record.rs
@@ -60,15 +60,9 @@
     pub remaining: Duration,
 }
 
-<<<<<<< HEAD
-/// Short hash of a target's name.
-pub fn target_hash(target: &str) -> u64 {
-    let hash = blake3::hash(target.as_bytes());
-=======
 /// Short hash of a name.
 pub fn short_hash(name: &str) -> u64 {
     let hash = blake3::hash(name.as_bytes());
->>>>>>> limit
     let mut short = [0; 8];
     short.copy_from_slice(&hash.as_bytes()[..8]);
     u64::from_le_bytes(short)
--- a/crates/retry/src/running_calls.rs
+++ b/crates/retry/src/running_calls.rs
@@ -4,35 +4,60 @@
     std::collections::{BTreeMap, BTreeSet},
 };
 
+/// A call that runs now.
+#[derive(Debug, Clone)]
+struct RunningCall {
+    stage: StageIndex,
+    target: TargetId,
+    /// True if another copy has already struck for the death of the target.
+    struck: bool,
+}
+
 /// Calls that run now, by request.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct RunningCalls {
-    calls: BTreeMap<CrashFingerprint, Vec<(StageIndex, TargetId)>>,
+    calls: BTreeMap<CrashFingerprint, Vec<RunningCall>>,
 }
 
 impl RunningCalls {
     pub fn insert(&mut self, call: SuspectCall<'_>) {
         let running = self.calls.entry(call.fingerprint).or_default();
-        running.push((call.stage, call.target.to_string()));
+        running.push(RunningCall {
+            stage: call.stage,
+            target: call.target.to_string(),
+            struck: false,
+        });
     }
 
-    pub fn remove(&mut self, call: SuspectCall<'_>) {
+    /// Takes the call out; true if another copy has struck for the death of its target.
+    pub fn remove(&mut self, call: SuspectCall<'_>) -> bool {
         let Some(running) = self.calls.get_mut(&call.fingerprint) else {
-            return;
+            return false;
         };
-        let same = |row: &(StageIndex, TargetId)| row.0 == call.stage && row.1 == call.target;
-        if let Some(place) = running.iter().position(same) {
+        let same = |row: &RunningCall| row.stage == call.stage && row.target == call.target;
+        let struck = running.iter().position(|row| same(row) && row.struck);
+        let place = struck.or_else(|| running.iter().position(same));
+        if let Some(place) = place {
             running.swap_remove(place);
         }
         if running.is_empty() {
             self.calls.remove(&call.fingerprint);
         }
+        struck.is_some()
+    }
+
+    /// Notes that the copies of the request on a target that died share one strike.
+    pub fn mark_struck(&mut self, call: SuspectCall<'_>) {
+        let running = self.calls.get_mut(&call.fingerprint).into_iter().flatten();
+        for row in running.filter(|row| row.target == call.target) {
+            row.struck = true;
+        }
     }
 
     /// Targets that the request runs on, other than this one.
     pub fn other_targets(&self, call: SuspectCall<'_>) -> usize {
         let running = self.calls.get(&call.fingerprint).into_iter().flatten();
-        let targets: BTreeSet<&str> = running.map(|(_, target)| target.as_str()).collect();
+        let targets: BTreeSet<&str> = running.map(|row| row.target.as_str()).collect();
         targets
             .into_iter()
             .filter(|&target| target != call.target)
@@ -45,8 +70,7 @@
 
     /// Requests that run on the target.
     pub fn on_target<'a>(&'a self, target: &'a str) -> impl Iterator<Item = &'a CrashFingerprint> {
-        let runs_there =
-            move |rows: &[(StageIndex, TargetId)]| rows.iter().any(|row| row.1 == target);
+        let runs_there = move |rows: &[RunningCall]| rows.iter().any(|row| row.target == target);
         self.calls
             .iter()
             .filter(move |(_, rows)| runs_there(rows))
--- a/crates/retry/tests/crash_ledger.rs
+++ b/crates/retry/tests/crash_ledger.rs
@@ -258,3 +258,25 @@
     assert_eq!(ledger.verdict(&request(39), now), CrashVerdict::Clear);
     assert_eq!(ledger.verdict(&request(40), now), CrashVerdict::Suspect);
 }
+
+#[test]
+fn copies_on_one_target_share_one_strike_for_its_death() {
+    let now = Instant::now();
+    let mut ledger = CrashLedger::new(LedgerSettings::default());
+    let request = fingerprint("farm", "read", b"the same words");
+    let call = SuspectCall {
+        fingerprint: request,
+        stage: 0,
+        target: "t1",
+    };
+    for _ in 0..3 {
+        assert_eq!(ledger.permit(call, now), RunPermit::Granted);
+    }
+    for _ in 0..3 {
+        ledger.finish(call, RunEnd::TargetDied, now);
+    }
+    assert_eq!(ledger.verdict(&request, now), CrashVerdict::Suspect);
+    assert_eq!(ledger.permit(call, now), RunPermit::Granted);
+    ledger.finish(call, RunEnd::TargetDied, now);
+    assert_eq!(ledger.verdict(&request, now), CrashVerdict::Refused);
+}
