Isolate hosts for real, and publish sheets of the design size

Cause: heartbeats state an entry's own address, so peers went round a proxy that stood only in the host list; a sheet of 31,000 customers is larger than one value may be.

Change: a proxy starts before its entry and is told later where to carry things (`POST /to`), and the entry advertises the proxy's address. The isolation test asserts that peers take the host for dead and find it again. Sheets are published in parts of 2,000 customers. `start_program` starts any program that takes a settings file.

Ruled out: reserving a port for the entry, which another process may take.

--- a/crates/proofs/src/fleet_faults.rs
+++ b/crates/proofs/src/fleet_faults.rs
@@ -2,7 +2,7 @@
     crate::{FleetHarness, fleet_harness::PLATFORM, process_table::ProcessTable},
     base::{HostState, TargetMark},
     serde::Serialize,
-    stand::{PlatformFault, ProxyFault},
+    stand::{PlatformFault, ProxyFault, ProxyTarget},
 };
 
 /// Faults that a test causes.
@@ -89,4 +89,19 @@
         }
         Ok(())
     }
+
+    /// Sets where the proxy of a host or target carries things.
+    pub(crate) async fn aim_proxy(&self, name: &str, to: &str) -> anyhow::Result<()> {
+        let operators = self
+            .process(&ProcessTable::proxy_name(name))
+            .address("operators");
+        let address = Some(to.parse()?);
+        let target = ProxyTarget {
+            tcp: address,
+            udp: address,
+        };
+        let url = format!("http://{operators}/to");
+        self.probe().post(&url, &target).await?;
+        Ok(())
+    }
 }
--- a/crates/proofs/src/fleet_harness.rs
+++ b/crates/proofs/src/fleet_harness.rs
@@ -95,7 +95,7 @@
     ) -> anyhow::Result<SheetVersion> {
         change(&mut self.rows);
         self.version += 1;
-        let parts = [toml::to_string(&self.rows)?];
+        let parts = SheetPublisher::parts_of(&self.rows)?;
         self.publisher().publish(self.version, &parts).await?;
         Ok(self.version)
     }
@@ -147,6 +147,23 @@
         self.processes.get_mut(name)
     }
 
+    /// Starts a further program of the system with a settings file, under a name.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not start.
+    pub async fn start_program(
+        &mut self,
+        name: &str,
+        program: &str,
+        settings: &str,
+    ) -> anyhow::Result<&ChildProcess> {
+        let path = self.processes.path(&format!("{name}.toml"));
+        fs::write(&path, settings)?;
+        let arguments = [PathBuf::from("--settings"), path];
+        self.processes.start(name, program, arguments).await
+    }
+
     /// Starts an entry again under its old host name at new addresses, and publishes them.
     ///
     /// # Errors
@@ -222,26 +239,23 @@
 
     async fn start_entry(&mut self, entry: &EntryPlan) -> anyhow::Result<()> {
         let platform = self.process(PLATFORM).address("service");
-        let settings = self.processes.path(&format!("{}.toml", entry.host));
-        fs::write(&settings, entry.settings_text(&platform))?;
-        let arguments = [PathBuf::from("--settings"), settings];
-        let process = self
-            .processes
-            .start(&entry.host, "camphor-entry", arguments);
+        let mut advertise = None;
+        if entry.proxied {
+            advertise = Some(self.processes.start_proxy(&entry.host).await?);
+        }
+        let text = entry.settings_text(&platform, advertise.as_deref());
+        let process = self.start_program(&entry.host, "camphor-entry", &text);
         let process = process.await?;
         let callers = process.address("callers");
-        let mut peers = process.address("peers");
+        let peers = process.address("peers");
         if entry.proxied {
-            peers = self
-                .processes
-                .start_proxy(&entry.host, &peers, true)
-                .await?;
+            self.aim_proxy(&entry.host, &peers).await?;
         }
         let row = HostRow {
             host: entry.host.clone(),
             data_centre: entry.data_centre.clone(),
             callers,
-            peers,
+            peers: advertise.unwrap_or(peers),
             size: entry.size,
             state: HostState::Live,
         };
@@ -273,10 +287,9 @@
         let mut row = target.row.clone();
         row.address = self.target_address(name);
         if target.proxied {
-            row.address = self
-                .processes
-                .start_proxy(name, &row.address, false)
-                .await?;
+            let address = self.processes.start_proxy(name).await?;
+            self.aim_proxy(name, &row.address).await?;
+            row.address = address;
         }
         self.rows.target.push(row);
         Ok(())
--- a/crates/proofs/src/fleet_plan.rs
+++ b/crates/proofs/src/fleet_plan.rs
@@ -25,8 +25,17 @@
 }
 
 impl EntryPlan {
-    /// Text of the settings file, given the address of the configuration service.
-    pub(crate) fn settings_text(&self, platform: &str) -> String {
+    /// Text of the settings file, given the address of the configuration service and, where it
+    /// is not the one it listens on, the address that peers reach the entry under.
+    ///
+    /// ```
+    /// let plan = proofs::FleetPlan::new(1);
+    /// let text = plan.entries[0].settings_text("127.0.0.1:4000", None);
+    /// assert!(text.starts_with("host = \"h1\"\n"));
+    /// ```
+    pub fn settings_text(&self, platform: &str, advertise: Option<&str>) -> String {
+        let advertise = advertise.map(|address| format!("advertise = \"{address}\"\n"));
+        let advertise = advertise.unwrap_or_default();
         let (host, data_centre, size) = (&self.host, &self.data_centre, self.size);
         let further = &self.settings;
         format!(
@@ -34,7 +43,7 @@
              [listen]\ncallers = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
              operators = \"127.0.0.1:0\"\n\n\
              [platform]\naddress = \"{platform}\"\n\n\
-             [peers]\nkey = \"{PEER_KEY}\"\n\n\
+             [peers]\nkey = \"{PEER_KEY}\"\n{advertise}\n\
              [log]\nlevel = \"info\"\n\n{further}"
         )
     }
--- a/crates/proofs/src/process_table.rs
+++ b/crates/proofs/src/process_table.rs
@@ -41,14 +41,12 @@
         Ok(())
     }
 
-    /// Starts a proxy before the address of a host or target; returns the proxy's address.
-    pub async fn start_proxy(&mut self, name: &str, to: &str, udp: bool) -> anyhow::Result<String> {
+    /// Starts the proxy of a host or target, which carries nothing yet; returns its address.
+    pub async fn start_proxy(&mut self, name: &str) -> anyhow::Result<String> {
         let name = Self::proxy_name(name);
-        let mut arguments = vec!["proxy", "--name", &name, "--tcp-to", to];
-        if udp {
-            arguments.extend(["--udp-to", to]);
+        if !self.processes.contains_key(&name) {
+            self.start_stand(&name, &["proxy", "--name", &name]).await?;
         }
-        self.start_stand(&name, &arguments).await?;
         Ok(self.get(&name).address("proxy"))
     }
 
--- a/crates/proofs/tests/entries.rs
+++ b/crates/proofs/tests/entries.rs
@@ -3,7 +3,8 @@
 use {
     base::{HostState, StreamEvent},
     futures_util::future::join_all,
-    proofs::{FleetHarness, FleetPlan, RunRequest, TestCaller},
+    proofs::{FleetHarness, FleetPlan, RunRequest, TestCaller, wait_until},
+    serde::Deserialize,
     serde_json::json,
     stand::{CallOutcome, EchoRule, EchoStage},
     std::time::Duration,
@@ -14,6 +15,26 @@
 /// Time after which a leaving target must get no new work: a few seconds.
 const LEAVING_LIMIT: Duration = Duration::from_secs(5);
 
+/// What an entry thinks of another.
+#[derive(Deserialize)]
+struct MemberState {
+    entry: MemberName,
+    suspect: bool,
+}
+
+#[derive(Deserialize)]
+struct MemberName {
+    host: String,
+}
+
+/// Hosts that an entry takes for dead.
+async fn suspects(fleet: &FleetHarness, host: &str) -> Vec<String> {
+    let url = format!("{}/members", fleet.operators(host));
+    let members: Vec<MemberState> = fleet.probe().get(&url).await.unwrap_or_default();
+    let suspects = members.into_iter().filter(|member| member.suspect);
+    suspects.map(|member| member.entry.host).collect()
+}
+
 /// Right answer of the pipeline `read`.
 fn read_answer(request: &str, input: &[u8]) -> Vec<u8> {
     let stages = [EchoStage::Plain(String::from("encode")), EchoStage::Engine];
@@ -105,14 +126,14 @@
 async fn target_marked_as_leaving_gets_no_new_work() -> anyhow::Result<()> {
     let mut fleet = FleetHarness::start(FleetPlan::small(1)).await?;
     let mut round = 0;
-    proofs::wait_until("the target is used", LIMIT, async || {
+    wait_until("the target is used", LIMIT, async || {
         round += 1;
         let calls = calls_of_round(&fleet, "encode1", round).await;
         calls.is_ok_and(|calls| calls > 0)
     })
     .await?;
     fleet.mark_target("encode1", HostState::Leaving).await?;
-    proofs::wait_until("the target gets no call", LEAVING_LIMIT, async || {
+    wait_until("the target gets no call", LEAVING_LIMIT, async || {
         round += 1;
         let calls = calls_of_round(&fleet, "encode1", round).await;
         calls.is_ok_and(|calls| calls == 0)
@@ -129,6 +150,12 @@
 async fn isolated_host_serves_its_callers_and_comes_back() -> anyhow::Result<()> {
     let mut fleet = FleetHarness::start(FleetPlan::small(3).proxied()).await?;
     fleet.isolate("h3").await?;
+    for host in ["h1", "h2"] {
+        wait_until("the isolated host is suspect", LIMIT, async || {
+            suspects(&fleet, host).await == ["h3"]
+        })
+        .await?;
+    }
     let caller = TestCaller::new();
     for host in ["h1", "h2", "h3"] {
         let request = RunRequest::new("farm", "look", format!("r-{host}"), b"hay");
@@ -139,6 +166,10 @@
     fleet.rejoin().await?;
     for host in ["h1", "h2", "h3"] {
         fleet.wait_sheet(host, version, LIMIT).await?;
+        wait_until("nobody is suspect", LIMIT, async || {
+            suspects(&fleet, host).await.is_empty()
+        })
+        .await?;
     }
     Ok(())
 }
--- a/crates/stand/src/proxy_fault.rs
+++ b/crates/stand/src/proxy_fault.rs
@@ -34,3 +34,13 @@
     /// What happens on the way from the server.
     pub from: FlowFault,
 }
+
+/// Body of the proxy's `POST /to`: where it carries things from now on.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ProxyTarget {
+    /// Server of new connections; without one they are reset.
+    pub tcp: Option<SocketAddr>,
+    /// Server of datagrams; without one they are lost.
+    pub udp: Option<SocketAddr>,
+}
--- a/crates/stand/src/serve/proxy.rs
+++ b/crates/stand/src/serve/proxy.rs
@@ -6,12 +6,12 @@
         stand_server::{CallerEnd, serve_stand},
     },
     actix_http::{Method, Request, StatusCode},
-    anyhow::{Context, ensure},
+    anyhow::Context,
     rand::SeedableRng,
     rand_chacha::ChaCha8Rng,
     setup::{HttpReply, ReadyLine, json_reply, read_body, text_reply},
-    stand::ProxyFault,
-    std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration},
+    stand::{ProxyFault, ProxyTarget},
+    std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         net::{TcpListener, UdpSocket},
         sync::watch,
@@ -20,10 +20,10 @@
 
 /// Attempts to find a port that is free over TCP and UDP alike.
 const PORT_ATTEMPTS: usize = 64;
-/// Longest fault that is read, in bytes.
-const FAULT_LIMIT: usize = 64 * 1024;
-/// Time in which a fault must arrive.
-const FAULT_TIME: Duration = Duration::from_secs(5);
+/// Longest body that is read, in bytes.
+const BODY_LIMIT: usize = 64 * 1024;
+/// Time in which a body must arrive.
+const BODY_TIME: Duration = Duration::from_secs(5);
 
 /// A proxy that injects faults into connections and datagrams.
 #[derive(argh::FromArgs)]
@@ -35,10 +35,10 @@
     /// address to listen at, the same port over TCP and UDP
     #[argh(option, default = "String::from(\"127.0.0.1:0\")")]
     listen: String,
-    /// address that connections go to
+    /// address that connections go to; may be set later
     #[argh(option)]
     tcp_to: Option<SocketAddr>,
-    /// address that datagrams go to
+    /// address that datagrams go to; may be set later
     #[argh(option)]
     udp_to: Option<SocketAddr>,
     /// seed of the random choices
@@ -46,21 +46,31 @@
     seed: u64,
 }
 
+/// What operators change while the proxy runs.
+struct ProxyDesk {
+    faults: watch::Sender<ProxyFault>,
+    target: Rc<Cell<ProxyTarget>>,
+}
+
 /// Runs a proxy.
 pub async fn run_proxy(args: ProxyArgs) -> anyhow::Result<()> {
-    let some = args.tcp_to.is_some() || args.udp_to.is_some();
-    ensure!(some, "give --tcp-to, --udp-to or both");
     let (listener, socket) = bind_both(&args.listen).await?;
     let control = TcpListener::bind("127.0.0.1:0").await?;
     ReadyLine::new("camphor-stand", &args.name)
         .at("proxy", listener.local_addr()?)
         .at("operators", control.local_addr()?)
         .print()?;
-    let faults = watch::Sender::new(ProxyFault::default());
-    let generator = Rc::new(RefCell::new(ChaCha8Rng::seed_from_u64(args.seed)));
-    let (for_tcp, for_udp) = (faults.subscribe(), faults.subscribe());
-    let faults = Rc::new(faults);
-    let handler = move |request| answer(Rc::clone(&faults), request);
+    let target = Rc::new(Cell::new(ProxyTarget {
+        tcp: args.tcp_to,
+        udp: args.udp_to,
+    }));
+    let desk = Rc::new(ProxyDesk {
+        faults: watch::Sender::new(ProxyFault::default()),
+        target: Rc::clone(&target),
+    });
+    let generator = ChaCha8Rng::seed_from_u64(args.seed);
+    let (for_tcp, for_udp) = (desk.faults.subscribe(), desk.faults.subscribe());
+    let handler = move |request| Rc::clone(&desk).answer(request);
     tokio::join!(
         serve_stand(
             control,
@@ -68,20 +78,32 @@
             CallerEnd::Answers,
             handler
         ),
-        async {
-            if let Some(to) = args.tcp_to {
-                serve_tcp(listener, to, for_tcp).await;
-            }
-        },
-        async {
-            if let Some(to) = args.udp_to {
-                serve_udp(socket, to, for_udp, generator).await;
-            }
-        },
+        serve_tcp(listener, Rc::clone(&target), for_tcp),
+        serve_udp(socket, target, for_udp, generator),
     );
     Ok(())
 }
 
+impl ProxyDesk {
+    async fn answer(self: Rc<Self>, mut request: Request) -> HttpReply {
+        let body = read_body(request.take_payload(), BODY_LIMIT, BODY_TIME).await;
+        let body = body.unwrap_or_default();
+        let outcome = match (request.method(), request.path()) {
+            (&Method::POST, "/fault") => {
+                serde_json::from_slice(&body).map(|fault| drop(self.faults.send_replace(fault)))
+            }
+            (&Method::POST, "/to") => {
+                serde_json::from_slice(&body).map(|target| self.target.set(target))
+            }
+            _ => Ok(()),
+        };
+        match outcome {
+            Ok(()) => json_reply(StatusCode::OK, &*self.faults.borrow()),
+            Err(error) => text_reply(StatusCode::BAD_REQUEST, error.to_string()),
+        }
+    }
+}
+
 /// Binds the same port over TCP and UDP.
 async fn bind_both(listen: &str) -> anyhow::Result<(TcpListener, UdpSocket)> {
     let mut last: Option<io::Error> = None;
@@ -94,14 +116,3 @@
     }
     Err(last.context("no attempt")?.into())
 }
-
-async fn answer(faults: Rc<watch::Sender<ProxyFault>>, mut request: Request) -> HttpReply {
-    if request.method() == Method::POST && request.path() == "/fault" {
-        let body = read_body(request.take_payload(), FAULT_LIMIT, FAULT_TIME).await;
-        match serde_json::from_slice(&body.unwrap_or_default()) {
-            Ok(fault) => drop(faults.send_replace(fault)),
-            Err(error) => return text_reply(StatusCode::BAD_REQUEST, error.to_string()),
-        }
-    }
-    json_reply(StatusCode::OK, &*faults.borrow())
-}
--- a/crates/stand/src/serve/proxy_tcp.rs
+++ b/crates/stand/src/serve/proxy_tcp.rs
@@ -1,7 +1,7 @@
 use {
     bytes::Bytes,
-    stand::{FlowFault, ProxyFault},
-    std::{io, net::SocketAddr, time::Duration},
+    stand::{FlowFault, ProxyFault, ProxyTarget},
+    std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{
@@ -26,21 +26,29 @@
 type FlowSide = fn(&ProxyFault) -> &FlowFault;
 
 /// Carries connections to a server, with faults.
-pub async fn serve_tcp(listener: TcpListener, to: SocketAddr, faults: watch::Receiver<ProxyFault>) {
+pub async fn serve_tcp(
+    listener: TcpListener,
+    target: Rc<Cell<ProxyTarget>>,
+    faults: watch::Receiver<ProxyFault>,
+) {
     loop {
         match listener.accept().await {
-            Ok((client, _)) => drop(actix_rt::spawn(carry(client, to, faults.clone()))),
+            Ok((client, _)) => drop(actix_rt::spawn(carry(
+                client,
+                target.get().tcp,
+                faults.clone(),
+            ))),
             Err(_) => actix_rt::time::sleep(ACCEPT_PAUSE).await,
         }
     }
 }
 
 /// Carries one connection; unless both directions end well, both sides are reset.
-async fn carry(mut client: TcpStream, to: SocketAddr, faults: watch::Receiver<ProxyFault>) {
-    let dialled = if faults.borrow().cut {
-        Err(io::ErrorKind::ConnectionReset.into())
-    } else {
-        TcpStream::connect(to).await
+async fn carry(mut client: TcpStream, to: Option<SocketAddr>, faults: watch::Receiver<ProxyFault>) {
+    let refused = faults.borrow().cut;
+    let dialled = match to {
+        Some(to) if !refused => TcpStream::connect(to).await,
+        _ => Err(io::ErrorKind::ConnectionReset.into()),
     };
     let Ok(mut server) = dialled else {
         let _ = client.set_zero_linger();
--- a/crates/stand/src/serve/proxy_udp.rs
+++ b/crates/stand/src/serve/proxy_udp.rs
@@ -2,8 +2,15 @@
     bytes::Bytes,
     rand::Rng,
     rand_chacha::ChaCha8Rng,
-    stand::{FlowFault, ProxyFault},
-    std::{cell::RefCell, collections::BTreeMap, io, net::SocketAddr, rc::Rc, time::Duration},
+    stand::{FlowFault, ProxyFault, ProxyTarget},
+    std::{
+        cell::{Cell, RefCell},
+        collections::BTreeMap,
+        io,
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
     tokio::{net::UdpSocket, sync::watch},
 };
 
@@ -12,21 +19,18 @@
 /// Senders that the proxy keeps apart; datagrams of further ones are lost.
 const FLOW_LIMIT: usize = 1_024;
 
-/// Random generator that all datagrams share.
-type SharedGenerator = Rc<RefCell<ChaCha8Rng>>;
-
 /// Carries datagrams to a server and its replies back, with faults.
 pub async fn serve_udp(
     socket: UdpSocket,
-    to: SocketAddr,
+    target: Rc<Cell<ProxyTarget>>,
     faults: watch::Receiver<ProxyFault>,
-    generator: SharedGenerator,
+    generator: ChaCha8Rng,
 ) {
     let carrier = Rc::new(DatagramCarrier {
         socket,
-        to,
+        target,
         faults,
-        generator,
+        generator: RefCell::new(generator),
         flows: RefCell::default(),
     });
     let mut buffer = vec![0; DATAGRAM_BYTES];
@@ -40,19 +44,23 @@
 
 struct DatagramCarrier {
     socket: UdpSocket,
-    to: SocketAddr,
+    target: Rc<Cell<ProxyTarget>>,
     faults: watch::Receiver<ProxyFault>,
-    generator: SharedGenerator,
+    generator: RefCell<ChaCha8Rng>,
     /// One socket towards the server for each client, so that replies find their way back.
     flows: RefCell<BTreeMap<SocketAddr, Rc<UdpSocket>>>,
 }
 
 impl DatagramCarrier {
     async fn carry_to(self: &Rc<Self>, client: SocketAddr, datagram: &Bytes) {
+        let Some(to) = self.target.get().udp else {
+            return;
+        };
         let known = self.flows.borrow().get(&client).cloned();
+        let known = known.filter(|flow| flow.peer_addr().is_ok_and(|address| address == to));
         let flow = match known {
             Some(flow) => Some(flow),
-            None => self.open_flow(client).await.ok(),
+            None => self.open_flow(client, to).await.ok(),
         };
         let Some(flow) = flow else {
             return;
@@ -67,13 +75,17 @@
         }
     }
 
-    async fn open_flow(self: &Rc<Self>, client: SocketAddr) -> io::Result<Rc<UdpSocket>> {
+    async fn open_flow(
+        self: &Rc<Self>,
+        client: SocketAddr,
+        to: SocketAddr,
+    ) -> io::Result<Rc<UdpSocket>> {
         if self.flows.borrow().len() >= FLOW_LIMIT {
             return Err(io::ErrorKind::QuotaExceeded.into());
         }
-        let flow = UdpSocket::bind((self.to.ip(), 0)).await;
+        let flow = UdpSocket::bind((to.ip(), 0)).await;
         let flow = Rc::new(flow?);
-        flow.connect(self.to).await?;
+        flow.connect(to).await?;
         self.flows.borrow_mut().insert(client, Rc::clone(&flow));
         actix_rt::spawn(Rc::clone(self).carry_replies(Rc::clone(&flow), client));
         Ok(flow)
--- a/crates/stand/src/sheet_publisher.rs
+++ b/crates/stand/src/sheet_publisher.rs
@@ -2,12 +2,15 @@
     anyhow::{Context, ensure},
     awc::Client,
     base::{HostList, SheetVersion},
-    sheet::{IndexPart, SheetIndex},
+    sheet::{IndexPart, SheetIndex, SheetPart},
 };
 
 /// Key of the index value.
 const INDEX_KEY: &str = "sheet/index";
 
+/// Customers that stand in one part.
+const PART_CUSTOMERS: usize = 2_000;
+
 /// Publishes sheets and host lists at the platform stand-in, as operators do.
 pub struct SheetPublisher {
     client: Client,
@@ -33,6 +36,32 @@
         }
     }
 
+    /// Texts of a sheet's parts, each far below the size that the service holds.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the rows can't be written as TOML.
+    ///
+    /// ```
+    /// let parts = stand::SheetPublisher::parts_of(&sheet::SheetPart::default()).unwrap();
+    /// assert_eq!(parts.len(), 1);
+    /// ```
+    pub fn parts_of(rows: &SheetPart) -> Result<Vec<String>, toml::ser::Error> {
+        let (first, further) = rows
+            .customer
+            .split_at(rows.customer.len().min(PART_CUSTOMERS));
+        let first = SheetPart {
+            customer: first.to_vec(),
+            ..rows.clone()
+        };
+        let further = further.chunks(PART_CUSTOMERS).map(|customer| SheetPart {
+            customer: customer.to_vec(),
+            ..SheetPart::default()
+        });
+        let parts = std::iter::once(first).chain(further);
+        parts.map(|part| toml::to_string(&part)).collect()
+    }
+
     /// Index of a sheet whose parts are stored under `sheet/{version}/{n}`.
     ///
     /// ```
--- a/crates/stand/tests/platform.rs
+++ b/crates/stand/tests/platform.rs
@@ -3,10 +3,11 @@
 mod common;
 
 use {
-    base::{HostList, HostState, TargetMark},
+    base::{HostList, HostState, RequestPriority, TargetMark},
     common::{LIMIT, start},
     proofs::{ChildProcess, JsonProbe, wait_until},
     serde_json::json,
+    sheet::{CustomerRow, SheetIndex, SheetPart},
     stand::SheetPublisher,
     std::{
         collections::BTreeMap,
@@ -105,11 +106,11 @@
     let parts = [String::from("# one\n"), String::from("# two\n")];
     let index = platform.publisher.publish(3, &parts).await?;
     let text = platform.read("values/sheet/index").await?;
-    assert_eq!(toml::from_str::<sheet::SheetIndex>(&text)?, index);
+    assert_eq!(toml::from_str::<SheetIndex>(&text)?, index);
     for (row, part) in index.part.iter().zip(&parts) {
         let text = platform.read(&format!("values/{}", row.key)).await?;
         assert_eq!(&text, part);
-        assert_eq!(sheet::SheetIndex::part_digest(&text), row.digest);
+        assert_eq!(SheetIndex::part_digest(&text), row.digest);
     }
     Ok(())
 }
@@ -140,3 +141,28 @@
     assert!(started.elapsed() >= lag);
     Ok(())
 }
+
+#[actix_rt::test]
+async fn sheet_of_the_design_size_fits_the_service() -> anyhow::Result<()> {
+    let platform = PlatformProbe::start().await?;
+    let customers = (0..31_000).map(|number| CustomerRow {
+        name: format!("organisation-{number}"),
+        weight: 1,
+        priority: RequestPriority::Normal,
+        credential: blake3::hash(b"secret").to_hex().to_string(),
+        entries: None,
+    });
+    let rows = SheetPart {
+        customer: customers.collect(),
+        ..SheetPart::default()
+    };
+    let parts = SheetPublisher::parts_of(&rows)?;
+    let index = platform.publisher.publish(1, &parts).await?;
+    let mut read = Vec::new();
+    for row in &index.part {
+        let text = platform.read(&format!("values/{}", row.key)).await?;
+        read.extend(toml::from_str::<SheetPart>(&text)?.customer);
+    }
+    assert_eq!(read, rows.customer);
+    Ok(())
+}
