Prove the graceful shutdown, and say when requests were cut

A second SIGTERM or the time limit ends what runs with a final word, and the process exits 1.

The runs themselves count now. The last log lines were lost with the process; the log's guard writes them out.

--- a/crates/entry/src/control/member_controller.rs
+++ b/crates/entry/src/control/member_controller.rs
@@ -1,7 +1,7 @@
 use {
     crate::{control::ControlState, shared::wall_us},
     base::{HostId, HostList},
-    member::{EntryRow, MemberAction, MemberEvent, MemberSettings, MemberTable, MemberView},
+    member::{EntryRow, MemberAction, MemberEvent, MemberTable, MemberView},
     slog::{info, warn},
     stamp::EventKind,
     std::{
@@ -35,16 +35,10 @@
 impl MemberController {
     pub fn new(state: Rc<ControlState>, socket: UdpSocket, own: PeerSelf) -> Self {
         let key = state.settings.fleet_key().unwrap_or_default();
-        let settings = MemberSettings {
-            seeds: state
-                .settings
-                .peers
-                .seeds
-                .iter()
-                .map(ToString::to_string)
-                .collect(),
-            ..MemberSettings::default()
-        };
+        let mut settings = state.settings.members.clone();
+        settings
+            .seeds
+            .extend(state.settings.peers.seeds.iter().map(ToString::to_string));
         let table = MemberTable::new(settings, own, wall_us(), Instant::now());
         Self {
             state,
--- a/crates/entry/src/data/entry_core.rs
+++ b/crates/entry/src/data/entry_core.rs
@@ -48,6 +48,8 @@
     pub client: TargetClient,
     pub random: RefCell<ChaCha8Rng>,
     pub running: Cell<usize>,
+    /// Requests that were cut because the process had to end.
+    pub cut: Cell<usize>,
     started: Instant,
 }
 
@@ -98,6 +100,7 @@
             client: TargetClient::new(settings.limits.answer_bytes),
             random: RefCell::new(ChaCha8Rng::from_os_rng()),
             running: Cell::new(0),
+            cut: Cell::new(0),
             started: Instant::now(),
             settings,
         }
--- a/crates/entry/src/data/run_driver.rs
+++ b/crates/entry/src/data/run_driver.rs
@@ -139,11 +139,15 @@
 
     async fn next_event(&mut self, sink: &AnswerSink) -> RunEvent {
         let watched = self.run.plan().is_idempotent();
-        let mut view = self.scope.core.view.clone();
+        let core = &self.scope.core;
+        let mut view = core.view.clone();
         tokio::select! {
             biased;
             () = sink.gone(), if watched => RunEvent::CallerGone,
-            _ = view.wait_for(|view| view.life == EntryLife::Stopping) => RunEvent::Stopped,
+            _ = view.wait_for(|view| view.life == EntryLife::Stopping) => {
+                core.cut.set(core.cut.get() + 1);
+                RunEvent::Stopped
+            }
             event = self.inbox.recv() => event.unwrap_or(RunEvent::Tick),
             () = actix_rt::time::sleep_until(self.scope.deadline.into()) => RunEvent::Tick,
         }
--- a/crates/entry/src/data/start_entry.rs
+++ b/crates/entry/src/data/start_entry.rs
@@ -39,7 +39,7 @@
 ///
 /// Fails if an address cannot be listened on.
 pub async fn run_entry(settings: EntrySettings) -> anyhow::Result<()> {
-    let log = open_log(settings.log.level, PROGRAM, &settings.host);
+    let (log, _guard) = open_log(settings.log.level, PROGRAM, &settings.host);
     let callers = listen("listen.callers", settings.listen.callers)?;
     let operators = listen("listen.operators", settings.listen.operators)?;
     let (peer_frames, peer_datagrams) = listen_peers(settings.listen.peers)?;
@@ -112,8 +112,12 @@
         wait_end(&core).await;
         closing.send_replace(true);
     });
-    info!(core.log, "ended"; "uptime_s" => core.uptime().as_secs());
-    Ok(())
+    let cut = core.cut.get();
+    info!(core.log, "ended"; "uptime_s" => core.uptime().as_secs(), "cut" => cut);
+    match cut {
+        0 => Ok(()),
+        cut => Err(StartError::Machine(format!("stopped with {cut} requests unfinished")).into()),
+    }
 }
 
 /// Passes each word of the operating system that the process should end to the controllers.
--- a/crates/entry/src/entry_settings.rs
+++ b/crates/entry/src/entry_settings.rs
@@ -1,6 +1,7 @@
 use {
     base::{CentreId, HostId},
     data_encoding::HEXLOWER_PERMISSIVE,
+    member::MemberSettings,
     serde::{Deserialize, Serialize},
     setup::{LogLevel, StartError},
     std::{net::SocketAddr, time::Duration},
@@ -44,6 +45,9 @@
     /// How the daemon ends.
     #[serde(default)]
     pub shutdown: ShutdownSettings,
+    /// How membership is kept.
+    #[serde(default)]
+    pub members: MemberSettings,
 }
 
 /// Addresses that the daemon listens on; port 0 lets the kernel choose.
--- a/crates/setup/src/log_setup.rs
+++ b/crates/setup/src/log_setup.rs
@@ -1,6 +1,7 @@
 use {
     serde::{Deserialize, Serialize},
     slog::{Drain, Logger, o},
+    slog_async::AsyncGuard,
     std::io,
 };
 
@@ -33,16 +34,25 @@
     }
 }
 
-/// Opens the structured log on standard error: one JSON object a line.
-pub fn open_log(level: LogLevel, program: impl Into<String>, name: impl Into<String>) -> Logger {
+/// Opens the structured log on standard error: one JSON object a line. Dropping the guard
+/// writes out what still waits.
+///
+/// ```
+/// let (log, _guard) = setup::open_log(setup::LogLevel::Info, "camphor-entry", "h1");
+/// slog::info!(log, "started");
+/// ```
+pub fn open_log(
+    level: LogLevel,
+    program: impl Into<String>,
+    name: impl Into<String>,
+) -> (Logger, AsyncGuard) {
     let json = slog_json::Json::default(io::stderr()).fuse();
-    let queue = slog_async::Async::new(json)
-        .chan_size(LOG_QUEUE_LINES)
-        .build()
-        .fuse();
-    let drain = queue.filter_level(level.into()).fuse();
-    Logger::root(
+    let queue = slog_async::Async::new(json).chan_size(LOG_QUEUE_LINES);
+    let (queue, guard) = queue.build_with_guard();
+    let drain = queue.fuse().filter_level(level.into()).fuse();
+    let logger = Logger::root(
         drain,
         o!("program" => program.into(), "name" => name.into()),
-    )
+    );
+    (logger, guard)
 }
