--- /dev/null
+++ b/crates/order/src/wanted_state.rs
@@ -0,0 +1,67 @@
+use {
+    crate::{EngineOrder, EngineState, FenceNumber},
+    sheet::FleetSheet,
+    std::collections::BTreeSet,
+};
+
+/// Role that an engine of the sheet has.
+const SERVE_ROLE: &str = "serve";
+
+/// State that a sheet wants an engine to be in; a function of the sheet alone, so that all
+/// owners want the same.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WantedState {
+    /// Models that should be loaded.
+    pub models: BTreeSet<String>,
+    /// Role that the engine should have.
+    pub role: String,
+}
+
+impl WantedState {
+    /// What the sheet wants of a target; `None` if it gives no orders to it: no engine, leaving,
+    /// or without models, in which case the engine is run by someone else.
+    ///
+    /// ```
+    /// use {order::WantedState, sheet::{FleetSheet, SheetIndex}};
+    ///
+    /// let index = SheetIndex { version: 1, part: Vec::new() };
+    /// let sheet = FleetSheet::assemble(index, &[]).unwrap();
+    /// assert_eq!(WantedState::of(&sheet, "reader-1"), None);
+    /// ```
+    pub fn of(sheet: &FleetSheet, target: &str) -> Option<Self> {
+        let row = sheet.targets.get(target)?;
+        let is_ordered = !row.leaving && !row.models.is_empty();
+        let models = row.models.iter().cloned().collect();
+        (is_ordered && sheet.is_engine_pool(&row.pool)).then(|| Self {
+            models,
+            role: String::from(SERVE_ROLE),
+        })
+    }
+
+    /// True if the engine is in this state or on its way to it.
+    pub fn is_met_by(&self, state: &EngineState) -> bool {
+        let wanted: BTreeSet<&str> = self.models.iter().map(String::as_str).collect();
+        state.held_models() == wanted && state.adapters.is_empty() && state.role == self.role
+    }
+
+    /// Number of models that the engine would have to load.
+    pub fn missing_models(&self, state: &EngineState) -> usize {
+        let held = state.held_models();
+        let missing = self
+            .models
+            .iter()
+            .filter(|model| !held.contains(model.as_str()));
+        missing.count()
+    }
+
+    /// Order that asks for this state.
+    pub fn order(&self, fence: FenceNumber, sheet_version: u64) -> EngineOrder {
+        EngineOrder {
+            fence,
+            models: self.models.iter().cloned().collect(),
+            adapters: Vec::new(),
+            role: self.role.clone(),
+            sheet_version,
+        }
+    }
+}
