--- a/crates/member/src/gossip_pace.rs
+++ b/crates/member/src/gossip_pace.rs
@@ -6,7 +6,7 @@
 /// Time for which heartbeats stay fast after news that heartbeats themselves carry.
 const HOT_TIME: Duration = Duration::from_secs(2);
 /// Seconds of the byte rate that may be saved up for a burst.
-const BURST_SECONDS: f64 = 4.0;
+const BURST_SECONDS: f64 = 2.0;
 
 /// When the next heartbeats go out, and how many bytes they may take.
 #[derive(Debug)]
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -2,6 +2,7 @@
 //! by the platform's lagging host list and by direct heartbeats with rumours.
 
 mod entry_row;
+mod fact_pulls;
 mod gossip_pace;
 mod member_action;
 mod member_event;
--- a/crates/member/src/member_settings.rs
+++ b/crates/member/src/member_settings.rs
@@ -24,7 +24,8 @@
     pub hot_round: Duration,
     /// Members that get a heartbeat in a hot round.
     pub hot_fan_out: usize,
-    /// Bytes a second that heartbeats may take, sent only.
+    /// Bytes a second that may be sent, with IP and UDP headers; answers to peers count but are
+    /// never held back.
     pub bytes_per_second: u32,
     /// Time between probes.
     #[serde(with = "humantime_serde")]
@@ -67,7 +68,7 @@
             idle_fan_out: 2,
             hot_round: Duration::from_millis(150),
             hot_fan_out: 3,
-            bytes_per_second: 2_500,
+            bytes_per_second: 3_500,
             probe_round: Duration::from_secs(1),
             direct_timeout: Duration::from_millis(300),
             indirect_timeout: Duration::from_millis(600),
--- a/crates/member/src/member_table.rs
+++ b/crates/member/src/member_table.rs
@@ -1,9 +1,9 @@
 use {
     crate::{
         EntryRow, Fingerprint, MemberAction, MemberEvent, MemberSettings, MemberView,
-        gossip_pace::GossipPace, peer_book::PeerBook, peer_record::PeerRecord,
-        probe_desk::ProbeDesk, rumour_buffer::RumourBuffer, strike_book::StrikeBook,
-        target_marks::TargetMarks,
+        fact_pulls::FactPulls, gossip_pace::GossipPace, peer_book::PeerBook,
+        peer_record::PeerRecord, probe_desk::ProbeDesk, rumour_buffer::RumourBuffer,
+        strike_book::StrikeBook, target_marks::TargetMarks,
     },
     base::{HostId, SheetVersion, TargetId},
     rand::SeedableRng,
@@ -59,6 +59,7 @@
     pub(crate) rumours: RumourBuffer,
     pub(crate) probes: ProbeDesk,
     pub(crate) pace: GossipPace,
+    pub(crate) pulls: FactPulls,
     pub(crate) random: ChaCha8Rng,
     pub(crate) last_tick: Option<Instant>,
     pub(crate) listen_until: Option<Instant>,
@@ -89,6 +90,7 @@
             strikes: StrikeBook::default(),
             rumours: RumourBuffer::default(),
             probes: ProbeDesk::default(),
+            pulls: FactPulls::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
             last_tick: None,
             listen_until: None,
@@ -226,6 +228,13 @@
         self.entries(|record| !record.is_leaving(), !self.own.leaving)
     }
 
+    /// True if the peer stands in address answers.
+    pub fn is_live_entry(&self, host: &str) -> bool {
+        self.peers.get(host).is_some_and(|record| {
+            !record.is_leaving() && (!record.is_suspect() || self.peers.is_doubtful())
+        })
+    }
+
     /// Entries that still take requests, so also those that are leaving.
     pub fn acceptable_entries(&self) -> Vec<EntryRow> {
         self.entries(|_| true, true)
--- a/crates/member/src/peer_book.rs
+++ b/crates/member/src/peer_book.rs
@@ -28,8 +28,8 @@
     pub(crate) revived: bool,
     /// It is leaving and was not known to be.
     pub(crate) leaving: bool,
-    /// This is the first direct word of this incarnation.
-    pub(crate) first_contact: bool,
+    /// Others can't know it from the host list: it replaces a process or is not listed.
+    pub(crate) unlisted: bool,
 }
 
 impl PeerBook {
@@ -48,8 +48,9 @@
         }
         let was_leaving = record.is_leaving();
         if about.incarnation > record.about.incarnation {
-            adopt_incarnation(record, about, now);
             news.fresh = true;
+            news.unlisted = record.about.incarnation > 0 || record.listed.is_none();
+            adopt_incarnation(record, about, now);
         } else if direct {
             record.about = about.clone();
         } else if about.sheet_version > record.about.sheet_version {
@@ -57,7 +58,6 @@
             record.about.sheet_digest = about.sheet_digest;
         }
         if direct {
-            news.first_contact = record.heard.is_none();
             record.heard = Some(now);
             news.revived = record.suspect_since.take().is_some();
         }
@@ -85,8 +85,9 @@
                 sheet_digest: [0; 8],
                 ..record.about.clone()
             };
-            adopt_incarnation(record, &about, now);
             news.fresh = true;
+            news.unlisted = record.about.incarnation > 0 || record.listed.is_none();
+            adopt_incarnation(record, &about, now);
         }
         record.heard = Some(now);
         news.revived = record.suspect_since.take().is_some();
@@ -221,20 +222,6 @@
         self.records.len()
     }
 
-    /// Processes that are known by name to be leaving.
-    pub(crate) fn leaving(&self) -> Vec<PeerKey> {
-        let bound = self
-            .records
-            .values()
-            .filter(|record| record.leaving_up_to > 0);
-        bound
-            .map(|record| PeerKey {
-                host: record.about.host.clone(),
-                incarnation: record.leaving_up_to,
-            })
-            .collect()
-    }
-
     fn depart(&mut self, host: &str, incarnation: Incarnation) -> bool {
         let known = self.departed.get(host).copied().unwrap_or_default();
         if incarnation <= known {
@@ -254,13 +241,14 @@
     }
 }
 
-/// Replaces the process that a record is about by a later one.
+/// Replaces the process that a record is about by a later one. If no incarnation was known
+/// before, what is believed of the host may be about this very process and stays.
 fn adopt_incarnation(record: &mut PeerRecord, about: &PeerSelf, now: Instant) {
     if record.about.incarnation > 0 {
         record.list_mark = false;
+        record.suspect_since = None;
     }
     record.about = about.clone();
     record.known_since = now;
     record.heard = None;
-    record.suspect_since = None;
 }
--- a/crates/member/src/probe_desk.rs
+++ b/crates/member/src/probe_desk.rs
@@ -31,6 +31,8 @@
     pub(crate) key: PeerKey,
     /// True once others were asked to probe it.
     pub(crate) indirect: bool,
+    /// Members that are asked to probe it.
+    pub(crate) helpers: usize,
     /// Rounds that have failed.
     pub(crate) failures: u32,
     /// When the round under way fails.
--- a/crates/member/src/rumour_buffer.rs
+++ b/crates/member/src/rumour_buffer.rs
@@ -39,9 +39,9 @@
         self.entries.insert(key, entry);
     }
 
-    /// True while news waits that should not wait for an idle round.
-    pub(crate) fn is_urgent(&self) -> bool {
-        self.entries.keys().any(RumourKey::is_urgent)
+    /// True if no news waits.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.entries.is_empty()
     }
 
     /// Takes rumours for one datagram: urgent ones first, then those sent least often.
--- a/crates/member/src/rumour_key.rs
+++ b/crates/member/src/rumour_key.rs
@@ -35,8 +35,12 @@
         }
     }
 
-    /// True if callers or targets suffer while the news has not reached everyone.
+    /// True if callers or targets suffer while the news has not reached everyone; such news goes
+    /// first where room is short.
     pub(crate) fn is_urgent(&self) -> bool {
-        !matches!(self, Self::Member(_) | Self::HostRevived(_))
+        !matches!(
+            self,
+            Self::Member(_) | Self::HostSuspect(_) | Self::HostRevived(_)
+        )
     }
 }
--- a/crates/member/src/strike_book.rs
+++ b/crates/member/src/strike_book.rs
@@ -92,22 +92,23 @@
         }
     }
 
-    /// Every record as a rumour with its expiry.
-    pub(crate) fn rumours(&self) -> Vec<(PeerRumour, Instant)> {
-        let mut rumours = Vec::new();
-        for (fingerprint, record) in &self.records {
-            for (witness, count) in &record.witnesses {
-                let rumour = PeerRumour::Strike {
-                    fingerprint: *fingerprint,
-                    witness: witness.clone(),
-                    strikes: count.strikes,
-                    at: count.at,
-                    remaining_ms: 0,
-                };
-                rumours.push((rumour, count.expires));
-            }
-        }
-        rumours
+    /// Number of fingerprints.
+    pub(crate) fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// One witness's strikes against one of the fingerprints, as a rumour with its expiry.
+    pub(crate) fn rumour(&self, index: usize) -> Option<(PeerRumour, Instant)> {
+        let (fingerprint, record) = self.records.iter().nth(index)?;
+        let (witness, count) = record.witnesses.iter().max_by_key(|(_, count)| count.at)?;
+        let rumour = PeerRumour::Strike {
+            fingerprint: *fingerprint,
+            witness: witness.clone(),
+            strikes: count.strikes,
+            at: count.at,
+            remaining_ms: 0,
+        };
+        Some((rumour, count.expires))
     }
 
     /// Drops what has expired.
--- a/crates/member/src/table_messages.rs
+++ b/crates/member/src/table_messages.rs
@@ -3,7 +3,7 @@
     base::HostId,
     rand::Rng,
     std::time::{Duration, Instant},
-    wire::{MAX_DATAGRAM_BYTES, MarkSource, PeerKey, PeerMessage, PeerRumour, PeerSelf},
+    wire::{MarkSource, PeerKey, PeerMessage, PeerRumour, PeerSelf},
 };
 
 /// A process heard of directly within this time needs no probe on another's suspicion.
@@ -30,6 +30,13 @@
                 self.send(from, ack);
             }
             PeerMessage::ProbeAck { sender, nonce } => self.on_ack(sender, nonce, now),
+            PeerMessage::FactRequest {
+                sender,
+                from: index,
+            } => {
+                self.on_sign(&sender, now);
+                self.answer_facts(from, index, now);
+            }
             PeerMessage::ProbeRequest {
                 sender,
                 about,
@@ -55,9 +62,6 @@
         for rumour in rumours {
             self.on_rumour(rumour, now);
         }
-        if news.first_contact {
-            self.greet(&sender, now);
-        }
     }
 
     fn on_namesake(&mut self, incarnation: u64) {
@@ -137,6 +141,9 @@
             return;
         }
         let news = self.peers.on_report(about, false, now);
+        if news.fresh {
+            self.pulls.learned();
+        }
         self.note_news(about, news, now);
     }
 
@@ -171,8 +178,8 @@
         let fresh = record
             .heard
             .is_some_and(|heard| now.saturating_duration_since(heard) < FRESH);
-        let same = record.about.incarnation == key.incarnation;
-        if same && !fresh && !record.is_suspect() {
+        let concerned = record.about.incarnation <= key.incarnation;
+        if concerned && !fresh && !record.is_suspect() {
             self.probes.wait(&key.host);
         }
     }
@@ -186,6 +193,7 @@
     ) {
         let was = self.targets.is_leaving(target);
         if self.targets.absorb(&rumour, now) {
+            self.pulls.learned();
             self.tell(rumour, None);
         }
         self.note_target(target, source, was);
@@ -205,7 +213,7 @@
                 incarnation: key.incarnation,
             });
         }
-        if news.fresh {
+        if news.fresh && news.unlisted {
             self.tell(PeerRumour::Member(about.clone()), None);
         }
         if news.revived {
@@ -234,11 +242,4 @@
             });
         }
     }
-
-    /// Answers the first word of a process with as much as fits into a datagram.
-    fn greet(&mut self, about: &PeerSelf, now: Instant) {
-        if self.pace.may_send(&self.settings, now) {
-            self.send_heartbeat(about.peers.clone(), MAX_DATAGRAM_BYTES, now);
-        }
-    }
 }
--- a/crates/member/src/table_rounds.rs
+++ b/crates/member/src/table_rounds.rs
@@ -2,23 +2,34 @@
     crate::{
         MemberAction, MemberEvent, MemberTable, probe_desk::Probe, rumour_buffer::with_remaining,
     },
-    rand::{Rng, seq::SliceRandom},
+    rand::{
+        Rng,
+        seq::{IteratorRandom, SliceRandom},
+    },
     std::time::{Duration, Instant},
     wire::{DatagramSeal, MAX_DATAGRAM_BYTES, PeerKey, PeerMessage, PeerRumour},
 };
 
 /// Longest heartbeat in an idle round, in bytes.
 const IDLE_BYTES: usize = 280;
-/// Longest heartbeat in a hot round, in bytes.
-const HOT_BYTES: usize = 480;
+/// Longest heartbeat in a hot round, in bytes; it carries news only.
+const HOT_BYTES: usize = 600;
 /// Bytes kept free for the length of the list of rumours.
 const LIST_BYTES: usize = 4;
 /// Time between probes out of turn.
 const WAITING_INTERVAL: Duration = Duration::from_millis(100);
+/// Members asked to help with a probe out of turn, since another member's probes failed before.
+const WAITING_HELPERS: usize = 1;
+/// Transmissions of each suspicion for every doubling of the fleet.
+const SUSPECT_FACTOR: u32 = 2;
+/// Bytes of the IP and UDP headers of a datagram.
+const HEADER_BYTES: usize = 28;
 /// Time between clean-ups.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(5);
 /// Time between replays of what a returning peer may have missed.
 const REPLAY_INTERVAL: Duration = Duration::from_secs(2);
+/// Most facts that are looked at to fill one heartbeat.
+const MAX_FILLERS: usize = 64;
 /// Most words on targets that one replay puts into circulation.
 const MAX_REPLAY: usize = 256;
 
@@ -29,6 +40,7 @@
         self.end_probes(now);
         self.start_probes(now);
         self.start_round(now);
+        self.pull_facts(now);
         self.clean_up(now);
         self.note_doubt();
         self.flush()
@@ -46,7 +58,12 @@
             Some(until) => Some(until),
             None => probing.into_iter().flatten().min(),
         };
-        [round, earliest].into_iter().flatten().min().unwrap_or(now)
+        let pull = self.pulls.next_due();
+        [round, earliest, pull]
+            .into_iter()
+            .flatten()
+            .min()
+            .unwrap_or(now)
     }
 
     /// A process that stood still has missed answers, and must not take silence for death.
@@ -69,7 +86,7 @@
             if !probe.indirect {
                 self.ask_helpers(nonce, probe, now);
             } else if probe.failures + 1 < self.settings.probe_attempts {
-                self.probe(probe.key, probe.failures + 1, now);
+                self.probe(probe.key, probe.helpers, probe.failures + 1, now);
             } else {
                 self.suspect(probe.key, now);
             }
@@ -81,7 +98,7 @@
             return;
         };
         let address = record.about.peers.clone();
-        for helper in self.pick_peers(self.settings.probe_helpers, Some(&probe.key.host)) {
+        for helper in self.pick_helpers(probe.helpers, &probe.key.host) {
             let request = PeerMessage::ProbeRequest {
                 sender: self.own.key(),
                 about: probe.key.host.clone(),
@@ -118,12 +135,21 @@
         if is_due(self.last_probe, self.settings.probe_round, now) {
             self.last_probe = Some(now);
             self.probe_next(now);
+            self.probe_suspect(now);
         }
         if self.probes.has_waiting() && is_due(self.last_waiting, WAITING_INTERVAL, now) {
             self.last_waiting = Some(now);
-            if let Some(host) = self.probes.next_waiting() {
-                self.probe_host(&host, now);
-            }
+            self.probe_waiting(now);
+        }
+    }
+
+    /// Probes a host that others suspect or found again, if the bytes allow it.
+    fn probe_waiting(&mut self, now: Instant) {
+        if !self.pace.may_send(&self.settings, now) {
+            return;
+        }
+        if let Some(host) = self.probes.next_waiting() {
+            self.probe_host(&host, WAITING_HELPERS, now);
         }
     }
 
@@ -135,20 +161,29 @@
             self.probe_order.shuffle(&mut self.random);
         }
         if let Some(host) = self.probe_order.pop() {
-            self.probe_host(&host, now);
+            self.probe_host(&host, self.settings.probe_helpers, now);
+        }
+    }
+
+    /// Probes a random suspect, which may be back.
+    fn probe_suspect(&mut self, now: Instant) {
+        let suspects = self.peers.records().filter(|record| record.is_suspect());
+        let picked = suspects.choose(&mut self.random);
+        if let Some(host) = picked.map(|record| record.about.host.clone()) {
+            self.probe_host(&host, 0, now);
         }
     }
 
-    fn probe_host(&mut self, host: &str, now: Instant) {
+    fn probe_host(&mut self, host: &str, helpers: usize, now: Instant) {
         if self.probes.is_probing(host) {
             return;
         }
         if let Some(record) = self.peers.get(host) {
-            self.probe(record.about.key(), 0, now);
+            self.probe(record.about.key(), helpers, 0, now);
         }
     }
 
-    fn probe(&mut self, key: PeerKey, failures: u32, now: Instant) {
+    fn probe(&mut self, key: PeerKey, helpers: usize, failures: u32, now: Instant) {
         let Some(record) = self.peers.get(&key.host) else {
             return;
         };
@@ -157,6 +192,7 @@
         let probe = Probe {
             key,
             indirect: false,
+            helpers,
             failures,
             deadline: now + self.settings.direct_timeout,
         };
@@ -167,7 +203,7 @@
     }
 
     fn round_interval(&self, now: Instant) -> Duration {
-        if self.pace.is_hot(now) || self.rumours.is_urgent() {
+        if self.pace.is_hot(now) || !self.rumours.is_empty() {
             self.settings.hot_round
         } else {
             self.settings.idle_round
@@ -186,7 +222,7 @@
         } else {
             (self.settings.idle_fan_out, IDLE_BYTES)
         };
-        for to in self.pick_peers(fan_out, None) {
+        for to in self.pick_peers(fan_out) {
             if self.pace.may_send(&self.settings, now) {
                 self.send_heartbeat(to, bytes, now);
             }
@@ -194,15 +230,45 @@
     }
 
     /// Addresses of random peers; suspects are among them, since they may be back.
-    fn pick_peers(&mut self, count: usize, except: Option<&str>) -> Vec<String> {
+    fn pick_peers(&mut self, count: usize) -> Vec<String> {
         let records = self.peers.records();
-        let others = records.filter(|record| Some(record.about.host.as_str()) != except);
-        let mut addresses: Vec<_> = others.map(|record| record.about.peers.clone()).collect();
-        if addresses.is_empty() && except.is_none() {
-            addresses = self.settings.seeds.clone();
+        let mut addresses: Vec<_> = records.map(|record| &record.about.peers).collect();
+        if addresses.is_empty() {
+            addresses = self.settings.seeds.iter().collect();
         }
         let (picked, _) = addresses.partial_shuffle(&mut self.random, count);
-        picked.to_vec()
+        picked.iter().map(|address| address.to_string()).collect()
+    }
+
+    /// Addresses of random peers that are no suspects and can probe another.
+    fn pick_helpers(&mut self, count: usize, other: &str) -> Vec<String> {
+        let records = self.peers.records().filter(|record| !record.is_suspect());
+        let helpers = records.filter(|record| record.about.host != other);
+        let mut addresses: Vec<_> = helpers.map(|record| &record.about.peers).collect();
+        let (picked, _) = addresses.partial_shuffle(&mut self.random, count);
+        picked.iter().map(|address| address.to_string()).collect()
+    }
+
+    /// Asks a random peer for what it knows, from its words on targets on at first.
+    fn pull_facts(&mut self, now: Instant) {
+        let first = self.pulls.is_first();
+        if !self.pulls.start(now) {
+            return;
+        }
+        let from = if first { 0 } else { self.random.random() };
+        for to in self.pick_peers(1) {
+            let sender = self.own.key();
+            self.send(to, PeerMessage::FactRequest { sender, from });
+        }
+    }
+
+    /// Answers such a request, if the bytes allow it.
+    pub(crate) fn answer_facts(&mut self, to: String, from: u32, now: Instant) {
+        let count = self.fact_count().max(1);
+        self.filler_cursor = usize::try_from(from).unwrap_or_default() % count;
+        if self.pace.may_send(&self.settings, now) {
+            self.send_heartbeat(to, MAX_DATAGRAM_BYTES, now);
+        }
     }
 
     pub(crate) fn send_heartbeat(&mut self, to: String, limit: usize, now: Instant) {
@@ -211,10 +277,11 @@
         let mut room = limit.min(MAX_DATAGRAM_BYTES).saturating_sub(base);
         let mut rumours = self.rumours.take(room, now);
         let used: usize = rumours.iter().map(PeerRumour::encoded_bytes).sum();
-        room -= used;
-        self.fill(&mut rumours, room, now);
+        if limit != HOT_BYTES {
+            room -= used;
+            self.fill(&mut rumours, room, now);
+        }
         let message = self.heartbeat(rumours);
-        self.pace.spend(DatagramSeal::sealed_bytes(&message));
         self.send(to, message);
     }
 
@@ -228,42 +295,53 @@
 
     /// Uses room that is left for old facts in turn, for peers that missed them.
     fn fill(&mut self, rumours: &mut Vec<PeerRumour>, mut room: usize, now: Instant) {
-        let facts = self.facts(now);
-        let mut filled = false;
-        for _ in 0..facts.len() {
-            let fact = &facts[self.filler_cursor % facts.len()];
+        let count = self.fact_count();
+        for _ in 0..count.min(MAX_FILLERS) {
+            let Some(fact) = self.fact(self.filler_cursor % count, now) else {
+                self.filler_cursor = self.filler_cursor.wrapping_add(1);
+                continue;
+            };
             let bytes = fact.encoded_bytes();
-            if bytes > room && filled {
+            if bytes > room && !rumours.is_empty() {
                 break;
             }
             self.filler_cursor = self.filler_cursor.wrapping_add(1);
-            if bytes <= room && !rumours.contains(fact) {
+            if bytes <= room && !rumours.contains(&fact) {
                 room -= bytes;
-                filled = true;
-                rumours.push(fact.clone());
+                rumours.push(fact);
             }
         }
     }
 
-    /// Everything known that a peer may have missed.
-    fn facts(&self, now: Instant) -> Vec<PeerRumour> {
-        let mut facts = self.targets.rumours();
-        facts.extend(
-            self.peers
-                .leaving()
-                .into_iter()
-                .map(PeerRumour::HostLeaving),
-        );
-        let strikes = self.strikes.rumours();
-        facts.extend(
-            strikes
-                .iter()
-                .map(|(strike, expires)| with_remaining(strike, Some(*expires), now)),
-        );
-        let known = self.peers.records();
-        let serving = known.filter(|record| record.about.incarnation > 0 && !record.is_suspect());
-        facts.extend(serving.map(|record| PeerRumour::Member(record.about.clone())));
-        facts
+    /// Number of facts that a peer may have missed.
+    fn fact_count(&self) -> usize {
+        self.targets.len() + self.strikes.len() + 2 * self.peers.len()
+    }
+
+    /// One of the facts, if it is worth telling.
+    fn fact(&self, index: usize, now: Instant) -> Option<PeerRumour> {
+        if index < self.targets.len() {
+            return self.targets.rumour(index);
+        }
+        let index = index - self.targets.len();
+        if index < self.strikes.len() {
+            let (strike, expires) = self.strikes.rumour(index)?;
+            return Some(with_remaining(&strike, Some(expires), now));
+        }
+        let index = index - self.strikes.len();
+        let record = self.peers.records().nth(index / 2)?;
+        if index.is_multiple_of(2) {
+            let key = PeerKey {
+                host: record.about.host.clone(),
+                incarnation: record.leaving_up_to,
+            };
+            return (key.incarnation > 0).then_some(PeerRumour::HostLeaving(key));
+        }
+        if record.is_suspect() {
+            return (!self.doubting).then(|| PeerRumour::HostSuspect(record.about.key()));
+        }
+        let known = record.about.incarnation > 0;
+        known.then(|| PeerRumour::Member(record.about.clone()))
     }
 
     /// Puts words on targets into circulation again, for peers that were cut off.
@@ -272,7 +350,8 @@
             return;
         }
         self.last_replay = Some(now);
-        let rumours = self.targets.rumours().into_iter().take(MAX_REPLAY);
+        let count = self.targets.len().min(MAX_REPLAY);
+        let rumours = (0..count).filter_map(|index| self.targets.rumour(index));
         self.tell_all(rumours.collect());
     }
 
@@ -307,8 +386,12 @@
     /// Passes news on as often as it takes to reach everyone.
     pub(crate) fn tell(&mut self, rumour: PeerRumour, expires: Option<Instant>) {
         let doublings = (self.peers.len() + 1).ilog2() + 1;
-        let sends = self.settings.rumour_factor * doublings;
-        self.rumours.push(rumour, sends, expires);
+        // Whoever finds the same says it again, so that these need fewer repeats.
+        let factor = match rumour {
+            PeerRumour::HostSuspect(_) | PeerRumour::HostRevived(_) => SUSPECT_FACTOR,
+            _ => self.settings.rumour_factor,
+        };
+        self.rumours.push(rumour, factor * doublings, expires);
     }
 
     pub(crate) fn tell_all(&mut self, rumours: Vec<PeerRumour>) {
@@ -318,6 +401,8 @@
     }
 
     pub(crate) fn send(&mut self, to: String, message: PeerMessage) {
+        self.pace
+            .spend(DatagramSeal::sealed_bytes(&message) + HEADER_BYTES);
         self.outbox.push(MemberAction::Send { to, message });
     }
 }
--- a/crates/member/src/target_marks.rs
+++ b/crates/member/src/target_marks.rs
@@ -196,12 +196,15 @@
         rumours
     }
 
-    /// Every word as a rumour.
-    pub(crate) fn rumours(&self) -> Vec<PeerRumour> {
-        let words = self.words.iter();
-        words
-            .map(|((target, source), word)| rumour_of(target, *source, word))
-            .collect()
+    /// Number of words.
+    pub(crate) fn len(&self) -> usize {
+        self.words.len()
+    }
+
+    /// One of the words as a rumour.
+    pub(crate) fn rumour(&self, index: usize) -> Option<PeerRumour> {
+        let ((target, source), word) = self.words.iter().nth(index)?;
+        Some(rumour_of(target, *source, word))
     }
 
     /// Drops cleared marks that are old, and the oldest words if there are too many.
--- a/crates/wire/src/peer_message.rs
+++ b/crates/wire/src/peer_message.rs
@@ -31,6 +31,13 @@
         /// Number of the probe.
         nonce: u64,
     },
+    /// Asks for a heartbeat full of what the receiver knows, after the sender has started.
+    FactRequest {
+        /// Process that asks.
+        sender: PeerKey,
+        /// Position in the receiver's facts, taken modulo their number.
+        from: u32,
+    },
     /// Asks the receiver to probe another host and pass on its answer.
     ProbeRequest {
         /// Process that asks.
