Average load reports and draw three targets

Reports a second old made forty entries follow each other to the same targets. They are now averaged over ten seconds and count half; the measured service time holds the rest of the load of others. The choice and the ejection rule have files of their own, the pool's failure rate is computed once per refresh instead of once per answer, and a pause of this process can be left out.

--- a/crates/route/examples/picks.rs
+++ b/crates/route/examples/picks.rs
@@ -15,9 +15,11 @@
 const SEEDS: u64 = 11;
 const TARGETS: usize = 12;
 const PLACES: u32 = 4;
+/// Arrivals as a part of what the targets without faults can do.
 const LOAD: f64 = 0.8;
 const RUN_TIME: Duration = Duration::from_secs(60);
 const DEADLINE: Duration = Duration::from_secs(1);
+const FAULT_START: Duration = Duration::from_secs(20);
 const MEAN_SERVICE: Duration = Duration::from_millis(100);
 const FAILURE_TIME: Duration = Duration::from_millis(2);
 const STRAGGLER: usize = 3;
@@ -40,7 +42,7 @@
     (PickPolicy::PoolWithoutEjection, "two choices + speed"),
     (PickPolicy::Pool(2), "two choices + speed + ejection"),
     (PickPolicy::Pool(3), "three choices, same"),
-    (PickPolicy::Pool(TARGETS), "all, same"),
+    (PickPolicy::Pool(TARGETS), "all targets, same"),
 ];
 
 /// What a run consists of.
@@ -56,6 +58,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum SimEvent {
     Arrive,
+    Fault,
     Finish { call: u64 },
     Deadline { call: u64 },
 }
@@ -207,12 +210,11 @@
         for target in &mut targets {
             target.speed = 2_f64.powf(generator.random_range(-1.0..1.0));
         }
-        if plan.straggler {
-            targets[STRAGGLER].speed = STRAGGLER_SPEED;
-        }
-        targets[FAILING].failing = plan.failing;
-        let whole = targets.iter().filter(|target| !target.failing);
-        let speed: f64 = whole.map(|target| target.speed).sum();
+        let lost = |place: usize| {
+            (plan.straggler && place == STRAGGLER) || (plan.failing && place == FAILING)
+        };
+        let whole = (0..TARGETS).filter(|&place| !lost(place));
+        let speed: f64 = whole.map(|place| targets[place].speed).sum();
         let rate = LOAD * speed * f64::from(PLACES) / MEAN_SERVICE.as_secs_f64();
         let entries =
             (0..plan.entries as u64).map(|entry| EntryView::new(policy, seed ^ entry, start));
@@ -235,10 +237,12 @@
 
     fn run(mut self) -> RunFigures {
         self.schedule(Duration::ZERO, SimEvent::Arrive);
+        self.schedule(FAULT_START, SimEvent::Fault);
         while let Some(Reverse((at, _, event))) = self.events.pop() {
             self.now = at;
             match event {
                 SimEvent::Arrive => self.arrive(),
+                SimEvent::Fault => self.fail_targets(),
                 SimEvent::Finish { call } => self.finish(call),
                 SimEvent::Deadline { call } => self.give_up(call),
             }
@@ -277,6 +281,13 @@
         Duration::from_secs_f64(-mean * uniform.ln())
     }
 
+    fn fail_targets(&mut self) {
+        if self.plan.straggler {
+            self.targets[STRAGGLER].speed = STRAGGLER_SPEED;
+        }
+        self.targets[FAILING].failing = self.plan.failing;
+    }
+
     fn arrive(&mut self) {
         let gap = self.exponential(1.0 / self.rate);
         if self.now + gap < RUN_TIME {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,7 +1,9 @@
 //! Routing: which entries a customer uses and which target a call goes to.
 
 mod entry_ranking;
+mod outlier_rule;
 mod pool_settings;
+mod target_choice;
 mod target_pool;
 mod target_record;
 
--- a/crates/route/src/pool_settings.rs
+++ b/crates/route/src/pool_settings.rs
@@ -36,7 +36,7 @@
         Self {
             expected: Duration::from_millis(100),
             centre_cost: Duration::from_millis(1),
-            choices: 2,
+            choices: 3,
             prefix_saving: 0.5,
             eject_share: 0.34,
             eject_slowness: 4.0,
--- /dev/null
+++ b/crates/route/src/target_choice.rs
@@ -0,0 +1,132 @@
+use {
+    crate::{
+        PickQuery, PoolSettings, TargetStanding, entry_ranking::weighted_score,
+        target_record::TargetRecord,
+    },
+    base::CentreId,
+    rand::Rng,
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+};
+
+/// A target that may be chosen, with its weight in the random choice.
+#[derive(Debug, Clone, Copy)]
+struct OpenPlace {
+    place: usize,
+    weight: f64,
+}
+
+/// One choice among the targets of a pool.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct TargetChoice<'a> {
+    pub settings: &'a PoolSettings,
+    pub records: &'a [TargetRecord],
+    pub centre_costs: &'a BTreeMap<CentreId, Duration>,
+    pub service: f64,
+    pub query: PickQuery<'a>,
+    pub now: Instant,
+}
+
+impl TargetChoice<'_> {
+    /// Place of the target that the call should go to.
+    pub fn pick(&self, generator: &mut impl Rng) -> Option<usize> {
+        let open = self.open_places();
+        if open.is_empty() {
+            return self.last_resort();
+        }
+        let drawn = self.draw(&open, generator);
+        let best = drawn
+            .into_iter()
+            .min_by(|left, right| self.cost(*left).total_cmp(&self.cost(*right)))?;
+        let Some(prefix) = self.query.prefix else {
+            return Some(best);
+        };
+        let owner = self.prefix_owner(&open, prefix)?;
+        let ordinary = match self.query.expected_cost > 0.0 {
+            true => self.query.expected_cost,
+            false => self.service,
+        };
+        let saved = self.settings.prefix_saving * ordinary;
+        match self.cost(owner) - saved <= self.cost(best) {
+            true => Some(owner),
+            false => Some(best),
+        }
+    }
+
+    fn open_places(&self) -> Vec<OpenPlace> {
+        let slow_start = self.settings.slow_start;
+        let usable = (0..self.records.len()).filter(|&place| self.is_untried(place));
+        usable
+            .map(|place| OpenPlace {
+                place,
+                weight: self.records[place].open_weight(slow_start, self.now),
+            })
+            .filter(|open| open.weight > 0.0)
+            .collect()
+    }
+
+    /// A target that would not be used if there were another: the one nearest to its return.
+    fn last_resort(&self) -> Option<usize> {
+        let returns = |record: &TargetRecord| match record.standing {
+            TargetStanding::Ejected(until) => until,
+            TargetStanding::Usable | TargetStanding::Returning(_) => self.now,
+        };
+        (0..self.records.len())
+            .filter(|&place| self.is_untried(place))
+            .min_by_key(|&place| (returns(&self.records[place]), self.records[place].in_flight))
+    }
+
+    fn is_untried(&self, place: usize) -> bool {
+        let record = &self.records[place];
+        !record.is_leaving(self.now) && !self.query.tried.contains(&record.spec.target)
+    }
+
+    /// Draws different places at random by weight.
+    fn draw(&self, open: &[OpenPlace], generator: &mut impl Rng) -> Vec<usize> {
+        let mut rest = open.to_vec();
+        let mut drawn = Vec::with_capacity(self.settings.choices);
+        while drawn.len() < self.settings.choices.max(1) && !rest.is_empty() {
+            let total: f64 = rest.iter().map(|open| open.weight).sum();
+            let mut point = generator.random::<f64>() * total;
+            let hit = rest.iter().position(|open| {
+                point -= open.weight;
+                point < 0.0
+            });
+            let open = rest.swap_remove(hit.unwrap_or(rest.len() - 1));
+            drawn.push(open.place);
+        }
+        drawn
+    }
+
+    /// Seconds until a call would be answered, the way to the target included.
+    fn cost(&self, place: usize) -> f64 {
+        let record = &self.records[place];
+        let wait = record.wait(record.service(self.service), self.now);
+        if record.spec.data_centre == self.query.local_centre {
+            return wait;
+        }
+        let way = self.centre_costs.get(&record.spec.data_centre);
+        wait + way.unwrap_or(&self.settings.centre_cost).as_secs_f64()
+    }
+
+    /// Target whose cache should hold the prefix: the same one for every entry that sees the
+    /// same targets as usable.
+    fn prefix_owner(&self, open: &[OpenPlace], prefix: u64) -> Option<usize> {
+        let score = |place: usize| {
+            let record = &self.records[place];
+            weighted_score(mix(record.hash ^ mix(prefix)), record.capacity())
+        };
+        open.iter()
+            .map(|open| open.place)
+            .max_by(|left, right| score(*left).total_cmp(&score(*right)))
+    }
+}
+
+/// Spreads the bits of a hash (the finaliser of SplitMix64).
+fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
--- a/crates/route/src/target_pool.rs
+++ b/crates/route/src/target_pool.rs
@@ -1,10 +1,12 @@
 use {
     crate::{
         CallOutcome, PoolSettings, TargetSpec, TargetStanding, TargetStatus,
-        entry_ranking::weighted_score, target_record::TargetRecord,
+        outlier_rule::{OutlierRule, PoolFigures, median},
+        target_choice::TargetChoice,
+        target_record::TargetRecord,
     },
     base::{CentreId, TargetId},
-    rand::{Rng, SeedableRng},
+    rand::SeedableRng,
     rand_chacha::ChaCha8Rng,
     std::{
         collections::BTreeMap,
@@ -14,8 +16,6 @@
 
 /// Time between two computations of the pool's own figures.
 const REFRESH_TIME: Duration = Duration::from_millis(50);
-/// Calls that must have gone to a target before it can be ejected as slow.
-const LEAST_CALLS: f64 = 4.0;
 /// Time for which a target's own word that it is leaving holds.
 const LEAVING_MEMORY: Duration = Duration::from_secs(60);
 
@@ -69,7 +69,7 @@
     records: Vec<TargetRecord>,
     centre_costs: BTreeMap<CentreId, Duration>,
     generator: ChaCha8Rng,
-    service: f64,
+    figures: PoolFigures,
     refreshed: Option<Instant>,
 }
 
@@ -77,7 +77,7 @@
     /// Pool without targets.
     pub fn new(settings: PoolSettings, seed: u64) -> Self {
         Self {
-            service: settings.expected.as_secs_f64().max(0.000_001),
+            figures: PoolFigures::new(settings.expected),
             settings,
             records: Vec::new(),
             centre_costs: BTreeMap::new(),
@@ -102,7 +102,11 @@
                     self.records[place].spec = spec;
                     self.records[place].listed = true;
                 }
-                Ok(place) => self.records[place] = TargetRecord::new(spec, standing, now),
+                Ok(place) => {
+                    let in_flight = self.records[place].in_flight;
+                    self.records[place] = TargetRecord::new(spec, standing, now);
+                    self.records[place].in_flight = in_flight;
+                }
                 Err(place) => {
                     let record = TargetRecord::new(spec, standing, now);
                     self.records.insert(place, record);
@@ -120,6 +124,13 @@
         }
     }
 
+    /// Leaves out the time until now, in which this process did not run and so saw no answers.
+    pub fn skip_pause(&mut self, now: Instant) {
+        for record in &mut self.records {
+            record.skip_to(now);
+        }
+    }
+
     /// Sets what a call to a data centre costs in time, as measured.
     pub fn set_centre_cost(&mut self, data_centre: impl Into<CentreId>, cost: Duration) {
         self.centre_costs.insert(data_centre.into(), cost);
@@ -128,11 +139,15 @@
     /// Chooses a target that the request has not tried; `None` if there is none.
     pub fn pick(&mut self, query: PickQuery<'_>, now: Instant) -> Option<Pick> {
         self.refresh(now);
-        let open = self.open_places(query.tried, now);
-        let place = match open.is_empty() {
-            true => self.last_resort(query.tried, now)?,
-            false => self.choose(&open, query, now)?,
+        let choice = TargetChoice {
+            settings: &self.settings,
+            records: &self.records,
+            centre_costs: &self.centre_costs,
+            service: self.figures.service,
+            query,
+            now,
         };
+        let place = choice.pick(&mut self.generator)?;
         let spec = &self.records[place].spec;
         Some(Pick {
             target: spec.target.clone(),
@@ -164,11 +179,11 @@
         };
         let record = &mut self.records[place];
         record.advance(self.settings.half_life, now);
-        record.finish(outcome, elapsed, self.service);
+        record.finish(outcome, elapsed, self.figures.service);
         if let Some(load) = reported_load {
             record.report(load, now);
         }
-        self.judge(place, now);
+        OutlierRule::new(&self.settings, self.figures, now).judge(&mut self.records, place);
         self.drop_unlisted();
     }
 
@@ -176,10 +191,10 @@
     pub fn expected_service(&mut self, now: Instant) -> Duration {
         self.refresh(now);
         let waits = self.usable(now).map(|record| {
-            let service = record.service(self.service);
+            let service = record.service(self.figures.service);
             service * ((record.load(now) + 1.0) / record.capacity()).max(1.0)
         });
-        Duration::from_secs_f64(median(waits.collect()).unwrap_or(self.service))
+        Duration::from_secs_f64(median(waits.collect()).unwrap_or(self.figures.service))
     }
 
     /// Calls that the usable targets can run at once.
@@ -194,7 +209,7 @@
         let rows = self.records.iter().map(|record| TargetStatus {
             target: record.spec.target.clone(),
             in_flight: record.in_flight,
-            service: Duration::from_secs_f64(record.service(self.service)),
+            service: Duration::from_secs_f64(record.service(self.figures.service)),
             failure_rate: record.failure_rate,
             standing: record.standing,
             leaving: record.is_leaving(now),
@@ -208,9 +223,8 @@
     }
 
     fn usable(&self, now: Instant) -> impl Iterator<Item = &TargetRecord> {
-        self.records
-            .iter()
-            .filter(move |record| !record.is_leaving(now) && !record.is_ejected())
+        let records = self.records.iter();
+        records.filter(move |record| record.is_usable(now))
     }
 
     fn drop_unlisted(&mut self) {
@@ -218,103 +232,7 @@
             .retain(|record| record.listed || record.in_flight > 0);
     }
 
-    /// Places that may be chosen, each with its weight in the random choice.
-    fn open_places(&self, tried: &[TargetId], now: Instant) -> Vec<(usize, f64)> {
-        let mut open = Vec::with_capacity(self.records.len());
-        for (place, record) in self.records.iter().enumerate() {
-            let ramp = record.ramp(self.settings.slow_start, now);
-            let full =
-                ramp < 1.0 && f64::from(record.in_flight) >= (ramp * record.capacity()).max(1.0);
-            if ramp > 0.0
-                && !full
-                && !record.is_leaving(now)
-                && !tried.contains(&record.spec.target)
-            {
-                open.push((place, ramp * record.capacity()));
-            }
-        }
-        open
-    }
-
-    /// A target that would not be used if there were another: the one nearest to its return.
-    fn last_resort(&self, tried: &[TargetId], now: Instant) -> Option<usize> {
-        let returns = |record: &TargetRecord| match record.standing {
-            TargetStanding::Ejected(until) => until,
-            TargetStanding::Usable | TargetStanding::Returning(_) => now,
-        };
-        (0..self.records.len())
-            .filter(|&place| !self.records[place].is_leaving(now))
-            .filter(|&place| !tried.contains(&self.records[place].spec.target))
-            .min_by_key(|&place| (returns(&self.records[place]), self.records[place].in_flight))
-    }
-
-    fn choose(
-        &mut self,
-        open: &[(usize, f64)],
-        query: PickQuery<'_>,
-        now: Instant,
-    ) -> Option<usize> {
-        let drawn = self.draw(open);
-        let cost = |place: usize| self.cost(place, query, now);
-        let best = drawn
-            .into_iter()
-            .min_by(|left, right| cost(*left).total_cmp(&cost(*right)))?;
-        let Some(owner) = query
-            .prefix
-            .and_then(|prefix| self.prefix_owner(open, prefix))
-        else {
-            return Some(best);
-        };
-        let ordinary = match query.expected_cost > 0.0 {
-            true => query.expected_cost,
-            false => self.service,
-        };
-        let saved = self.settings.prefix_saving * ordinary;
-        match cost(owner) - saved <= cost(best) {
-            true => Some(owner),
-            false => Some(best),
-        }
-    }
-
-    /// Draws different places at random by weight.
-    fn draw(&mut self, open: &[(usize, f64)]) -> Vec<usize> {
-        let mut rest = open.to_vec();
-        let mut drawn = Vec::with_capacity(self.settings.choices);
-        while drawn.len() < self.settings.choices.max(1) && !rest.is_empty() {
-            let total: f64 = rest.iter().map(|(_, weight)| weight).sum();
-            let mut point = self.generator.random::<f64>() * total;
-            let hit = rest.iter().position(|(_, weight)| {
-                point -= weight;
-                point < 0.0
-            });
-            let (place, _) = rest.swap_remove(hit.unwrap_or(rest.len() - 1));
-            drawn.push(place);
-        }
-        drawn
-    }
-
-    /// Seconds until a call would be answered, the way to the target included.
-    fn cost(&self, place: usize, query: PickQuery<'_>, now: Instant) -> f64 {
-        let record = &self.records[place];
-        let wait = record.wait(record.service(self.service), now);
-        if record.spec.data_centre == query.local_centre {
-            return wait;
-        }
-        let way = self.centre_costs.get(&record.spec.data_centre);
-        wait + way.unwrap_or(&self.settings.centre_cost).as_secs_f64()
-    }
-
-    fn prefix_owner(&self, open: &[(usize, f64)], prefix: u64) -> Option<usize> {
-        let score = |place: usize| {
-            let record = &self.records[place];
-            weighted_score(mix(record.hash ^ mix(prefix)), record.capacity())
-        };
-        open.iter()
-            .map(|(place, _)| *place)
-            .max_by(|left, right| score(*left).total_cmp(&score(*right)))
-    }
-
-    /// Brings the pool's figures up to date and lets targets return whose time out is over.
+    /// Brings the pool's figures up to date and judges every target by them.
     fn refresh(&mut self, now: Instant) {
         let fresh = |at: Instant| now.saturating_duration_since(at) < REFRESH_TIME;
         if self.refreshed.is_some_and(fresh) {
@@ -323,75 +241,12 @@
         self.refreshed = Some(now);
         for record in &mut self.records {
             record.advance(self.settings.half_life, now);
-            match record.standing {
-                TargetStanding::Ejected(until) if until <= now => {
-                    record.forget();
-                    record.standing = TargetStanding::Returning(now);
-                }
-                TargetStanding::Returning(_)
-                    if record.ramp(self.settings.slow_start, now) >= 1.0 =>
-                {
-                    record.standing = TargetStanding::Usable;
-                }
-                _ => {}
-            }
+            record.come_back(self.settings.slow_start, now);
         }
-        let services = self.usable(now).map(|record| record.service(self.service));
-        self.service = median(services.collect()).unwrap_or(self.service);
+        self.figures = self.figures.measure(&self.records, now);
+        let rule = OutlierRule::new(&self.settings, self.figures, now);
         for place in 0..self.records.len() {
-            self.judge(place, now);
-        }
-    }
-
-    /// Ejects the target if it does far worse than its pool and there is room to eject.
-    fn judge(&mut self, place: usize, now: Instant) {
-        if self.records[place].is_ejected() || !self.is_outlier(place, now) {
-            return;
+            rule.judge(&mut self.records, place);
         }
-        let size = self.records.iter().filter(|row| row.listed).count();
-        let out = self.records.iter().filter(|row| row.is_ejected()).count();
-        let allowed = (size as f64 * self.settings.eject_share).floor() as usize;
-        if out < allowed.min(size.saturating_sub(1)) {
-            self.eject(place, now);
-        }
-    }
-
-    fn is_outlier(&self, place: usize, now: Instant) -> bool {
-        let record = &self.records[place];
-        let rates = self.usable(now).map(|row| row.failure_rate).collect();
-        let pool_rate = median(rates).unwrap_or(0.0);
-        if record.failure_rate > pool_rate + self.settings.eject_failures {
-            return true;
-        }
-        let slow = record.service(self.service) > self.settings.eject_slowness * self.service;
-        slow && record.calls >= LEAST_CALLS
-    }
-
-    fn eject(&mut self, place: usize, now: Instant) {
-        let settings = self.settings;
-        let record = &mut self.records[place];
-        let forgiven = settings.eject_longest * 4;
-        let age = record
-            .ejected_at
-            .map(|at| now.saturating_duration_since(at));
-        if age.is_some_and(|age| age > forgiven) {
-            record.ejections = 0;
-        }
-        let time = settings.eject_time * 2_u32.pow(record.ejections.min(10));
-        record.standing = TargetStanding::Ejected(now + time.min(settings.eject_longest));
-        record.ejected_at = Some(now);
-        record.ejections += 1;
     }
 }
-
-/// Spreads the bits of a hash (the finaliser of SplitMix64).
-fn mix(value: u64) -> u64 {
-    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    value ^ (value >> 31)
-}
-
-fn median(mut values: Vec<f64>) -> Option<f64> {
-    values.sort_by(f64::total_cmp);
-    values.get(values.len().saturating_sub(1) / 2).copied()
-}
--- a/crates/route/src/target_record.rs
+++ b/crates/route/src/target_record.rs
@@ -14,6 +14,11 @@
 const FAILURE_COST: f64 = 20.0;
 /// Time after which a load report says half as much as when it came.
 const REPORT_HALF_LIFE: Duration = Duration::from_secs(2);
+/// Time over which load reports are averaged, so that entries do not all follow the same late
+/// report to the same target.
+const REPORT_SMOOTHING: Duration = Duration::from_secs(10);
+/// Part of the reported calls of others that counts; the measured service time holds the rest.
+const REPORT_TRUST: f64 = 0.5;
 /// How much a busy target that still has free places slows down its calls.
 const BATCH_SLOWDOWN: f64 = 0.5;
 /// Least part of its full share that a returning target gets.
@@ -134,6 +139,35 @@
         matches!(self.standing, TargetStanding::Ejected(_))
     }
 
+    /// True if calls may go to the target as a matter of course.
+    pub fn is_usable(&self, now: Instant) -> bool {
+        !self.is_leaving(now) && !self.is_ejected()
+    }
+
+    /// Weight of the target in a random choice; 0 if it has what it may have.
+    pub fn open_weight(&self, slow_start: Duration, now: Instant) -> f64 {
+        let share = self.ramp(slow_start, now) * self.capacity();
+        let is_growing = matches!(self.standing, TargetStanding::Returning(_));
+        match is_growing && f64::from(self.in_flight) >= share.max(1.0) {
+            true => 0.0,
+            false => share,
+        }
+    }
+
+    /// Lets the target return if its time out is over, and ends a slow start that is over.
+    pub fn come_back(&mut self, slow_start: Duration, now: Instant) {
+        match self.standing {
+            TargetStanding::Ejected(until) if until <= now => {
+                self.forget();
+                self.standing = TargetStanding::Returning(now);
+            }
+            TargetStanding::Returning(_) if self.ramp(slow_start, now) >= 1.0 => {
+                self.standing = TargetStanding::Usable;
+            }
+            _ => {}
+        }
+    }
+
     /// Calls that run or wait at the target, those of other entries included.
     pub fn load(&self, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.reported);
@@ -165,7 +199,7 @@
     }
 
     /// Forgets what was measured, as if the target were new.
-    pub fn forget(&mut self) {
+    fn forget(&mut self) {
         self.busy = 0.0;
         self.finished = 0.0;
         self.calls = 0.0;
@@ -188,6 +222,11 @@
         self.advanced = now;
     }
 
+    /// Leaves out the time until now.
+    pub fn skip_to(&mut self, now: Instant) {
+        self.advanced = self.advanced.max(now);
+    }
+
     pub fn start(&mut self) {
         self.in_flight += 1;
         self.calls += 1.0;
@@ -215,7 +254,10 @@
 
     pub fn report(&mut self, load: f64, now: Instant) {
         let running = load.max(0.0) * self.capacity();
-        self.others = (running - f64::from(self.in_flight)).max(0.0);
+        let others = (running - f64::from(self.in_flight)).max(0.0);
+        let age = now.saturating_duration_since(self.reported).as_secs_f64();
+        let new = 1.0 - (-age / REPORT_SMOOTHING.as_secs_f64()).exp();
+        self.others += new * (REPORT_TRUST * others - self.others);
         self.reported = now;
     }
 
