Keep time free for calls that wait

A call was let in and started as long as its expected service fitted, so under overload every call that was served started at the last moment, and half of them missed the deadline for ordinary variation. A call that waits now keeps twice its expected service free, but never more than half of what the service leaves, so that an idle fleet refuses nothing that fits. A call that was not answered in time counts in the concurrency limit as one that took so long, not as a refusal: late starts had halved the limit below the pool's size.

--- a/crates/limit/src/admission_gate.rs
+++ b/crates/limit/src/admission_gate.rs
@@ -1,4 +1,5 @@
 use {
+    crate::wait_room::wait_room,
     base::FailureReason,
     serde::{Deserialize, Serialize},
     std::time::Duration,
@@ -53,7 +54,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct AdmissionGate {
-    /// Part of the expected time that a request must have left to be let in.
+    /// Times the expected time of its stages that is kept free for a request that must wait.
     pub entry_margin: f64,
     /// Part of the expected time that a request must have left to start a further stage.
     pub stage_margin: f64,
@@ -62,7 +63,7 @@
 impl Default for AdmissionGate {
     fn default() -> Self {
         Self {
-            entry_margin: 1.0,
+            entry_margin: 2.0,
             stage_margin: 0.7,
         }
     }
@@ -71,28 +72,26 @@
 impl AdmissionGate {
     /// Decides on a request of which nothing has run yet.
     pub fn admit(&self, query: AdmissionQuery<'_>) -> Admission {
-        let stages: Duration = query.stages.iter().sum();
-        let service = stages.mul_f64(self.entry_margin);
-        if service > query.remaining {
+        let service = query.stages.iter().sum();
+        let Some(room) = wait_room(query.remaining, service, self.entry_margin) else {
             return Admission::Refuse {
                 reason: FailureReason::DeadlineTooShort,
                 retry_after: LEAST_RETRY,
             };
-        }
-        let missing = (query.queue_wait + service).saturating_sub(query.remaining);
-        if missing.is_zero() {
+        };
+        if query.queue_wait <= room {
             return Admission::Admit;
         }
         Admission::Refuse {
             reason: FailureReason::Overloaded,
-            retry_after: missing.max(LEAST_RETRY),
+            retry_after: (query.queue_wait - room).max(LEAST_RETRY),
         }
     }
 
     /// True if a request whose earlier stages have run can still finish; `rest` is the expected
     /// time of this stage and all that follow.
     ///
-    /// The margin is smaller than at the entry, because giving up wastes what has run.
+    /// Less than the expected time suffices here, because giving up wastes what has run.
     pub fn can_start_stage(&self, remaining: Duration, rest: Duration) -> bool {
         !remaining.is_zero() && rest.mul_f64(self.stage_margin) <= remaining
     }
--- a/crates/limit/src/concurrency_limit.rs
+++ b/crates/limit/src/concurrency_limit.rs
@@ -11,9 +11,9 @@
 const TOLERANCE: f64 = 1.5;
 /// Smallest factor of one change.
 const LEAST_FACTOR: f64 = 0.7;
-/// Factor after a window with refusals or timeouts.
+/// Factor after a window with many refusals.
 const BACKOFF_FACTOR: f64 = 0.85;
-/// Share of refused or late calls in a window that shrinks the limit.
+/// Share of refused calls in a window that shrinks the limit.
 const BACKOFF_SHARE: f64 = 0.1;
 /// Part of the way to a slower window that the baseline moves while the limit holds no call
 /// back; a queue that the limit lets in is never taken for service.
@@ -41,7 +41,7 @@
     Answered,
     /// The target refused it because it was busy.
     Refused,
-    /// It was not answered in time.
+    /// It was not answered in time; it counts as a call that took so long.
     TimedOut,
     /// It says nothing about load, for instance a cancelled call or a lost target.
     Ignored,
@@ -127,11 +127,11 @@
     pub fn release(&mut self, outcome: ReleaseOutcome, elapsed: Duration, now: Instant) {
         self.in_flight = self.in_flight.saturating_sub(1);
         match outcome {
-            ReleaseOutcome::Answered => {
+            ReleaseOutcome::Answered | ReleaseOutcome::TimedOut => {
                 self.window.calls += 1;
                 self.window.seconds += elapsed.as_secs_f64();
             }
-            ReleaseOutcome::Refused | ReleaseOutcome::TimedOut => self.window.refused += 1,
+            ReleaseOutcome::Refused => self.window.refused += 1,
             ReleaseOutcome::Ignored => {}
         }
         let age = now.saturating_duration_since(self.window.since);
--- a/crates/limit/src/fair_queue.rs
+++ b/crates/limit/src/fair_queue.rs
@@ -1,7 +1,9 @@
 use {
-    crate::{QueueRefusal, customer_lane::CustomerLane},
+    crate::{
+        Popped, QueueRefusal, QueueSettings, Queued, WaitingCall, customer_lane::CustomerLane,
+        wait_room::wait_room,
+    },
     base::{CustomerId, FailureReason, RequestPriority},
-    serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, BTreeSet},
         time::{Duration, Instant},
@@ -15,63 +17,6 @@
 /// Least time after which a refused caller may come back.
 const LEAST_RETRY: Duration = Duration::from_millis(50);
 
-/// Bounds of a queue.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct QueueSettings {
-    /// Calls that may wait at once.
-    pub places: usize,
-    /// Target-seconds of other customers' work that an urgent call may go ahead of.
-    pub urgent_lead: f64,
-    /// Target-seconds of other customers' work that a bulk call lets go ahead.
-    pub bulk_lag: f64,
-}
-
-impl Default for QueueSettings {
-    fn default() -> Self {
-        Self {
-            places: 1_024,
-            urgent_lead: 10.0,
-            bulk_lag: 20.0,
-        }
-    }
-}
-
-/// A call that asks for a place in the queue.
-#[derive(Debug, Clone)]
-pub struct WaitingCall<T> {
-    /// Customer that the call belongs to.
-    pub customer: CustomerId,
-    /// Share of the customer, relative to the others.
-    pub weight: u32,
-    /// How urgent the call is.
-    pub priority: RequestPriority,
-    /// When the call must have been answered.
-    pub deadline: Instant,
-    /// Expected target-seconds, which is also the least time that the call still needs.
-    pub cost: f64,
-    /// What is queued.
-    pub item: T,
-}
-
-/// Place that a call got.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Queued<T> {
-    /// Number of the place, for `cancel`.
-    pub place: u64,
-    /// Items that lost their place to this call; none of them was run.
-    pub evicted: Vec<T>,
-}
-
-/// A call whose turn it is.
-#[derive(Debug, Clone)]
-pub struct Popped<T> {
-    /// The call.
-    pub call: WaitingCall<T>,
-    /// Time for which it waited.
-    pub waited: Duration,
-}
-
 #[derive(Debug, Clone)]
 struct Waiting<T> {
     call: WaitingCall<T>,
@@ -150,9 +95,7 @@
         now: Instant,
     ) -> Result<Queued<T>, QueueRefusal<T>> {
         call.cost = call.cost.max(LEAST_COST);
-        let needed = Duration::try_from_secs_f64(call.cost).unwrap_or(Duration::MAX);
-        let latest_start = call.deadline.checked_sub(needed);
-        let Some(latest_start) = latest_start.filter(|at| *at >= now) else {
+        let Some(latest_start) = self.latest_start(&call, now) else {
             return Err(QueueRefusal {
                 reason: FailureReason::DeadlineTooShort,
                 retry_after: LEAST_RETRY,
@@ -242,6 +185,13 @@
         self.waiting.is_empty()
     }
 
+    fn latest_start(&self, call: &WaitingCall<T>, now: Instant) -> Option<Instant> {
+        let remaining = call.deadline.checked_duration_since(now)?;
+        let service = Duration::try_from_secs_f64(call.cost).ok()?;
+        let room = wait_room(remaining, service, self.settings.start_margin)?;
+        Some(now + room)
+    }
+
     fn insert(&mut self, waiting: Waiting<T>) -> u64 {
         let place = self.next_place;
         self.next_place += 1;
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -5,10 +5,15 @@
 mod customer_lane;
 mod fair_queue;
 mod queue_refusal;
+mod queue_settings;
+mod wait_room;
+mod waiting_call;
 
 pub use {
     admission_gate::{Admission, AdmissionGate, AdmissionQuery},
     concurrency_limit::{ConcurrencyLimit, LimitRange, ReleaseOutcome},
-    fair_queue::{FairQueue, Popped, QueueSettings, Queued, WaitingCall},
+    fair_queue::FairQueue,
     queue_refusal::QueueRefusal,
+    queue_settings::QueueSettings,
+    waiting_call::{Popped, Queued, WaitingCall},
 };
--- a/crates/limit/tests/fair_queue.rs
+++ b/crates/limit/tests/fair_queue.rs
@@ -222,17 +222,28 @@
 }
 
 #[test]
-fn calls_expire_as_soon_as_they_cannot_finish() {
+fn calls_expire_as_soon_as_they_have_no_good_chance_to_finish() {
     let now = Instant::now();
     let mut queue = queue_of(usize::MAX);
-    let short = WaitingCall {
-        deadline: now + Duration::from_secs(3),
-        ..call("a", 1, 1.0, 1, now)
+    // Of 3 s, one is the expected cost and as much again is kept free; of 1.2 s, half of the
+    // 0.2 s to spare is kept free.
+    for (item, deadline, wait) in [(1, 3_000, 1_000), (2, 1_200, 100)] {
+        let short = WaitingCall {
+            deadline: now + Duration::from_millis(deadline),
+            ..call("a", 1, 1.0, item, now)
+        };
+        queue.push(short, now).unwrap();
+        let latest = now + Duration::from_millis(wait);
+        assert_eq!(queue.next_expiry(), Some(latest));
+        assert!(queue.expire(latest).is_empty());
+        let late = latest + Duration::from_millis(1);
+        assert!(queue.pop(late).is_none());
+        assert_eq!(queue.expire(late), [item]);
+    }
+    let hopeless = WaitingCall {
+        deadline: now + Duration::from_millis(999),
+        ..call("a", 1, 1.0, 3, now)
     };
-    queue.push(short, now).unwrap();
-    assert_eq!(queue.next_expiry(), Some(now + Duration::from_secs(2)));
-    assert!(queue.expire(now + Duration::from_secs(2)).is_empty());
-    let late = now + Duration::from_millis(2_001);
-    assert!(queue.pop(late).is_none());
-    assert_eq!(queue.expire(late), [1]);
+    let refusal = queue.push(hopeless, now).unwrap_err();
+    assert_eq!(refusal.reason, FailureReason::DeadlineTooShort);
 }
