Measure the choice of targets in small pools too

The example also runs four targets before eight entries at low load, where each entry sees little of each target. A number of choices beyond the pool's size failed with a capacity overflow; it is bounded by the targets that are open now.

--- a/crates/retry/src/crash_ledger.rs
+++ b/crates/retry/src/crash_ledger.rs
@@ -22,6 +22,7 @@
 #[serde(default, deny_unknown_fields)]
 pub struct LedgerSettings {
     /// Time for which a strike counts.
+    #[serde(with = "humantime_serde")]
     pub lifetime: Duration,
     /// Requests that are remembered at most.
     pub records: usize,
--- a/crates/route/examples/picks.rs
+++ b/crates/route/examples/picks.rs
@@ -13,17 +13,14 @@
 };
 
 const SEEDS: u64 = 11;
-const TARGETS: usize = 12;
 const PLACES: u32 = 4;
-/// Arrivals as a part of what the targets without faults can do.
-const LOAD: f64 = 0.8;
 const RUN_TIME: Duration = Duration::from_secs(60);
 const DEADLINE: Duration = Duration::from_secs(1);
 const FAULT_START: Duration = Duration::from_secs(20);
 const MEAN_SERVICE: Duration = Duration::from_millis(100);
 const FAILURE_TIME: Duration = Duration::from_millis(2);
-const STRAGGLER: usize = 3;
-const FAILING: usize = 7;
+const STRAGGLER: usize = 0;
+const FAILING: usize = 1;
 const STRAGGLER_SPEED: f64 = 0.1;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,13 +39,16 @@
     (PickPolicy::PoolWithoutEjection, "two choices + speed"),
     (PickPolicy::Pool(2), "two choices + speed + ejection"),
     (PickPolicy::Pool(3), "three choices, same"),
-    (PickPolicy::Pool(TARGETS), "all targets, same"),
+    (PickPolicy::Pool(usize::MAX), "all targets, same"),
 ];
 
 /// What a run consists of.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 struct RunPlan {
+    targets: usize,
     entries: usize,
+    /// Arrivals as a part of what the targets without faults can do.
+    load: f64,
     retries: usize,
     report_lag: Duration,
     straggler: bool,
@@ -108,7 +108,7 @@
 }
 
 impl EntryView {
-    fn new(policy: PickPolicy, seed: u64, now: Instant) -> Self {
+    fn new(policy: PickPolicy, targets: usize, seed: u64, now: Instant) -> Self {
         let (eject_share, choices) = match policy {
             PickPolicy::Pool(choices) => (PoolSettings::default().eject_share, choices),
             _ => (0.0, 2),
@@ -119,16 +119,16 @@
             ..PoolSettings::default()
         };
         let mut pool = TargetPool::new(settings, seed);
-        pool.set_targets((0..TARGETS).map(target_spec), now);
+        pool.set_targets((0..targets).map(target_spec), now);
         Self {
             policy,
             pool,
-            in_flight: vec![0; TARGETS],
+            in_flight: vec![0; targets],
         }
     }
 
     fn pick(&mut self, tried: &[String], generator: &mut impl Rng, now: Instant) -> usize {
-        let open: Vec<usize> = (0..TARGETS)
+        let open: Vec<usize> = (0..self.in_flight.len())
             .filter(|&target| !tried.contains(&target_name(target)))
             .collect();
         let draw = |generator: &mut dyn rand::RngCore| open[generator.random_range(0..open.len())];
@@ -206,18 +206,18 @@
     fn new(policy: PickPolicy, plan: RunPlan, seed: u64) -> Self {
         let mut generator = ChaCha8Rng::seed_from_u64(seed);
         let start = Instant::now();
-        let mut targets = vec![SimTarget::default(); TARGETS];
+        let mut targets = vec![SimTarget::default(); plan.targets];
         for target in &mut targets {
             target.speed = 2_f64.powf(generator.random_range(-1.0..1.0));
         }
         let lost = |place: usize| {
             (plan.straggler && place == STRAGGLER) || (plan.failing && place == FAILING)
         };
-        let whole = (0..TARGETS).filter(|&place| !lost(place));
+        let whole = (0..plan.targets).filter(|&place| !lost(place));
         let speed: f64 = whole.map(|place| targets[place].speed).sum();
-        let rate = LOAD * speed * f64::from(PLACES) / MEAN_SERVICE.as_secs_f64();
-        let entries =
-            (0..plan.entries as u64).map(|entry| EntryView::new(policy, seed ^ entry, start));
+        let rate = plan.load * speed * f64::from(PLACES) / MEAN_SERVICE.as_secs_f64();
+        let entries = (0..plan.entries as u64)
+            .map(|entry| EntryView::new(policy, plan.targets, seed ^ entry, start));
         Self {
             plan,
             start,
@@ -407,8 +407,9 @@
 
 fn print_table(title: &str, plan: RunPlan) {
     println!(
-        "{title}, {} entries, load reports {:?} old; median (range) of {SEEDS} seeds",
-        plan.entries, plan.report_lag
+        "{title}: {} targets, {} entries, load {}, load reports {:?} old; median (range) of \
+         {SEEDS} seeds",
+        plan.targets, plan.entries, plan.load, plan.report_lag
     );
     println!("policy | attainment % | failed calls % of requests | p50 ms | p99 ms");
     for (policy, name) in POLICIES {
@@ -421,22 +422,44 @@
 }
 
 fn main() {
-    let faults = [
-        ("no fault", false, false, 1),
-        ("straggler", true, false, 1),
-        ("fails fast, no retry", false, true, 0),
-        ("straggler and fails fast, one retry", true, true, 1),
-    ];
-    for (title, straggler, failing, retries) in faults {
-        for (entries, lag_millis) in [(4, 0), (40, 0), (40, 1_000)] {
+    let large = RunPlan {
+        targets: 12,
+        entries: 40,
+        load: 0.8,
+        retries: 1,
+        report_lag: Duration::from_secs(1),
+        straggler: false,
+        failing: false,
+    };
+    let few_entries = RunPlan {
+        entries: 4,
+        report_lag: Duration::ZERO,
+        ..large
+    };
+    let small = RunPlan {
+        targets: 4,
+        entries: 8,
+        load: 0.3,
+        ..large
+    };
+    for (size, plan) in [
+        ("large", large),
+        ("few entries", few_entries),
+        ("small", small),
+    ] {
+        for (fault, straggler, failing, retries) in [
+            ("no fault", false, false, 1),
+            ("straggler", true, false, 1),
+            ("fails fast, no retry", false, true, 0),
+            ("straggler and fails fast, one retry", true, true, 1),
+        ] {
             let plan = RunPlan {
-                entries,
-                retries,
-                report_lag: Duration::from_millis(lag_millis),
                 straggler,
                 failing,
+                retries,
+                ..plan
             };
-            print_table(title, plan);
+            print_table(&format!("{size}, {fault}"), plan);
         }
     }
 }
--- a/crates/route/src/pool_settings.rs
+++ b/crates/route/src/pool_settings.rs
@@ -8,8 +8,10 @@
 #[serde(default, deny_unknown_fields)]
 pub struct PoolSettings {
     /// Service time of an ordinary target before anything was measured.
+    #[serde(with = "humantime_serde")]
     pub expected: Duration,
     /// What a call to another data centre costs unless it was measured.
+    #[serde(with = "humantime_serde")]
     pub centre_cost: Duration,
     /// Targets that are drawn for each call; the call goes to the best of them.
     pub choices: usize,
@@ -22,12 +24,16 @@
     /// A target is ejected when its failure rate is this far above the pool's.
     pub eject_failures: f64,
     /// Time out of the pool after a first ejection; it doubles with each one that follows.
+    #[serde(with = "humantime_serde")]
     pub eject_time: Duration,
     /// Longest time out of the pool.
+    #[serde(with = "humantime_serde")]
     pub eject_longest: Duration,
     /// Time in which a target that comes back grows to its full share.
+    #[serde(with = "humantime_serde")]
     pub slow_start: Duration,
     /// Time after which half of what was measured is forgotten.
+    #[serde(with = "humantime_serde")]
     pub half_life: Duration,
 }
 
--- a/crates/route/src/target_choice.rs
+++ b/crates/route/src/target_choice.rs
@@ -86,8 +86,9 @@
     /// Draws different places at random by weight.
     fn draw(&self, open: &[OpenPlace], generator: &mut impl Rng) -> Vec<usize> {
         let mut rest = open.to_vec();
-        let mut drawn = Vec::with_capacity(self.settings.choices);
-        while drawn.len() < self.settings.choices.max(1) && !rest.is_empty() {
+        let choices = self.settings.choices.clamp(1, rest.len().max(1));
+        let mut drawn = Vec::with_capacity(choices);
+        while drawn.len() < choices && !rest.is_empty() {
             let total: f64 = rest.iter().map(|open| open.weight).sum();
             let mut point = generator.random::<f64>() * total;
             let hit = rest.iter().position(|open| {
--- a/crates/route/src/target_record.rs
+++ b/crates/route/src/target_record.rs
@@ -1,6 +1,7 @@
 use {
     crate::entry_ranking::name_hash,
     base::{CentreId, TargetId},
+    sheet::TargetRow,
     std::time::{Duration, Instant},
 };
 
@@ -39,6 +40,18 @@
     pub leaving: bool,
 }
 
+impl From<&TargetRow> for TargetSpec {
+    fn from(row: &TargetRow) -> Self {
+        Self {
+            target: row.name.clone(),
+            address: row.address.clone(),
+            data_centre: row.data_centre.clone(),
+            capacity: row.capacity,
+            leaving: row.leaving,
+        }
+    }
+}
+
 /// How a call to a target ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallOutcome {
--- a/crates/route/tests/target_pool.rs
+++ b/crates/route/tests/target_pool.rs
@@ -215,11 +215,13 @@
     #[test]
     fn picks_respect_tried_and_leaving_and_ejections_stay_bounded(
         targets in 1_usize..12,
+        choices in prop::sample::select(vec![0, 1, 3, usize::MAX]),
         leaving in prop::collection::vec(any::<bool>(), 12),
         steps in prop::collection::vec((0_u8..6, 0_u64..3_000, any::<bool>()), 1..200),
     ) {
         let mut now = Instant::now();
-        let mut pool = TargetPool::new(PoolSettings::default(), 5);
+        let settings = PoolSettings { choices, ..PoolSettings::default() };
+        let mut pool = TargetPool::new(settings, 5);
         let rows = (0..targets).map(|place| TargetSpec { leaving: leaving[place], ..spec(place) });
         pool.set_targets(rows, now);
         let open: Vec<String> = (0..targets)
