--- a/crates/limit/examples/overload.rs
+++ b/crates/limit/examples/overload.rs
@@ -24,6 +24,8 @@
 const RUN_TIME: Duration = Duration::from_secs(60);
 const DEADLINE: Duration = Duration::from_secs(1);
 const MEAN_SERVICE: Duration = Duration::from_millis(100);
+/// Part of every customer's requests that is urgent.
+const URGENT_PART: f64 = 0.1;
 /// Weight of the latest call in the expected service time.
 const SERVICE_WEIGHT: f64 = 0.05;
 
@@ -56,6 +58,7 @@
 #[derive(Debug, Clone)]
 struct SimCall {
     customer: usize,
+    priority: RequestPriority,
     arrived: Duration,
     sent: Option<Duration>,
     placed: Option<Duration>,
@@ -88,6 +91,7 @@
     wasted: Duration,
     used: Duration,
     counts: Vec<CustomerCount>,
+    urgent: CustomerCount,
 }
 
 /// Figures of one run, in parts of one.
@@ -95,6 +99,7 @@
 struct RunFigures {
     all: f64,
     small: f64,
+    urgent: f64,
     wasted: f64,
 }
 
@@ -129,6 +134,7 @@
             now: Duration::ZERO,
             next_number: 0,
             events: BinaryHeap::new(),
+            urgent: CustomerCount::default(),
             counts: vec![CustomerCount::default(); rates.len()],
             rates,
             calls: BTreeMap::new(),
@@ -165,6 +171,7 @@
         RunFigures {
             all: part(&self.counts),
             small: part(&self.counts[..SMALL_CUSTOMERS]),
+            urgent: part(&[self.urgent]),
             wasted: self.wasted.as_secs_f64() / self.used.as_secs_f64(),
         }
     }
@@ -197,30 +204,35 @@
 
     fn arrive(&mut self, customer: usize) {
         self.schedule_arrival(customer);
+        let priority = match self.generator.random_bool(URGENT_PART) {
+            true => RequestPriority::Urgent,
+            false => RequestPriority::Normal,
+        };
         self.counts[customer].arrived += 1;
+        self.urgent.arrived += u64::from(priority == RequestPriority::Urgent);
         let service = MEAN_SERVICE / 2 + self.exponential(MEAN_SERVICE.as_secs_f64() / 2.0);
         let id = self.number();
         let call = SimCall {
             customer,
+            priority,
             arrived: self.now,
             sent: None,
             placed: None,
             service,
         };
-        if self.is_refused(customer) {
+        if self.is_refused(customer, priority) {
             return;
         }
         self.calls.insert(id, call);
         self.schedule(self.now + DEADLINE, SimEvent::Deadline { call: id });
         match self.policy {
             EntryPolicy::Open | EntryPolicy::FixedLimit => self.line.push_back(id),
-            EntryPolicy::Fair | EntryPolicy::FairGate => self.push_fair(id, customer),
+            EntryPolicy::Fair | EntryPolicy::FairGate => self.push_fair(id, customer, priority),
         }
     }
 
-    fn is_refused(&self, customer: usize) -> bool {
+    fn is_refused(&self, customer: usize, priority: RequestPriority) -> bool {
         let expected = Duration::from_secs_f64(self.expected);
-        let priority = RequestPriority::Normal;
         let name = customer.to_string();
         let wait = self.queue.wait_estimate(&name, 1, priority, self.expected);
         let query = AdmissionQuery {
@@ -231,12 +243,12 @@
         self.policy == EntryPolicy::FairGate && self.gate.admit(query) != Admission::Admit
     }
 
-    fn push_fair(&mut self, id: u64, customer: usize) {
+    fn push_fair(&mut self, id: u64, customer: usize, priority: RequestPriority) {
         let now = self.clock();
         let call = WaitingCall {
             customer: customer.to_string(),
             weight: 1,
-            priority: RequestPriority::Normal,
+            priority,
             deadline: now + DEADLINE,
             cost: self.expected,
             item: id,
@@ -291,6 +303,7 @@
             return;
         };
         self.counts[call.customer].whole += 1;
+        self.urgent.whole += u64::from(call.priority == RequestPriority::Urgent);
         self.leave_pool(id, &call, ReleaseOutcome::Answered);
         let elapsed = self.now.saturating_sub(call.sent.unwrap_or(self.now));
         self.expected += SERVICE_WEIGHT * (elapsed.as_secs_f64() - self.expected);
@@ -332,15 +345,18 @@
 fn main() {
     for load in LOADS {
         println!("load {load} of capacity; median (range) of {SEEDS} seeds");
-        println!("policy | attainment % | of the small customers % | target time wasted %");
+        println!(
+            "policy | attainment % | of the small customers % | of urgent requests % | target time wasted %"
+        );
         for (policy, name) in POLICIES {
             let runs: Vec<RunFigures> = (1..=SEEDS)
                 .map(|seed| OverloadSim::new(policy, load, seed).run())
                 .collect();
             let all = spread(&runs, |run| run.all);
             let small = spread(&runs, |run| run.small);
+            let urgent = spread(&runs, |run| run.urgent);
             let wasted = spread(&runs, |run| run.wasted);
-            println!("{name:<27} | {all} | {small} | {wasted}");
+            println!("{name:<27} | {all} | {small} | {urgent} | {wasted}");
         }
         println!();
     }
