--- a/crates/entry/src/data/pool_desk.rs
+++ b/crates/entry/src/data/pool_desk.rs
@@ -163,9 +163,12 @@
         if state.queue.is_empty() && state.limit.in_flight() < state.limit.limit() {
             return Duration::ZERO;
         }
-        state
-            .queue
-            .wait_estimate(query.customer, query.weight, query.cost.as_secs_f64())
+        state.queue.wait_estimate(
+            query.customer,
+            query.weight,
+            query.priority,
+            query.cost.as_secs_f64(),
+        )
     }
 
     /// Target for the next call of a request that has tried some already.
--- a/crates/limit/src/fair_queue.rs
+++ b/crates/limit/src/fair_queue.rs
@@ -1,7 +1,9 @@
 use {
-    crate::{QueueRefusal, customer_lane::CustomerLane},
+    crate::{
+        Popped, QueueRefusal, QueueSettings, Queued, WaitingCall, customer_lane::CustomerLane,
+        wait_room::wait_room,
+    },
     base::{CustomerId, FailureReason, RequestPriority},
-    serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, BTreeSet},
         time::{Duration, Instant},
@@ -15,63 +17,6 @@
 /// Least time after which a refused caller may come back.
 const LEAST_RETRY: Duration = Duration::from_millis(50);
 
-/// Bounds of a queue.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct QueueSettings {
-    /// Calls that may wait at once.
-    pub places: usize,
-    /// Target-seconds of other customers' work that an urgent call may go ahead of.
-    pub urgent_lead: f64,
-    /// Target-seconds of other customers' work that a bulk call lets go ahead.
-    pub bulk_lag: f64,
-}
-
-impl Default for QueueSettings {
-    fn default() -> Self {
-        Self {
-            places: 1_024,
-            urgent_lead: 10.0,
-            bulk_lag: 20.0,
-        }
-    }
-}
-
-/// A call that asks for a place in the queue.
-#[derive(Debug, Clone)]
-pub struct WaitingCall<T> {
-    /// Customer that the call belongs to.
-    pub customer: CustomerId,
-    /// Share of the customer, relative to the others.
-    pub weight: u32,
-    /// How urgent the call is.
-    pub priority: RequestPriority,
-    /// When the call must have been answered.
-    pub deadline: Instant,
-    /// Expected target-seconds, which is also the least time that the call still needs.
-    pub cost: f64,
-    /// What is queued.
-    pub item: T,
-}
-
-/// Place that a call got.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Queued<T> {
-    /// Number of the place, for `cancel`.
-    pub place: u64,
-    /// Items that lost their place to this call; none of them was run.
-    pub evicted: Vec<T>,
-}
-
-/// A call whose turn it is.
-#[derive(Debug, Clone)]
-pub struct Popped<T> {
-    /// The call.
-    pub call: WaitingCall<T>,
-    /// Time for which it waited.
-    pub waited: Duration,
-}
-
 #[derive(Debug, Clone)]
 struct Waiting<T> {
     call: WaitingCall<T>,
@@ -150,9 +95,7 @@
         now: Instant,
     ) -> Result<Queued<T>, QueueRefusal<T>> {
         call.cost = call.cost.max(LEAST_COST);
-        let needed = Duration::try_from_secs_f64(call.cost).unwrap_or(Duration::MAX);
-        let latest_start = call.deadline.checked_sub(needed);
-        let Some(latest_start) = latest_start.filter(|at| *at >= now) else {
+        let Some(latest_start) = self.latest_start(&call, now) else {
             return Err(QueueRefusal {
                 reason: FailureReason::DeadlineTooShort,
                 retry_after: LEAST_RETRY,
@@ -222,12 +165,19 @@
     }
 
     /// Time that a further call of the customer would wait.
-    pub fn wait_estimate(&self, customer: &str, weight: u32, cost: f64) -> Duration {
+    pub fn wait_estimate(
+        &self,
+        customer: &str,
+        weight: u32,
+        priority: RequestPriority,
+        cost: f64,
+    ) -> Duration {
         let weight = f64::from(weight).max(LEAST_WEIGHT);
-        let own = self.lanes.get(customer).map_or(0.0, |lane| lane.cost);
+        let lane = self.lanes.get(customer);
+        let own = lane.map_or(0.0, |lane| lane.cost_ahead_of(priority));
         let others = self.lanes.iter().filter(|(name, _)| *name != customer);
         let ahead: f64 = others
-            .map(|(_, lane)| lane.cost.min((own + cost) * lane.weight / weight))
+            .map(|(_, lane)| lane.cost().min((own + cost) * lane.weight / weight))
             .sum();
         Duration::from_secs_f64((own + ahead).max(0.0) / self.capacity)
     }
@@ -242,6 +192,13 @@
         self.waiting.is_empty()
     }
 
+    fn latest_start(&self, call: &WaitingCall<T>, now: Instant) -> Option<Instant> {
+        let remaining = call.deadline.checked_duration_since(now)?;
+        let service = Duration::try_from_secs_f64(call.cost).ok()?;
+        let room = wait_room(remaining, service, self.settings.start_margin)?;
+        Some(now + room)
+    }
+
     fn insert(&mut self, waiting: Waiting<T>) -> u64 {
         let place = self.next_place;
         self.next_place += 1;
@@ -312,13 +269,13 @@
     fn make_room(&mut self, call: &WaitingCall<T>) -> Result<T, FailureReason> {
         let weight = f64::from(call.weight).max(LEAST_WEIGHT);
         let own = self.lanes.get(&call.customer);
-        let own_load = (own.map_or(0.0, |lane| lane.cost) + call.cost) / weight;
+        let own_load = (own.map_or(0.0, |lane| lane.cost()) + call.cost) / weight;
         let others = self
             .lanes
             .iter()
             .filter(|(name, lane)| **name != call.customer && !lane.is_empty());
         let largest = others
-            .map(|(_, lane)| (lane.cost / lane.weight, lane))
+            .map(|(_, lane)| (lane.cost() / lane.weight, lane))
             .max_by(|left, right| left.0.total_cmp(&right.0));
         let refusal = match largest {
             Some(_) => FailureReason::ShareExceeded,
@@ -335,7 +292,7 @@
     }
 
     fn drain_time(&self) -> Duration {
-        let cost: f64 = self.lanes.values().map(|lane| lane.cost).sum();
+        let cost: f64 = self.lanes.values().map(|lane| lane.cost()).sum();
         Duration::from_secs_f64(cost.max(0.0) / self.capacity)
     }
 }
