Count failed dials apart from calls that reached an entry

With an entry dead, each request first dials it while its callers keep the old answer, and the calls a request rose to 1.8 although each was run once. Failed dials now stand on their own. The driver of a request and the bench are split into shorter functions; the scripts no longer close the pipe on a program that still prints.

--- a/bench/fleet.sh
+++ b/bench/fleet.sh
@@ -118,7 +118,8 @@
 fleet_busiest() {
     local name first
     first="$("$BIN/camphor-load" address --workload "$1" \
-        --entry "$(fleet_address "${ENTRIES[0]}" callers)" | head -n 1)"
+        --entry "$(fleet_address "${ENTRIES[0]}" callers)")"
+    first="${first%%$'\n'*}"
     for name in "${ENTRIES[@]}"; do
         [ "$(fleet_address "$name" callers)" = "$first" ] && echo "$name"
     done
--- a/crates/load/src/drive/bench_driver.rs
+++ b/crates/load/src/drive/bench_driver.rs
@@ -5,8 +5,8 @@
         processor_time::processor_time,
     },
     load::{
-        AddedTime, AnswerCheck, CustomerLoad, LatencyRecord, PipelineLoad, PlannedRequest,
-        SendResult, SustainedRate,
+        AddedTime, AnswerCheck, CustomerLoad, LatencyRecord, LatencySummary, PipelineLoad,
+        PlannedRequest, SendResult, SustainedRate,
     },
     std::{
         cell::{Cell, RefCell},
@@ -32,6 +32,29 @@
 struct RouteRecord {
     latency: LatencyRecord,
     first_token: LatencyRecord,
+    failures: u64,
+}
+
+impl RouteRecord {
+    fn add(&mut self, arrival: Instant, result: &SendResult, sent: &SentCall) {
+        if *result != SendResult::Whole {
+            self.failures += 1;
+            return;
+        }
+        self.latency.add(arrival.elapsed());
+        if let Some(first) = sent.token_times.first() {
+            self.first_token.add(first.duration_since(arrival));
+        }
+    }
+
+    /// Times to the first token of a stream, else to the end.
+    fn summary(&self, stream: bool) -> LatencySummary {
+        if stream {
+            self.first_token.summary()
+        } else {
+            self.latency.summary()
+        }
+    }
 }
 
 /// Counts of callers that send again at once.
@@ -68,9 +91,10 @@
         rate: f64,
         run: Duration,
     ) -> AddedTime {
-        let records = [RouteRecord::default(), RouteRecord::default()];
-        let records = Rc::new(RefCell::new(records));
-        let failures = Rc::new(Cell::new(0));
+        let record = Rc::new(RefCell::new([
+            RouteRecord::default(),
+            RouteRecord::default(),
+        ]));
         let start = Instant::now();
         let step = Duration::from_secs_f64(0.5 / rate);
         let count = (run.as_secs_f64() / step.as_secs_f64()) as u32;
@@ -80,34 +104,21 @@
             watch_until(arrival).await;
             let way = index as usize % routes.len();
             let (driver, pipeline) = (Rc::clone(self), pipeline.clone());
-            let (records, failures) = (Rc::clone(&records), Rc::clone(&failures));
-            let route = routes[way].clone();
+            let (record, route) = (Rc::clone(&record), routes[way].clone());
             tasks.push(actix_rt::spawn(async move {
                 let (result, sent) = driver.call(&pipeline, &route).await;
-                if result != SendResult::Whole {
-                    failures.set(failures.get() + 1);
-                    return;
-                }
-                let record = &mut records.borrow_mut()[way];
-                record.latency.add(arrival.elapsed());
-                if let Some(first) = sent.token_times.first() {
-                    record.first_token.add(first.duration_since(arrival));
-                }
+                record.borrow_mut()[way].add(arrival, &result, &sent);
             }));
         }
         for task in tasks {
             let _ = task.await;
         }
-        let records = records.borrow();
-        let summary = |record: &RouteRecord| match pipeline.stream {
-            true => record.first_token.summary(),
-            false => record.latency.summary(),
-        };
+        let [direct, entry] = record.take();
         AddedTime {
             rate,
-            direct: summary(&records[0]),
-            entry: summary(&records[1]),
-            failures: failures.get(),
+            direct: direct.summary(pipeline.stream),
+            entry: entry.summary(pipeline.stream),
+            failures: direct.failures + entry.failures,
         }
     }
 
--- a/crates/load/src/drive/request_driver.rs
+++ b/crates/load/src/drive/request_driver.rs
@@ -5,8 +5,8 @@
         load_driver::LoadDriver,
     },
     load::{
-        AnswerCheck, CallerStep, CustomerLoad, PipelineLoad, PlannedRequest, RequestCaller,
-        RequestOutcome, RequestResult, SendResult,
+        AnswerCheck, CallerStep, PipelineLoad, PlannedRequest, RequestCaller, RequestOutcome,
+        RequestResult, SendResult,
     },
     std::{
         rc::Rc,
@@ -22,6 +22,8 @@
     driver: Rc<LoadDriver>,
     planned: PlannedRequest,
     arrival: Instant,
+    calls: u32,
+    failed_dials: u32,
     interruptions: Vec<String>,
     token_times: Vec<Instant>,
 }
@@ -33,6 +35,8 @@
             driver,
             planned,
             arrival,
+            calls: 0,
+            failed_dials: 0,
             interruptions: Vec::new(),
             token_times: Vec::new(),
         }
@@ -63,25 +67,21 @@
                 } => {
                     sleep_until(at).await;
                     let ticket = self.choose_ticket(&mut caller, &address, ticket);
-                    let call = EntryCall {
-                        address: &address,
-                        customer,
-                        pipeline,
-                        planned: &self.planned.clone(),
-                        ticket: ticket.as_deref(),
-                        deadline,
-                        sheet_version: driver.sheet_version(&customer.name),
-                    };
-                    let result = self.send(&call).await;
-                    let step = caller.ended(Instant::now(), result);
-                    if let CallerStep::AskAddresses { .. } = step {
-                        driver.forget(&customer.name);
-                    }
-                    step
+                    let result = self.send(&address, ticket.as_deref(), deadline).await?;
+                    self.next_step(&mut caller, result)
                 }
             };
         };
-        Some(self.result(customer, pipeline, caller.sends(), outcome))
+        Some(self.result(pipeline, outcome))
+    }
+
+    /// Tells the caller how its send ended; addresses that all failed are given up.
+    fn next_step(&self, caller: &mut RequestCaller, result: SendResult) -> CallerStep {
+        let step = caller.ended(Instant::now(), result);
+        if let CallerStep::AskAddresses { .. } = step {
+            self.driver.forget(&self.planned.customer);
+        }
+        step
     }
 
     /// Ticket of the request, or a fresh one of the entry that is sent to.
@@ -99,47 +99,65 @@
         Some(ticket)
     }
 
-    async fn send(&mut self, call: &EntryCall<'_>) -> SendResult {
+    async fn send(
+        &mut self,
+        address: &str,
+        ticket: Option<&str>,
+        deadline: Instant,
+    ) -> Option<SendResult> {
+        let workload = &self.driver.workload;
+        let call = EntryCall {
+            address,
+            customer: workload.customer(&self.planned.customer)?,
+            pipeline: workload.pipeline(&self.planned.pipeline)?,
+            planned: &self.planned,
+            ticket,
+            deadline,
+            sheet_version: self.driver.sheet_version(&self.planned.customer),
+        };
         let mut sent = SentCall::default();
         let check = AnswerCheck::of_request(call.pipeline, call.planned);
-        let patience = (call.deadline + ANSWER_GRACE).saturating_duration_since(Instant::now());
-        let sending = self.driver.client.send(call, check, &mut sent);
+        let patience = (deadline + ANSWER_GRACE).saturating_duration_since(Instant::now());
+        let sending = self.driver.client.send(&call, check, &mut sent);
         let result = match actix_rt::time::timeout(patience, sending).await {
             Ok(result) => result,
             Err(_) => SendResult::TimedOut,
         };
+        self.note(address, &result, sent);
+        Some(result)
+    }
+
+    /// Keeps what a send brought in beside its result.
+    fn note(&mut self, address: &str, result: &SendResult, mut sent: SentCall) {
         if self.token_times.is_empty() {
             self.token_times = sent.token_times;
         }
-        if result == SendResult::Interrupted {
-            self.interruptions.push(call.address.to_string());
+        match result {
+            SendResult::NotSent => self.failed_dials += 1,
+            SendResult::Interrupted => self.interruptions.push(address.to_string()),
+            SendResult::Refused(report) => sent.tickets.extend(report.tickets.iter().cloned()),
+            _ => {}
         }
-        if let SendResult::Refused(report) = &result {
-            sent.tickets.extend(report.tickets.iter().cloned());
+        if *result != SendResult::NotSent {
+            self.calls += 1;
         }
         self.driver
-            .store_tickets(&call.customer.name, call.address, sent.tickets);
-        result
+            .store_tickets(&self.planned.customer, address, sent.tickets);
     }
 
-    fn result(
-        self,
-        customer: &CustomerLoad,
-        pipeline: &PipelineLoad,
-        calls: u32,
-        outcome: RequestOutcome,
-    ) -> RequestResult {
+    fn result(self, pipeline: &PipelineLoad, outcome: RequestOutcome) -> RequestResult {
         let times = &self.token_times;
         let first_token = times.first().map(|time| time.duration_since(self.arrival));
         let gaps = times.windows(2).map(|pair| pair[1] - pair[0]).collect();
         RequestResult {
-            customer: customer.name.clone(),
+            customer: self.planned.customer,
             pipeline: pipeline.name.clone(),
             request: self.planned.request,
             outcome,
             latency: self.arrival.elapsed(),
             deadline: pipeline.deadline,
-            calls,
+            calls: self.calls,
+            failed_dials: self.failed_dials,
             interruptions: self.interruptions,
             first_token,
             gaps,
--- a/crates/load/src/load_report.rs
+++ b/crates/load/src/load_report.rs
@@ -17,8 +17,10 @@
     pub late: u64,
     /// Share that was whole within the deadline.
     pub attainment: f64,
-    /// Calls to entries for each request.
+    /// Calls that reached an entry for each request.
     pub calls_per_request: f64,
+    /// Connections to entries that could not be made.
+    pub failed_dials: u64,
     /// Time from scheduled arrival to the end of whole answers.
     pub latency: LatencySummary,
     /// Time from scheduled arrival to the first token.
@@ -131,7 +133,8 @@
     /// The report as text for a person.
     pub fn to_text(&self) -> String {
         let mut text = format!(
-            "{} {} seed {}: {} requests in {:.0} s, attainment {:.2} %, {:.3} calls a request\n\n",
+            "{} {} seed {}: {} requests in {:.0} s, attainment {:.2} %, {:.3} calls a request, \
+             {} failed dials\n\n",
             self.workload,
             self.case,
             self.seed,
@@ -139,6 +142,7 @@
             self.seconds,
             self.total.attainment * 100.0,
             self.total.calls_per_request,
+            self.total.failed_dials,
         );
         let groups = [
             ("pipeline", &self.pipelines),
--- a/crates/load/src/load_tally.rs
+++ b/crates/load/src/load_tally.rs
@@ -22,8 +22,10 @@
     pub latency: Duration,
     /// Time in which the answer had to be whole.
     pub deadline: Duration,
-    /// Calls to entries, address questions left out.
+    /// Calls that reached an entry, address questions left out.
     pub calls: u32,
+    /// Connections to entries that could not be made.
+    pub failed_dials: u32,
     /// Connections that ended before their answer did, by address of the entry.
     pub interruptions: Vec<String>,
     /// Time from the scheduled arrival to the first token.
@@ -53,6 +55,7 @@
     attained: u64,
     late: u64,
     calls: u64,
+    failed_dials: u64,
     latency: LatencyRecord,
     first_token: LatencyRecord,
     gap: LatencyRecord,
@@ -62,6 +65,7 @@
     fn add(&mut self, result: &RequestResult) {
         self.requests += 1;
         self.calls += u64::from(result.calls);
+        self.failed_dials += u64::from(result.failed_dials);
         if result.attained() {
             self.attained += 1;
         }
@@ -82,6 +86,7 @@
         self.attained += other.attained;
         self.late += other.late;
         self.calls += other.calls;
+        self.failed_dials += other.failed_dials;
         self.latency.merge(&other.latency);
         self.first_token.merge(&other.first_token);
         self.gap.merge(&other.gap);
@@ -94,6 +99,7 @@
             late: self.late,
             attainment: ratio(self.attained, self.requests),
             calls_per_request: ratio(self.calls, self.requests),
+            failed_dials: self.failed_dials,
             latency: self.latency.summary(),
             first_token: self.first_token.summary(),
             token_gap: self.gap.summary(),
--- a/crates/load/src/request_caller.rs
+++ b/crates/load/src/request_caller.rs
@@ -75,7 +75,6 @@
     ticket: Option<String>,
     doubt: bool,
     last: Option<FailureReport>,
-    sends: u32,
 }
 
 impl RequestCaller {
@@ -90,7 +89,6 @@
             ticket: None,
             doubt: false,
             last: None,
-            sends: 0,
         }
     }
 
@@ -99,11 +97,6 @@
         CallerStep::AskAddresses { at: now }
     }
 
-    /// Sends that were told so far.
-    pub fn sends(&self) -> u32 {
-        self.sends
-    }
-
     /// Takes in the addresses to use, in ranked order.
     pub fn addresses(&mut self, now: Instant, ranked: Vec<String>) -> CallerStep {
         self.ranked = ranked;
@@ -215,7 +208,6 @@
         let Some(count) = self.ranked.len().checked_sub(1) else {
             return self.ask_at(now, now + ROUND_PAUSE);
         };
-        self.sends += 1;
         CallerStep::Send {
             address: self.ranked[self.position % (count + 1)].clone(),
             at,
--- a/crates/load/src/run_comparison.rs
+++ b/crates/load/src/run_comparison.rs
@@ -142,10 +142,9 @@
             .draw()?;
         for (index, (case, line)) in self.cases.keys().zip(lines).enumerate() {
             let color = Palette99::pick(index).to_rgba();
-            chart
-                .draw_series(LineSeries::new(line, color))?
-                .label(case)
-                .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 16, y)], color));
+            let series = chart.draw_series(LineSeries::new(line, color))?;
+            let legend = series.label(case);
+            legend.legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 16, y)], color));
         }
         chart
             .configure_series_labels()
--- a/crates/load/tests/measure.rs
+++ b/crates/load/tests/measure.rs
@@ -41,6 +41,7 @@
         latency: Duration::from_millis(millis),
         deadline: Duration::from_millis(100),
         calls: 2,
+        failed_dials: 1,
         interruptions: vec![String::from("127.0.0.1:1")],
         first_token: None,
         gaps: Vec::new(),
@@ -106,7 +107,7 @@
     let total = tally.total();
     assert_eq!((total.requests, total.attained, total.late), (4, 1, 1));
     assert_eq!(total.attainment, 0.25);
-    assert_eq!(total.calls_per_request, 2.0);
+    assert_eq!((total.calls_per_request, total.failed_dials), (2.0, 4));
     assert_eq!(total.latency.count, 2);
     assert!((total.latency.max_ms - 120.0).abs() < 0.5);
     assert_eq!(tally.outcomes()["not_run:overloaded"], 1);
