--- a/crates/pipe/src/run_state.rs
+++ b/crates/pipe/src/run_state.rs
@@ -111,6 +111,7 @@
             RunEvent::HedgeDue { attempt } => self.on_hedge(attempt, now, permit),
             RunEvent::Tick => self.on_tick(now),
             RunEvent::CallerGone => self.on_caller_gone(),
+            RunEvent::Stopped => self.fail(FailureReason::Leaving, "the entry was stopped"),
             RunEvent::CallerStuck => self.fail(FailureReason::SlowReader, "caller does not read"),
         }
     }
@@ -246,7 +247,8 @@
         }
         let free = matches!(failure, CallFailure::NotSent(_));
         if !free && !permit() {
-            return self.fail(FailureReason::RetriesSpent, detail);
+            let detail = format!("{detail}, and the retry budget is spent");
+            return self.fail(failure.reason(), detail);
         }
         self.start_stage(now)
     }
--- a/crates/proofs/src/lib.rs
+++ b/crates/proofs/src/lib.rs
@@ -5,6 +5,7 @@
 mod fleet_faults;
 mod fleet_harness;
 mod fleet_plan;
+mod fleet_waits;
 mod json_probe;
 mod process_table;
 mod run_outcome;
