--- a/crates/load/src/drive/request_driver.rs
+++ b/crates/load/src/drive/request_driver.rs
@@ -9,6 +9,7 @@
         RequestResult, SendResult,
     },
     std::{
+        collections::BTreeMap,
         rc::Rc,
         time::{Duration, Instant},
     },
@@ -25,6 +26,7 @@
     calls: u32,
     failed_dials: u32,
     interruptions: Vec<String>,
+    refusals: BTreeMap<String, u64>,
     token_times: Vec<Instant>,
 }
 
@@ -38,6 +40,7 @@
             calls: 0,
             failed_dials: 0,
             interruptions: Vec::new(),
+            refusals: BTreeMap::new(),
             token_times: Vec::new(),
         }
     }
@@ -135,7 +138,11 @@
         match result {
             SendResult::NotSent => self.failed_dials += 1,
             SendResult::Interrupted => self.interruptions.push(address.to_string()),
-            SendResult::Refused(report) => sent.tickets.extend(report.tickets.iter().cloned()),
+            SendResult::Refused(report) => {
+                sent.tickets.extend(report.tickets.iter().cloned());
+                let name = format!("{}:{}", report.verdict, report.reason);
+                *self.refusals.entry(name).or_default() += 1;
+            }
             _ => {}
         }
         if *result != SendResult::NotSent {
@@ -159,6 +166,7 @@
             calls: self.calls,
             failed_dials: self.failed_dials,
             interruptions: self.interruptions,
+            refusals: self.refusals,
             first_token,
             gaps,
             posting: pipeline.stage.iter().any(|stage| stage.posting),
--- a/crates/load/src/load_report.rs
+++ b/crates/load/src/load_report.rs
@@ -92,6 +92,8 @@
     pub cells: BTreeMap<String, CellReport>,
     /// Requests by outcome, failures as `verdict:reason`.
     pub outcomes: BTreeMap<String, u64>,
+    /// Refusals that callers met on the way, as `verdict:reason`.
+    pub refusals: BTreeMap<String, u64>,
     /// Connections that ended before their answer, by address of the entry.
     pub interruptions: BTreeMap<String, u64>,
     /// Faults of which a sound run has none.
@@ -117,6 +119,7 @@
             pipelines: tally.by_pipeline(),
             cells: tally.by_both(),
             outcomes: tally.outcomes().clone(),
+            refusals: tally.refusals().clone(),
             interruptions: tally.interruptions().clone(),
             faults: FaultCount {
                 cut: outcome("cut"),
@@ -202,6 +205,9 @@
         for (name, count) in &self.outcomes {
             let _ = writeln!(text, "{name:<34}{count:>10}");
         }
+        for (name, count) in &self.refusals {
+            let _ = writeln!(text, "refused on the way {name:<34}{count:>10}");
+        }
         for (address, count) in &self.interruptions {
             let _ = writeln!(text, "connections broken at {address:<12}{count:>10}");
         }
--- a/crates/load/src/load_tally.rs
+++ b/crates/load/src/load_tally.rs
@@ -28,6 +28,8 @@
     pub failed_dials: u32,
     /// Connections that ended before their answer did, by address of the entry.
     pub interruptions: Vec<String>,
+    /// Refusals on the way, the last one included, as `verdict:reason`.
+    pub refusals: BTreeMap<String, u64>,
     /// Time from the scheduled arrival to the first token.
     pub first_token: Option<Duration>,
     /// Times between tokens.
@@ -118,6 +120,7 @@
     cells: BTreeMap<(CustomerId, PipelineId), TallyCell>,
     outcomes: BTreeMap<String, u64>,
     interruptions: BTreeMap<String, u64>,
+    refusals: BTreeMap<String, u64>,
     attained: BTreeSet<String>,
     must_post: BTreeSet<String>,
     must_not_post: BTreeSet<String>,
@@ -137,6 +140,9 @@
         for address in &result.interruptions {
             *self.interruptions.entry(address.clone()).or_default() += 1;
         }
+        for (name, count) in &result.refusals {
+            *self.refusals.entry(name.clone()).or_default() += count;
+        }
         if result.attained() {
             self.attained.insert(result.key());
         }
@@ -182,6 +188,11 @@
         &self.interruptions
     }
 
+    /// Refusals on the way, as `verdict:reason`.
+    pub fn refusals(&self) -> &BTreeMap<String, u64> {
+        &self.refusals
+    }
+
     /// Keys of the requests that were whole within their deadline.
     pub fn attained(&self) -> &BTreeSet<String> {
         &self.attained
--- a/crates/load/tests/measure.rs
+++ b/crates/load/tests/measure.rs
@@ -43,6 +43,7 @@
         calls: 2,
         failed_dials: 1,
         interruptions: vec![String::from("127.0.0.1:1")],
+        refusals: [(String::from("not_run:overloaded"), 3)].into(),
         first_token: None,
         gaps: Vec::new(),
         posting: true,
@@ -111,6 +112,7 @@
     assert_eq!(total.latency.count, 2);
     assert!((total.latency.max_ms - 120.0).abs() < 0.5);
     assert_eq!(tally.outcomes()["not_run:overloaded"], 1);
+    assert_eq!(tally.refusals()["not_run:overloaded"], 12);
     assert_eq!(tally.by_both()["dairy/receipt"], total);
 }
 
