--- a/crates/load/src/load_report.rs
+++ b/crates/load/src/load_report.rs
@@ -17,8 +17,10 @@
     pub late: u64,
     /// Share that was whole within the deadline.
     pub attainment: f64,
-    /// Calls to entries for each request.
+    /// Calls that reached an entry for each request.
     pub calls_per_request: f64,
+    /// Connections to entries that could not be made.
+    pub failed_dials: u64,
     /// Time from scheduled arrival to the end of whole answers.
     pub latency: LatencySummary,
     /// Time from scheduled arrival to the first token.
@@ -90,6 +92,8 @@
     pub cells: BTreeMap<String, CellReport>,
     /// Requests by outcome, failures as `verdict:reason`.
     pub outcomes: BTreeMap<String, u64>,
+    /// Refusals that callers met on the way, as `verdict:reason`.
+    pub refusals: BTreeMap<String, u64>,
     /// Connections that ended before their answer, by address of the entry.
     pub interruptions: BTreeMap<String, u64>,
     /// Faults of which a sound run has none.
@@ -115,6 +119,7 @@
             pipelines: tally.by_pipeline(),
             cells: tally.by_both(),
             outcomes: tally.outcomes().clone(),
+            refusals: tally.refusals().clone(),
             interruptions: tally.interruptions().clone(),
             faults: FaultCount {
                 cut: outcome("cut"),
@@ -131,7 +136,8 @@
     /// The report as text for a person.
     pub fn to_text(&self) -> String {
         let mut text = format!(
-            "{} {} seed {}: {} requests in {:.0} s, attainment {:.2} %, {:.3} calls a request\n\n",
+            "{} {} seed {}: {} requests in {:.0} s, attainment {:.2} %, {:.3} calls a request, \
+             {} failed dials\n\n",
             self.workload,
             self.case,
             self.seed,
@@ -139,6 +145,7 @@
             self.seconds,
             self.total.attainment * 100.0,
             self.total.calls_per_request,
+            self.total.failed_dials,
         );
         let groups = [
             ("pipeline", &self.pipelines),
@@ -198,6 +205,9 @@
         for (name, count) in &self.outcomes {
             let _ = writeln!(text, "{name:<34}{count:>10}");
         }
+        for (name, count) in &self.refusals {
+            let _ = writeln!(text, "refused on the way {name:<34}{count:>10}");
+        }
         for (address, count) in &self.interruptions {
             let _ = writeln!(text, "connections broken at {address:<12}{count:>10}");
         }
--- a/crates/load/src/load_tally.rs
+++ b/crates/load/src/load_tally.rs
@@ -22,10 +22,14 @@
     pub latency: Duration,
     /// Time in which the answer had to be whole.
     pub deadline: Duration,
-    /// Calls to entries, address questions left out.
+    /// Calls that reached an entry, address questions left out.
     pub calls: u32,
+    /// Connections to entries that could not be made.
+    pub failed_dials: u32,
     /// Connections that ended before their answer did, by address of the entry.
     pub interruptions: Vec<String>,
+    /// Refusals on the way, the last one included, as `verdict:reason`.
+    pub refusals: BTreeMap<String, u64>,
     /// Time from the scheduled arrival to the first token.
     pub first_token: Option<Duration>,
     /// Times between tokens.
@@ -53,6 +57,7 @@
     attained: u64,
     late: u64,
     calls: u64,
+    failed_dials: u64,
     latency: LatencyRecord,
     first_token: LatencyRecord,
     gap: LatencyRecord,
@@ -62,6 +67,7 @@
     fn add(&mut self, result: &RequestResult) {
         self.requests += 1;
         self.calls += u64::from(result.calls);
+        self.failed_dials += u64::from(result.failed_dials);
         if result.attained() {
             self.attained += 1;
         }
@@ -82,6 +88,7 @@
         self.attained += other.attained;
         self.late += other.late;
         self.calls += other.calls;
+        self.failed_dials += other.failed_dials;
         self.latency.merge(&other.latency);
         self.first_token.merge(&other.first_token);
         self.gap.merge(&other.gap);
@@ -94,6 +101,7 @@
             late: self.late,
             attainment: ratio(self.attained, self.requests),
             calls_per_request: ratio(self.calls, self.requests),
+            failed_dials: self.failed_dials,
             latency: self.latency.summary(),
             first_token: self.first_token.summary(),
             token_gap: self.gap.summary(),
@@ -112,6 +120,7 @@
     cells: BTreeMap<(CustomerId, PipelineId), TallyCell>,
     outcomes: BTreeMap<String, u64>,
     interruptions: BTreeMap<String, u64>,
+    refusals: BTreeMap<String, u64>,
     attained: BTreeSet<String>,
     must_post: BTreeSet<String>,
     must_not_post: BTreeSet<String>,
@@ -131,6 +140,9 @@
         for address in &result.interruptions {
             *self.interruptions.entry(address.clone()).or_default() += 1;
         }
+        for (name, count) in &result.refusals {
+            *self.refusals.entry(name.clone()).or_default() += count;
+        }
         if result.attained() {
             self.attained.insert(result.key());
         }
@@ -176,6 +188,11 @@
         &self.interruptions
     }
 
+    /// Refusals on the way, as `verdict:reason`.
+    pub fn refusals(&self) -> &BTreeMap<String, u64> {
+        &self.refusals
+    }
+
     /// Keys of the requests that were whole within their deadline.
     pub fn attained(&self) -> &BTreeSet<String> {
         &self.attained
