Say when coming back is of no use

A ticket whose entry is gone says one second, since only a healed network can change that answer: 313 repeats at 100 ms were seen.

--- a/crates/entry/src/data/answer_sink.rs
+++ b/crates/entry/src/data/answer_sink.rs
@@ -1,5 +1,5 @@
 use {
-    crate::data::failure_answer::{failure_reply, recorded_failure, recorded_reply, with_delay},
+    crate::data::failure_answer::{failure_reply, recorded_failure, recorded_reply},
     actix_http::{
         Response, StatusCode,
         body::{BodyStream, BoxBody, MessageBody},
@@ -116,16 +116,15 @@
 
     /// Ends the answer as failed, at once.
     pub async fn fail(mut self, report: &FailureReport) -> RecordedAnswer {
-        let report = with_delay(report.clone());
         if self.stream.is_some() {
             let event = StreamEvent::Failed {
                 report: report.clone(),
             };
             let _ = self.send(&event).await;
         } else if let Some(head) = self.head.take() {
-            let _ = head.send(failure_reply(&report));
+            let _ = head.send(failure_reply(report));
         }
-        recorded_failure(&report)
+        recorded_failure(report)
     }
 
     /// Waits until the caller of a stream goes away.
--- a/crates/entry/src/data/caller_server.rs
+++ b/crates/entry/src/data/caller_server.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         data::{
-            AddressAnswer, EntryCore, RequestDraft, RequestHead, failure_answer::failure_reply,
+            AddressAnswer, EntryCore, RequestDraft, RequestHead, failure_answer::refusal_reply,
             run_driver::start_run,
         },
         filters::{FilterChain, FilterEnd, is_customer},
@@ -46,7 +46,7 @@
     let fleet = core.fleet();
     let Some(sheet) = &fleet.sheet else {
         let report = RunClaim::new().refuse(FailureReason::NoSheet, "no sheet is in force yet");
-        return failure_reply(&report);
+        return refusal_reply(report);
     };
     let credential = request.headers().get(CREDENTIAL_HEADER);
     let credential = credential
@@ -56,7 +56,7 @@
     if !is_customer(sheet, customer, credential) {
         core.metrics.count("refused.credential", 1);
         let detail = "customer unknown or credential wrong";
-        return failure_reply(&RunClaim::new().refuse(FailureReason::BadCredential, detail));
+        return refusal_reply(RunClaim::new().refuse(FailureReason::BadCredential, detail));
     }
     json_reply(StatusCode::OK, &AddressAnswer::new(core, &fleet, customer))
 }
@@ -92,7 +92,7 @@
             FilterEnd::Answered(reply) => reply,
             FilterEnd::Refused(report) => {
                 log_refusal(&core, Some(&head), &report);
-                failure_reply(&report)
+                refusal_reply(report)
             }
         },
     }
@@ -157,7 +157,7 @@
 ) -> HttpReply {
     let report = RunClaim::new().refuse(reason, detail);
     log_refusal(core, head, &report);
-    failure_reply(&report)
+    refusal_reply(report)
 }
 
 fn log_refusal(core: &EntryCore, head: Option<&RequestHead>, report: &FailureReport) {
@@ -176,5 +176,5 @@
 /// The run ended without a reply, which only a fault of the daemon can cause.
 fn lost_run() -> HttpReply {
     let claim = RunClaim::new().into_sent();
-    failure_reply(&claim.lost(FailureReason::TargetLost, "the run ended without an answer"))
+    refusal_reply(claim.lost(FailureReason::TargetLost, "the run ended without an answer"))
 }
--- a/crates/entry/src/data/failure_answer.rs
+++ b/crates/entry/src/data/failure_answer.rs
@@ -54,6 +54,7 @@
         | FailureReason::TargetLost => Some(Duration::ZERO),
         FailureReason::NoSheet | FailureReason::SheetBehind => Some(Duration::from_millis(500)),
         FailureReason::NoTarget => Some(Duration::from_millis(250)),
+        FailureReason::TicketOwnerGone => Some(Duration::from_secs(1)),
         _ => Some(Duration::from_millis(100)),
     }
 }
@@ -68,18 +69,17 @@
 
 /// A failure as the answer that is kept under a ticket.
 pub fn recorded_failure(report: &FailureReport) -> RecordedAnswer {
-    let report = with_delay(report.clone());
     RecordedAnswer {
         status: failure_status(report.reason).as_u16(),
         content_type: String::from(FAILURE_TYPE),
-        body: serde_json::to_vec(&report).unwrap_or_default(),
+        body: serde_json::to_vec(report).unwrap_or_default(),
     }
 }
 
 /// A failure as the reply to its caller.
 pub fn failure_reply(report: &FailureReport) -> HttpReply {
     let mut reply = recorded_reply(&recorded_failure(report));
-    if let Some(delay) = with_delay(report.clone()).retry_after_ms {
+    if let Some(delay) = report.retry_after_ms {
         let seconds = delay.div_ceil(SECOND_MS);
         reply
             .headers_mut()
@@ -88,6 +88,11 @@
     reply
 }
 
+/// A failure that is worth coming back for as the reply to its caller.
+pub fn refusal_reply(report: FailureReport) -> HttpReply {
+    failure_reply(&with_delay(report))
+}
+
 /// A recorded answer as a reply, with length and digest.
 pub fn recorded_reply(answer: &RecordedAnswer) -> HttpReply {
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
--- a/crates/entry/src/data/run_driver.rs
+++ b/crates/entry/src/data/run_driver.rs
@@ -4,6 +4,7 @@
             AnswerSink, EntryCore, RequestDraft, RunningSpend,
             answer_sink::SinkStop,
             entry_core::RunningPlace,
+            failure_answer::with_delay,
             stage_call::{CallScope, StageCall},
         },
         shared::EntryLife,
@@ -161,11 +162,15 @@
         self.calls.insert(attempt, CallHandle { task });
     }
 
-    /// Adds to a failure when its caller should come back, where the queue knows it.
+    /// Adds to a failure when its caller should come back: never where the answer is final
+    /// under its ticket.
     fn complete(&self, report: FailureReport) -> FailureReport {
+        if self.spend.is_some() && report.verdict != RunVerdict::NotRun {
+            return report;
+        }
         match self.scope.retry_after.take() {
-            Some(delay) if report.retry_after_ms.is_none() => report.retry_after(delay),
-            _ => report,
+            Some(delay) => report.retry_after(delay),
+            None => with_delay(report),
         }
     }
 
--- a/crates/entry/src/data/spend_guard.rs
+++ b/crates/entry/src/data/spend_guard.rs
@@ -1,5 +1,9 @@
 use {
-    crate::data::{EntryCore, failure_answer::recorded_failure, join_desk::JoinKey},
+    crate::data::{
+        EntryCore,
+        failure_answer::{recorded_failure, with_delay},
+        join_desk::JoinKey,
+    },
     base::{FailureReason, FailureReport, RunClaim, RunVerdict},
     once::RecordedAnswer,
     std::rc::Rc,
@@ -44,9 +48,10 @@
     fn give_back(&mut self, report: &FailureReport) {
         self.armed = false;
         self.core.book.borrow_mut().unspend(self.nonce);
-        self.core
-            .joins
-            .settle(&self.key, &Rc::new(recorded_failure(report)));
+        self.core.joins.settle(
+            &self.key,
+            &Rc::new(recorded_failure(&with_delay(report.clone()))),
+        );
     }
 }
 
--- a/crates/proofs/tests/at_most_once.rs
+++ b/crates/proofs/tests/at_most_once.rs
@@ -174,6 +174,10 @@
     let first = caller.run(&fleet.callers("h1"), &request).await;
     let report = first.failure().unwrap();
     assert_eq!(report.verdict, RunVerdict::MayHaveRun, "{report:?}");
+    assert_eq!(
+        report.retry_after_ms, None,
+        "no later send can change the answer"
+    );
     for host in ["h1", "h2"] {
         let again = caller.run(&fleet.callers(host), &request).await;
         let report = again.failure().unwrap();
