--- /dev/null
+++ b/crates/placer/src/operator_server.rs
@@ -0,0 +1,21 @@
+use {
+    crate::placer_state::PlacerState,
+    actix_http::{Method, Request, StatusCode},
+    setup::{HttpReply, json_reply, text_reply},
+    stamp::EventFilter,
+};
+
+/// Answers one request of an operator.
+pub fn answer_operator(state: &PlacerState, request: &Request) -> HttpReply {
+    match (request.method(), request.path()) {
+        (&Method::GET, "/status") => json_reply(StatusCode::OK, &state.status()),
+        (&Method::GET, "/metrics") => json_reply(StatusCode::OK, &state.metrics.values()),
+        (&Method::GET, "/timeline") => {
+            json_reply(StatusCode::OK, &state.events(&EventFilter::default()))
+        }
+        _ => text_reply(
+            StatusCode::NOT_FOUND,
+            "paths: GET /status /metrics /timeline\n",
+        ),
+    }
+}
