--- a/crates/entry/src/data/pool_desk.rs
+++ b/crates/entry/src/data/pool_desk.rs
@@ -15,6 +15,9 @@
     tokio::sync::oneshot,
 };
 
+/// Part of its equal share of a pool that an entry may always use, as a divisor.
+const LEAST_SHARE: u32 = 4;
+
 /// Gets the place of a call, or the reason why there is none.
 pub type PlaceSender = oneshot::Sender<Result<CallPlace, PlaceEnd>>;
 
@@ -70,21 +73,25 @@
         self.returns.clone()
     }
 
-    /// Takes over a changed view of the fleet.
-    pub fn sync(&mut self, view: &Arc<FleetView>, now: Instant) {
+    /// Takes over a view of the fleet; false if it is the same as before.
+    pub fn sync(&mut self, view: &Arc<FleetView>, now: Instant) -> bool {
         if Arc::ptr_eq(&self.view, view) {
-            return;
+            return false;
         }
         self.view = Arc::clone(view);
-        let Some(sheet) = view.sheet.clone() else {
-            return;
-        };
+        if let Some(sheet) = view.sheet.clone() {
+            self.take_sheet(&sheet, view, now);
+        }
+        true
+    }
+
+    fn take_sheet(&mut self, sheet: &FleetSheet, view: &FleetView, now: Instant) {
         self.pools.retain(|pool, _| sheet.pools.contains_key(pool));
         for pool in sheet.pools.keys() {
-            let specs = target_specs(&sheet, view, pool);
-            let range = limit_range(&specs);
+            let specs = target_specs(sheet, view, pool);
+            let range = limit_range(&specs, view.hosts.len());
             if !self.pools.contains_key(pool) {
-                let state = self.open_pool(&sheet, pool, range, now);
+                let state = self.open_pool(sheet, pool, range, now);
                 self.pools.insert(pool.clone(), state);
             }
             if let Some(state) = self.pools.get_mut(pool) {
@@ -156,9 +163,12 @@
         if state.queue.is_empty() && state.limit.in_flight() < state.limit.limit() {
             return Duration::ZERO;
         }
-        state
-            .queue
-            .wait_estimate(query.customer, query.weight, query.cost.as_secs_f64())
+        state.queue.wait_estimate(
+            query.customer,
+            query.weight,
+            query.priority,
+            query.cost.as_secs_f64(),
+        )
     }
 
     /// Target for the next call of a request that has tried some already.
@@ -275,11 +285,17 @@
     specs.collect()
 }
 
-/// An entry may use all that the targets can take; the limit finds out what others leave it.
-fn limit_range(specs: &[TargetSpec]) -> LimitRange {
+/// An entry may use all that the targets can take; the limit finds out what others leave it,
+/// but never falls below a part of its equal share.
+fn limit_range(specs: &[TargetSpec], entries: usize) -> LimitRange {
     let usable = specs.iter().filter(|spec| !spec.leaving);
     let max = usable.map(|spec| spec.capacity).sum::<u32>().max(1);
-    LimitRange { min: 1, max }
+    let entries = u32::try_from(entries.max(1)).unwrap_or(u32::MAX);
+    let min = max / entries.saturating_mul(LEAST_SHARE);
+    LimitRange {
+        min: min.max(1),
+        max,
+    }
 }
 
 /// Mean of what the sheet expects of the pool's stages.
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -5,12 +5,17 @@
 mod customer_lane;
 mod fair_queue;
 mod queue_refusal;
+mod queue_settings;
 mod stage_times;
+mod wait_room;
+mod waiting_call;
 
 pub use {
     admission_gate::{Admission, AdmissionGate, AdmissionQuery},
     concurrency_limit::{ConcurrencyLimit, LimitRange, ReleaseOutcome},
-    fair_queue::{FairQueue, Popped, QueueSettings, Queued, WaitingCall},
+    fair_queue::FairQueue,
     queue_refusal::QueueRefusal,
+    queue_settings::QueueSettings,
     stage_times::StageTimes,
+    waiting_call::{Popped, Queued, WaitingCall},
 };
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -5,6 +5,7 @@
 mod answer_check;
 mod arrival_schedule;
 mod arrival_shape;
+mod bench_report;
 mod latency_record;
 mod load_report;
 mod load_tally;
@@ -16,6 +17,7 @@
 mod sheet_template;
 mod stage_cost;
 mod topology_file;
+mod workload_fault;
 mod workload_file;
 
 pub use {
@@ -23,6 +25,7 @@
     answer_check::{AnswerCheck, AnswerState},
     arrival_schedule::{ArrivalSchedule, PlannedRequest, ScheduleTweaks},
     arrival_shape::ArrivalShape,
+    bench_report::{AddedTime, BenchReport, SustainedRate},
     latency_record::{LatencyRecord, LatencySummary},
     load_report::{CellReport, FaultCount, LoadReport},
     load_tally::{LoadTally, RequestResult},
@@ -34,5 +37,6 @@
     sheet_template::SheetTemplate,
     stage_cost::{CostBook, StageCost},
     topology_file::{EntryStand, TargetStand, TopologyFile},
+    workload_fault::WorkloadFault,
     workload_file::{ArrivalFlow, CustomerLoad, PipelineLoad, StageLoad, WorkloadFile},
 };
--- a/crates/load/src/request_caller.rs
+++ b/crates/load/src/request_caller.rs
@@ -50,6 +50,9 @@
 
 /// Decides what the caller of one request does next; does no I/O.
 ///
+/// A caller knows all its sends: if each was not sent or not run, nothing ran, even where an entry
+/// cannot rule out an earlier send.
+///
 /// ```
 /// use {load::{CallerStep, RequestCaller, SendResult}, std::time::{Duration, Instant}};
 ///
@@ -72,7 +75,6 @@
     ticket: Option<String>,
     doubt: bool,
     last: Option<FailureReport>,
-    sends: u32,
 }
 
 impl RequestCaller {
@@ -87,7 +89,6 @@
             ticket: None,
             doubt: false,
             last: None,
-            sends: 0,
         }
     }
 
@@ -96,11 +97,6 @@
         CallerStep::AskAddresses { at: now }
     }
 
-    /// Sends that were told so far.
-    pub fn sends(&self) -> u32 {
-        self.sends
-    }
-
     /// Takes in the addresses to use, in ranked order.
     pub fn addresses(&mut self, now: Instant, ranked: Vec<String>) -> CallerStep {
         self.ranked = ranked;
@@ -149,7 +145,7 @@
 
     fn refused(&mut self, now: Instant, mut report: FailureReport) -> CallerStep {
         self.reached = true;
-        self.doubt |= report.earlier_may_have_run || report.verdict != RunVerdict::NotRun;
+        self.doubt |= report.verdict != RunVerdict::NotRun;
         let addresses = mem::take(&mut report.addresses);
         let delay = report.retry_after_ms.map(Duration::from_millis);
         let renewed = self.renew_ticket(&report);
@@ -212,7 +208,6 @@
         let Some(count) = self.ranked.len().checked_sub(1) else {
             return self.ask_at(now, now + ROUND_PAUSE);
         };
-        self.sends += 1;
         CallerStep::Send {
             address: self.ranked[self.position % (count + 1)].clone(),
             at,
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -2,6 +2,7 @@
 //! by the platform's lagging host list and by direct heartbeats with rumours.
 
 mod entry_row;
+mod fact_pulls;
 mod gossip_pace;
 mod member_action;
 mod member_event;
@@ -17,6 +18,7 @@
 mod table_lists;
 mod table_messages;
 mod table_rounds;
+mod table_strikes;
 mod target_marks;
 
 pub use {
--- a/crates/member/src/strike_book.rs
+++ b/crates/member/src/strike_book.rs
@@ -54,6 +54,16 @@
         alive.fold(0, |sum, count| sum.saturating_add(count.strikes))
     }
 
+    /// Strikes by fingerprint and witness.
+    pub(crate) fn witnessed_strikes(&self, now: Instant) -> Vec<(Fingerprint, HostId, u8)> {
+        let rows = self.records.iter().flat_map(|(fingerprint, record)| {
+            let counts = record.witnesses.iter();
+            let alive = counts.filter(move |(_, count)| count.expires > now);
+            alive.map(|(witness, count)| (*fingerprint, witness.clone(), count.strikes))
+        });
+        rows.collect()
+    }
+
     /// Number of strikes that one witness holds.
     pub(crate) fn witnessed(&self, fingerprint: &Fingerprint, witness: &str, now: Instant) -> u8 {
         self.records
@@ -92,22 +102,23 @@
         }
     }
 
-    /// Every record as a rumour with its expiry.
-    pub(crate) fn rumours(&self) -> Vec<(PeerRumour, Instant)> {
-        let mut rumours = Vec::new();
-        for (fingerprint, record) in &self.records {
-            for (witness, count) in &record.witnesses {
-                let rumour = PeerRumour::Strike {
-                    fingerprint: *fingerprint,
-                    witness: witness.clone(),
-                    strikes: count.strikes,
-                    at: count.at,
-                    remaining_ms: 0,
-                };
-                rumours.push((rumour, count.expires));
-            }
-        }
-        rumours
+    /// Number of fingerprints.
+    pub(crate) fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// One witness's strikes against one of the fingerprints, as a rumour with its expiry.
+    pub(crate) fn rumour(&self, index: usize) -> Option<(PeerRumour, Instant)> {
+        let (fingerprint, record) = self.records.iter().nth(index)?;
+        let (witness, count) = record.witnesses.iter().max_by_key(|(_, count)| count.at)?;
+        let rumour = PeerRumour::Strike {
+            fingerprint: *fingerprint,
+            witness: witness.clone(),
+            strikes: count.strikes,
+            at: count.at,
+            remaining_ms: 0,
+        };
+        Some((rumour, count.expires))
     }
 
     /// Drops what has expired.
--- a/crates/proofs/src/fleet_harness.rs
+++ b/crates/proofs/src/fleet_harness.rs
@@ -1,19 +1,16 @@
 use {
     crate::{
-        ChildProcess, EntryPlan, FleetPlan, JsonProbe, TargetPlan, TestCaller,
-        process_table::ProcessTable, wait_until,
+        ChildProcess, EntryPlan, FleetPlan, JsonProbe, TargetPlan, process_table::ProcessTable,
     },
     anyhow::Context,
     base::{HostList, HostRow, HostState, SheetVersion},
     sheet::{PoolKind, SheetPart},
     stand::{CallRecord, SheetPublisher},
-    std::{collections::BTreeMap, fs, path::PathBuf, process::ExitStatus, time::Duration},
+    std::{collections::BTreeMap, fs, path::PathBuf, time::Duration},
 };
 
 /// Name of the platform's process.
 pub(crate) const PLATFORM: &str = "platform";
-/// Entries that an ordinary customer is told to use.
-const ADDRESS_COUNT: usize = 3;
 /// Time in which every entry must have the first sheet in force.
 const START_LIMIT: Duration = Duration::from_secs(20);
 
@@ -98,7 +95,7 @@
     ) -> anyhow::Result<SheetVersion> {
         change(&mut self.rows);
         self.version += 1;
-        let parts = [toml::to_string(&self.rows)?];
+        let parts = SheetPublisher::parts_of(&self.rows)?;
         self.publisher().publish(self.version, &parts).await?;
         Ok(self.version)
     }
@@ -117,52 +114,6 @@
         &mut self.hosts
     }
 
-    /// Waits until an entry answers with this sheet version, or a later one, in force.
-    ///
-    /// # Errors
-    ///
-    /// Fails if it does not within the limit.
-    pub async fn wait_sheet(
-        &self,
-        host: &str,
-        version: SheetVersion,
-        limit: Duration,
-    ) -> anyhow::Result<()> {
-        let caller = TestCaller::new();
-        let entry = self.callers(host);
-        let customer = self.rows.customer.first().map(|row| row.name.clone());
-        let customer = customer.unwrap_or_default();
-        let what = format!("{host} has sheet {version}");
-        let waited = wait_until(&what, limit, async || {
-            let answer = caller.addresses(&entry, &customer).await;
-            answer.is_ok_and(|answer| answer.sheet_version >= version)
-        });
-        let waited = waited.await;
-        waited.with_context(|| format!("log of {host}: {}", self.log_text(host)))
-    }
-
-    /// Waits until an entry names as many addresses as it should for an ordinary customer.
-    ///
-    /// # Errors
-    ///
-    /// Fails if it does not within the limit.
-    pub async fn wait_hosts(&self, host: &str, limit: Duration) -> anyhow::Result<()> {
-        let caller = TestCaller::new();
-        let entry = self.callers(host);
-        let customer = self.rows.customer.first().map(|row| row.name.clone());
-        let customer = customer.unwrap_or_default();
-        let count = self.plan.entries.len().min(ADDRESS_COUNT);
-        wait_until(
-            &format!("{host} knows {count} entries"),
-            limit,
-            async || {
-                let answer = caller.addresses(&entry, &customer).await;
-                answer.is_ok_and(|answer| answer.addresses.len() >= count)
-            },
-        )
-        .await
-    }
-
     /// Address of an entry for callers.
     pub fn callers(&self, host: &str) -> String {
         self.process(host).address("callers")
@@ -196,20 +147,21 @@
         self.processes.get_mut(name)
     }
 
-    /// Waits until a process has ended.
+    /// Starts a further program of the system with a settings file, under a name.
     ///
     /// # Errors
     ///
-    /// Fails if it has not within the limit.
-    pub async fn wait_exit(&mut self, name: &str, limit: Duration) -> anyhow::Result<ExitStatus> {
-        let process = self.process_mut(name);
-        let mut ended = None;
-        wait_until(&format!("{name} ends"), limit, async || {
-            ended = process.ended();
-            ended.is_some()
-        })
-        .await?;
-        ended.context("it has ended")
+    /// Fails if it does not start.
+    pub async fn start_program(
+        &mut self,
+        name: &str,
+        program: &str,
+        settings: &str,
+    ) -> anyhow::Result<&ChildProcess> {
+        let path = self.processes.path(&format!("{name}.toml"));
+        fs::write(&path, settings)?;
+        let arguments = [PathBuf::from("--settings"), path];
+        self.processes.start(name, program, arguments).await
     }
 
     /// Starts an entry again under its old host name at new addresses, and publishes them.
@@ -265,6 +217,11 @@
         Ok(postings)
     }
 
+    /// Sheet as it was published last.
+    pub fn rows(&self) -> &SheetPart {
+        &self.rows
+    }
+
     /// What was started.
     pub fn plan(&self) -> &FleetPlan {
         &self.plan
@@ -282,26 +239,23 @@
 
     async fn start_entry(&mut self, entry: &EntryPlan) -> anyhow::Result<()> {
         let platform = self.process(PLATFORM).address("service");
-        let settings = self.processes.path(&format!("{}.toml", entry.host));
-        fs::write(&settings, entry.settings_text(&platform))?;
-        let arguments = [PathBuf::from("--settings"), settings];
-        let process = self
-            .processes
-            .start(&entry.host, "camphor-entry", arguments);
+        let mut advertise = None;
+        if entry.proxied {
+            advertise = Some(self.processes.start_proxy(&entry.host).await?);
+        }
+        let text = entry.settings_text(&platform, advertise.as_deref());
+        let process = self.start_program(&entry.host, "camphor-entry", &text);
         let process = process.await?;
         let callers = process.address("callers");
-        let mut peers = process.address("peers");
+        let peers = process.address("peers");
         if entry.proxied {
-            peers = self
-                .processes
-                .start_proxy(&entry.host, &peers, true)
-                .await?;
+            self.aim_proxy(&entry.host, &peers).await?;
         }
         let row = HostRow {
             host: entry.host.clone(),
             data_centre: entry.data_centre.clone(),
             callers,
-            peers,
+            peers: advertise.unwrap_or(peers),
             size: entry.size,
             state: HostState::Live,
         };
@@ -333,10 +287,9 @@
         let mut row = target.row.clone();
         row.address = self.target_address(name);
         if target.proxied {
-            row.address = self
-                .processes
-                .start_proxy(name, &row.address, false)
-                .await?;
+            let address = self.processes.start_proxy(name).await?;
+            self.aim_proxy(name, &row.address).await?;
+            row.address = address;
         }
         self.rows.target.push(row);
         Ok(())
