Ask peers before believing the service, and know digests by their head

An empty list of peers let a starting daemon believe the service at once, and the membership table is empty until the first host list is read: a daemon replaced while the service is stale could put an old sheet in force. It now waits for names of peers as well as for their answers.

Heartbeats carry only the head of a digest, by which a refused sheet was not known again. Digests now count as equal if one is the head of the other.

--- a/crates/placer/src/entry_reader.rs
+++ b/crates/placer/src/entry_reader.rs
@@ -1,7 +1,7 @@
 use {
     crate::{http_reader::HttpReader, placer_state::PlacerState},
     anyhow::ensure,
-    base::{HostRow, SHEET_HEADER, SheetVersion},
+    base::{HostId, SHEET_HEADER, SheetVersion},
     order::OrderEvent,
     serde::{Deserialize, de::DeserializeOwned},
     sheet::{FleetSheet, SheetBundle},
@@ -15,6 +15,8 @@
 #[derive(Debug, Deserialize)]
 struct EntryStatus {
     sheet_version: SheetVersion,
+    /// Hosts that are live as far as the entry knows.
+    hosts: Vec<HostId>,
 }
 
 /// Reads live hosts and the sheet in force from the entry beside.
@@ -46,10 +48,9 @@
 
     async fn read_once(&self) -> anyhow::Result<()> {
         let asked_at = Instant::now();
-        let rows: Vec<HostRow> = self.get("members").await?;
-        let hosts = rows.into_iter().map(|row| row.host).collect();
-        let _ = self.events.send(OrderEvent::HostsLive { hosts, asked_at });
         let status: EntryStatus = self.get("status").await?;
+        let hosts = status.hosts;
+        let _ = self.events.send(OrderEvent::HostsLive { hosts, asked_at });
         if status.sheet_version > self.state.sheet_version.get() {
             self.read_sheet().await?;
         }
--- a/crates/placer/src/main.rs
+++ b/crates/placer/src/main.rs
@@ -13,12 +13,12 @@
         entry_reader::EntryReader, operator_server::answer_operator, order_loop::OrderLoop,
         placer_settings::PlacerSettings, placer_state::PlacerState,
     },
-    setup::{HttpLimits, ReadyLine, serve_http},
+    setup::{HttpLimits, ReadyLine, open_log, serve_http},
     std::{process::ExitCode, rc::Rc},
     tokio::{
         net::TcpListener,
         signal::unix::{SignalKind, signal},
-        sync::mpsc,
+        sync::{mpsc, watch},
     },
 };
 
@@ -48,7 +48,9 @@
     let listener = TcpListener::bind(settings.listen).await?;
     let ready =
         ReadyLine::new("camphor-placer", &settings.host).at("operators", listener.local_addr()?);
-    let state = Rc::new(PlacerState::open(settings)?);
+    let (log, _log_guard) = open_log(settings.log, "camphor-placer", &settings.host);
+    let state = Rc::new(PlacerState::open(settings, log)?);
+    let (_closing, closing) = watch::channel(false);
     let (events, incoming) = mpsc::unbounded_channel();
     ready.print()?;
     let answering = Rc::clone(&state);
@@ -57,7 +59,7 @@
         async move { reply }
     };
     tokio::select! {
-        () = serve_http(listener, HttpLimits::default(), handler) => {}
+        () = serve_http(listener, HttpLimits::default(), closing, handler) => {}
         () = EntryReader::new(Rc::clone(&state), events.clone()).run() => {}
         () = OrderLoop::new(Rc::clone(&state), events).run(incoming) => {}
         _ = terminate.recv() => {}
--- a/crates/placer/src/placer_state.rs
+++ b/crates/placer/src/placer_state.rs
@@ -3,7 +3,7 @@
     base::{SheetVersion, TargetId},
     order::{OrderPlanner, OrderTime},
     serde::Serialize,
-    setup::{MetricBoard, open_log},
+    setup::MetricBoard,
     slog::Logger,
     stamp::{EventFilter, EventKind, EventRing, HybridClock, TimelineEvent},
     std::{
@@ -44,11 +44,11 @@
 
 impl PlacerState {
     /// State of a process that starts.
-    pub fn open(settings: PlacerSettings) -> anyhow::Result<Self> {
+    pub fn open(settings: PlacerSettings, log: Logger) -> anyhow::Result<Self> {
         let process = format!("{}-placer", settings.host);
         let limits = settings.orders.limits();
         let state = Self {
-            log: open_log(settings.log, "camphor-placer", &settings.host),
+            log,
             metrics: MetricBoard::open(settings.statsd)?,
             planner: RefCell::new(OrderPlanner::new(&settings.host, limits, order_time())),
             sheet_version: Cell::new(0),
--- a/crates/placer/tests/common/mod.rs
+++ b/crates/placer/tests/common/mod.rs
@@ -2,7 +2,6 @@
 
 use {
     actix_http::{HttpMessage, Method, Request, StatusCode},
-    base::HostRow,
     order::{EngineOrder, EngineState},
     serde_json::json,
     setup::{HttpLimits, HttpReply, ReadyLine, json_reply, read_body, serve_http, text_reply},
@@ -16,7 +15,10 @@
         thread,
         time::{Duration, Instant},
     },
-    tokio::{net::TcpListener, sync::oneshot},
+    tokio::{
+        net::TcpListener,
+        sync::{oneshot, watch},
+    },
 };
 
 /// Longest wait for a state that must come.
@@ -56,6 +58,7 @@
         let serving = Arc::clone(&shared);
         thread::spawn(move || {
             actix_rt::System::new().block_on(async move {
+                let (_closing, closing) = watch::channel(false);
                 for place in 0..=engines {
                     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
                     sender
@@ -63,7 +66,8 @@
                         .unwrap();
                     let shared = Arc::clone(&serving);
                     let handler = move |request| answer(Arc::clone(&shared), place, request);
-                    actix_rt::spawn(serve_http(listener, HttpLimits::default(), handler));
+                    let limits = HttpLimits::default();
+                    actix_rt::spawn(serve_http(listener, limits, closing.clone(), handler));
                 }
                 let _ = stopped.await;
             });
@@ -131,10 +135,12 @@
     let told = told.and_then(|value| value.to_str().ok()?.parse().ok());
     seen.told_version = seen.told_version.max(told.unwrap_or_default());
     match (request.method().clone(), request.path(), place) {
-        (Method::GET, "/members", 0) => json_reply(StatusCode::OK, &members(&seen.hosts)),
         (Method::GET, "/status", 0) => {
             let version = seen.sheet.as_ref().map_or(0, |sheet| sheet.index.version);
-            json_reply(StatusCode::OK, &json!({ "sheet_version": version }))
+            json_reply(
+                StatusCode::OK,
+                &json!({ "sheet_version": version, "hosts": seen.hosts }),
+            )
         }
         (Method::GET, "/sheet", 0) => json_reply(StatusCode::OK, &seen.sheet),
         (Method::GET, "/engine", 1..) => json_reply(StatusCode::OK, &seen.engines[place - 1]),
@@ -164,18 +170,6 @@
     true
 }
 
-fn members(hosts: &[String]) -> Vec<HostRow> {
-    let rows = hosts.iter().map(|host| HostRow {
-        host: host.clone(),
-        data_centre: String::from("erie"),
-        callers: String::from("127.0.0.1:1"),
-        peers: String::from("127.0.0.1:2"),
-        size: 1,
-        state: base::HostState::Live,
-    });
-    rows.collect()
-}
-
 /// A placer process; killed when dropped.
 pub struct Placer {
     pub child: Child,
--- a/crates/sheet/src/peer_book.rs
+++ b/crates/sheet/src/peer_book.rs
@@ -1,5 +1,5 @@
 use {
-    crate::HostRank,
+    crate::{HostRank, report_book::is_same_digest},
     base::{HostId, SheetVersion},
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -27,7 +27,7 @@
 /// What the peers have in force, as far as they have said.
 #[derive(Debug, Default)]
 pub(crate) struct PeerBook {
-    listed: Option<BTreeSet<HostId>>,
+    listed: BTreeSet<HostId>,
     states: BTreeMap<HostId, PeerState>,
 }
 
@@ -36,12 +36,7 @@
     pub(crate) fn list(&mut self, hosts: Vec<HostId>) {
         let listed: BTreeSet<HostId> = hosts.into_iter().collect();
         self.states.retain(|host, _| listed.contains(host));
-        self.listed = Some(listed);
-    }
-
-    /// True if it is known that there are no peers.
-    pub(crate) fn is_alone(&self) -> bool {
-        self.listed.as_ref().is_some_and(BTreeSet::is_empty)
+        self.listed = listed;
     }
 
     /// Records what a peer has.
@@ -72,14 +67,16 @@
         now: Instant,
     ) -> Option<HostId> {
         let holders = self.states.iter().filter(|(_, state)| {
-            (state.version, state.digest.as_str()) == sheet && state.is_usable(now)
+            state.version == sheet.0
+                && is_same_digest(&state.digest, sheet.1)
+                && state.is_usable(now)
         });
         rank.best(holders.map(|(host, _)| host)).cloned()
     }
 
     /// The first peers of the list in the order of the rank.
     pub(crate) fn choose(&self, count: usize, rank: &HostRank) -> Vec<HostId> {
-        let ranked = rank.ranked(self.listed.iter().flatten());
+        let ranked = rank.ranked(&self.listed);
         ranked.into_iter().take(count).cloned().collect()
     }
 
--- a/crates/sheet/src/report_book.rs
+++ b/crates/sheet/src/report_book.rs
@@ -44,7 +44,8 @@
 
     /// True if the sheet was refused.
     pub(crate) fn is_refused(&self, version: SheetVersion, digest: &str) -> bool {
-        self.refused.contains(&(version, digest.to_string()))
+        let mut refused = self.refused.iter();
+        refused.any(|(other, known)| *other == version && is_same_digest(known, digest))
     }
 
     /// Forgets all that a sheet in force of this version has settled.
@@ -65,3 +66,8 @@
     }
     is_new
 }
+
+/// True if two digests are equal, or one is the head of the other, as in heartbeats.
+pub(crate) fn is_same_digest(left: &str, right: &str) -> bool {
+    left.starts_with(right) || right.starts_with(left)
+}
--- a/crates/sheet/src/sheet_event.rs
+++ b/crates/sheet/src/sheet_event.rs
@@ -36,7 +36,7 @@
         host: HostId,
         /// Version that it has in force, 0 if none.
         version: SheetVersion,
-        /// Digest of that sheet, empty if none.
+        /// Digest of that sheet or the head of it, empty if none.
         digest: String,
     },
     /// A peer did not answer, or broke off.
--- a/crates/sheet/src/sheet_keeper.rs
+++ b/crates/sheet/src/sheet_keeper.rs
@@ -34,11 +34,11 @@
 ///
 /// ```
 /// use sheet::{SheetAction, SheetBundle, SheetEvent, SheetIndex, SheetKeeper, SheetSource};
-/// use std::time::Instant;
+/// use std::time::{Duration, Instant};
 ///
-/// let now = Instant::now();
-/// let mut keeper = SheetKeeper::new("h1", now);
-/// keeper.handle(SheetEvent::PeersListed { hosts: Vec::new() }, now);
+/// let start = Instant::now();
+/// let mut keeper = SheetKeeper::new("h1", start);
+/// let now = start + Duration::from_secs(2);
 /// let index = SheetIndex { version: 4, part: Vec::new() };
 /// let actions = keeper.handle(SheetEvent::IndexRead { index: index.clone() }, now);
 /// assert_eq!(actions, [SheetAction::FetchParts { index: index.clone() }]);
@@ -247,7 +247,7 @@
 
     /// True unless peers still have to say which sheet they have.
     fn may_adopt(&self, now: Instant) -> bool {
-        self.is_started() || self.sources.peers.is_alone() || self.start.is_settled(now)
+        self.is_started() || self.start.is_settled(now)
     }
 
     /// True if a sheet may be put in force once it is whole and checked.
--- a/crates/sheet/src/source_plan.rs
+++ b/crates/sheet/src/source_plan.rs
@@ -1,5 +1,8 @@
 use {
-    crate::{HostRank, SheetAction, SheetIndex, SheetSource, peer_book::PeerBook},
+    crate::{
+        HostRank, SheetAction, SheetIndex, SheetSource, peer_book::PeerBook,
+        report_book::is_same_digest,
+    },
     base::{HostId, SheetVersion},
     std::time::{Duration, Instant},
 };
@@ -92,7 +95,7 @@
             .map(|(version, digest)| (version, digest.to_string()))
             .collect();
         offers.sort_by(|left, right| right.0.cmp(&left.0).then_with(|| left.1.cmp(&right.1)));
-        offers.dedup();
+        offers.dedup_by(|next, kept| next.0 == kept.0 && is_same_digest(&next.1, &kept.1));
         offers
     }
 
@@ -103,11 +106,8 @@
         now: Instant,
     ) -> Option<SheetAction> {
         for offer in offers {
-            if self
-                .fetch
-                .as_ref()
-                .is_some_and(|fetch| fetch.offer == offer || fetch.offer.0 > offer.0)
-            {
+            let pending = self.fetch.as_ref();
+            if pending.is_some_and(|fetch| covers(&fetch.offer, &offer)) {
                 return None;
             }
             if let Some((source, action)) = self.choose_source(&offer, now) {
@@ -149,7 +149,8 @@
         let action = SheetAction::FetchParts {
             index: index.clone(),
         };
-        (usable && served == digest).then_some((SheetSource::Service, action))
+        (usable && index.version == *version && is_same_digest(served, digest))
+            .then_some((SheetSource::Service, action))
     }
 
     /// Ranking of peers that differs between hosts and rounds, so that no peer is asked by all.
@@ -157,3 +158,8 @@
         HostRank::new(format!("{} {}", self.host, self.round))
     }
 }
+
+/// True if fetching the first offer makes it needless to fetch the second one now.
+fn covers(pending: &SheetOffer, offer: &SheetOffer) -> bool {
+    pending.0 > offer.0 || (pending.0 == offer.0 && is_same_digest(&pending.1, &offer.1))
+}
--- a/crates/sheet/src/start_watch.rs
+++ b/crates/sheet/src/start_watch.rs
@@ -7,7 +7,9 @@
 };
 
 /// Longest wait for answers of peers before a starting daemon makes do with the service.
-const START_WAIT: Duration = Duration::from_secs(1);
+const ANSWER_WAIT: Duration = Duration::from_secs(1);
+/// Longest wait for the names of peers.
+const PEERS_WAIT: Duration = Duration::from_secs(2);
 /// Pause between two rounds of asking peers.
 const ASK_PAUSE: Duration = Duration::from_millis(300);
 /// Waits until enough peers have said which sheet they have.
@@ -16,7 +18,7 @@
     since: Instant,
     next_ask: Instant,
     open: BTreeSet<HostId>,
-    asked: bool,
+    first_ask: Option<Instant>,
     answered: bool,
 }
 
@@ -26,7 +28,7 @@
             since: now,
             next_ask: now,
             open: BTreeSet::new(),
-            asked: false,
+            first_ask: None,
             answered: false,
         }
     }
@@ -40,7 +42,9 @@
     pub(crate) fn ask(&mut self, hosts: &[HostId], now: Instant) {
         self.next_ask = now + ASK_PAUSE;
         self.open = hosts.iter().cloned().collect();
-        self.asked |= !hosts.is_empty();
+        if !hosts.is_empty() {
+            self.first_ask.get_or_insert(now);
+        }
     }
 
     /// Records that a peer answered; a peer without a sheet cannot vouch for the service.
@@ -61,7 +65,7 @@
 
     /// True once a round was answered, or when the wait is over.
     pub(crate) fn is_settled(&self, now: Instant) -> bool {
-        let complete = self.asked && self.answered && self.open.is_empty();
+        let complete = self.first_ask.is_some() && self.answered && self.open.is_empty();
         complete || now >= self.settles_at()
     }
 
@@ -75,6 +79,9 @@
     }
 
     fn settles_at(&self) -> Instant {
-        self.since + START_WAIT
+        match self.first_ask {
+            Some(at) => at + ANSWER_WAIT,
+            None => self.since + PEERS_WAIT,
+        }
     }
 }
--- a/crates/sheet/tests/sheet_keeper.rs
+++ b/crates/sheet/tests/sheet_keeper.rs
@@ -58,10 +58,9 @@
     actions.iter().filter(is_fetch).count()
 }
 
-/// A keeper without peers that has put the bundle in force.
+/// A keeper that nobody told of peers, and that has put the bundle in force.
 fn keeper_with(bundle: &SheetBundle, now: Instant) -> SheetKeeper {
-    let mut keeper = SheetKeeper::new("h0", now);
-    keeper.handle(SheetEvent::PeersListed { hosts: Vec::new() }, now);
+    let mut keeper = SheetKeeper::new("h0", now.checked_sub(LONG).unwrap());
     keeper.handle(index_read(bundle), now);
     keeper.handle(from_service(bundle), now);
     assert_eq!(keeper.version(), bundle.index.version);
@@ -93,6 +92,30 @@
     assert_eq!(keeper.version(), 2);
 }
 
+#[test]
+fn a_refused_sheet_is_known_by_the_head_of_its_digest() {
+    let now = Instant::now();
+    let mut keeper = keeper_with(&bundle_of(1, 0, true), now);
+    let bad = bundle_of(2, 0, false);
+    keeper.handle(from_service(&bad), now);
+    let event = SheetEvent::PeerHas {
+        host: "h1".into(),
+        version: 2,
+        digest: bad.index.digest()[..16].to_string(),
+    };
+    assert_eq!(keeper.handle(event, now), []);
+}
+
+#[test]
+fn an_empty_list_of_peers_is_no_reason_to_believe_the_service_at_once() {
+    let now = Instant::now();
+    let stale = bundle_of(5, 0, true);
+    let mut keeper = SheetKeeper::new("h0", now);
+    keeper.handle(SheetEvent::PeersListed { hosts: Vec::new() }, now);
+    assert_eq!(keeper.handle(index_read(&stale), now), []);
+    assert_eq!(fetches(&keeper.handle(SheetEvent::Tick, now + LONG)), 1);
+}
+
 #[test]
 fn texts_of_another_version_are_read_again() {
     let now = Instant::now();
@@ -171,8 +194,7 @@
 fn a_starting_daemon_waits_for_the_version_that_was_seen() {
     let now = Instant::now();
     let (stale, newest) = (bundle_of(5, 0, true), bundle_of(7, 0, true));
-    let mut keeper = SheetKeeper::new("h0", now);
-    keeper.handle(SheetEvent::PeersListed { hosts: Vec::new() }, now);
+    let mut keeper = SheetKeeper::new("h0", now.checked_sub(LONG).unwrap());
     keeper.handle(SheetEvent::SeenVersion { version: 7 }, now);
     let actions = keeper.handle(index_read(&stale), now);
     assert_eq!(reports(&actions), [&SheetReport::HeldBack { heard: 7 }]);
