--- /dev/null
+++ b/crates/member/tests/rules.rs
@@ -0,0 +1,412 @@
+//! Rules that hold in every order of events.
+
+use {
+    base::{HostList, HostRow, HostState, TargetMark},
+    member::{MemberAction, MemberEvent, MemberSettings, MemberTable},
+    proptest::{prelude::*, test_runner::RngSeed},
+    stamp::HybridTime,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::{Duration, Instant},
+    },
+    wire::{
+        DatagramSeal, MAX_DATAGRAM_BYTES, MarkSource, PeerKey, PeerMessage, PeerRumour, PeerSelf,
+    },
+};
+
+const HOSTS: usize = 5;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(0x6d65_6d62),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn about(host: usize, incarnation: u64, leaving: bool) -> PeerSelf {
+    PeerSelf {
+        host: format!("h{host}"),
+        incarnation,
+        data_centre: String::from("dc1"),
+        callers: format!("10.0.0.{host}:80"),
+        peers: format!("10.0.0.{host}:81"),
+        size: 1,
+        leaving,
+        sheet_version: incarnation,
+        sheet_digest: [0; 8],
+    }
+}
+
+fn table(now: Instant) -> MemberTable {
+    MemberTable::new(MemberSettings::default(), about(0, 10, false), 5, now)
+}
+
+fn row(host: usize, state: HostState) -> HostRow {
+    let about = about(host, 0, false);
+    HostRow {
+        host: about.host,
+        data_centre: about.data_centre,
+        callers: about.callers,
+        peers: about.peers,
+        size: about.size,
+        state,
+    }
+}
+
+fn heartbeat(sender: PeerSelf, rumours: Vec<PeerRumour>) -> PeerMessage {
+    PeerMessage::Heartbeat {
+        sender,
+        stamp: HybridTime::default(),
+        rumours,
+    }
+}
+
+fn state(leaving: bool) -> HostState {
+    match leaving {
+        true => HostState::Leaving,
+        false => HostState::Live,
+    }
+}
+
+/// Something that happens to a table.
+#[derive(Debug, Clone)]
+enum Happening {
+    List(Vec<(usize, bool)>),
+    Heartbeat(usize, u64, bool),
+    Rumour(usize, u64, u8),
+    Tick(u64),
+    Ack(usize, u64, u64),
+}
+
+fn happening() -> impl Strategy<Value = Happening> {
+    let incarnation = 1..4_u64;
+    prop_oneof![
+        prop::collection::vec((0..HOSTS, any::<bool>()), 0..HOSTS).prop_map(Happening::List),
+        (0..HOSTS, incarnation.clone(), prop::bool::weighted(0.2))
+            .prop_map(|(host, start, leaving)| Happening::Heartbeat(host, start, leaving)),
+        (1..HOSTS, incarnation.clone(), 0..4_u8)
+            .prop_map(|(host, start, kind)| Happening::Rumour(host, start, kind)),
+        (0..40_000_u64).prop_map(Happening::Tick),
+        (1..HOSTS, incarnation, any::<u64>())
+            .prop_map(|(host, start, nonce)| Happening::Ack(host, start, nonce)),
+    ]
+}
+
+/// What a table has been told, as a plain record to compare it with.
+#[derive(Default)]
+struct Told {
+    leaving: BTreeSet<(String, u64)>,
+    latest: BTreeMap<String, u64>,
+}
+
+impl Told {
+    fn note(&mut self, key: &PeerKey, leaving: bool) {
+        if leaving {
+            self.leaving.insert((key.host.clone(), key.incarnation));
+        }
+    }
+
+    fn check(&mut self, table: &MemberTable, now: Instant) {
+        for member in table.members(now) {
+            let entry = member.entry;
+            let latest = self.latest.entry(entry.host).or_default();
+            assert!(entry.incarnation >= *latest, "incarnation went back");
+            *latest = entry.incarnation;
+        }
+        for entry in table.live_entries() {
+            let later = |key: &&(String, u64)| key.0 == entry.host && key.1 >= entry.incarnation;
+            let back = self.leaving.iter().any(|key| later(&key));
+            assert!(!back, "{} came back", entry.host);
+        }
+    }
+}
+
+fn happen(
+    table: &mut MemberTable,
+    told: &mut Told,
+    happening: Happening,
+    now: &mut Instant,
+) -> Vec<MemberAction> {
+    match happening {
+        Happening::List(rows) => {
+            let hosts = rows
+                .iter()
+                .map(|&(host, leaving)| row(host, state(leaving)));
+            let list = HostList {
+                hosts: hosts.collect(),
+                targets: Vec::new(),
+            };
+            table.on_host_list(list, HybridTime::default(), *now)
+        }
+        Happening::Heartbeat(host, start, leaving) => {
+            let sender = about(host, start, leaving);
+            if host > 0 {
+                told.note(&sender.key(), leaving);
+            }
+            table.on_datagram(
+                heartbeat(sender, Vec::new()),
+                format!("10.0.0.{host}:81"),
+                *now,
+            )
+        }
+        Happening::Rumour(host, start, kind) => {
+            let key = about(host, start, false).key();
+            told.note(&key, kind == 0);
+            let rumour = match kind {
+                0 => PeerRumour::HostLeaving(key),
+                1 => PeerRumour::HostSuspect(key),
+                2 => PeerRumour::HostRevived(key),
+                _ => PeerRumour::Member(about(host, start, false)),
+            };
+            let sender = about(HOSTS, 1, false);
+            table.on_datagram(
+                heartbeat(sender, vec![rumour]),
+                String::from("10.0.0.5:81"),
+                *now,
+            )
+        }
+        Happening::Tick(milliseconds) => {
+            *now += Duration::from_millis(milliseconds);
+            table.on_tick(*now)
+        }
+        Happening::Ack(host, start, nonce) => {
+            let sender = about(host, start, false).key();
+            table.on_datagram(
+                PeerMessage::ProbeAck { sender, nonce },
+                String::from("x"),
+                *now,
+            )
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn leaving_is_never_undone(happenings in prop::collection::vec(happening(), 1..120)) {
+        let mut now = Instant::now();
+        let mut table = table(now);
+        let mut told = Told::default();
+        for happening in happenings {
+            let actions = happen(&mut table, &mut told, happening, &mut now);
+            for action in actions {
+                if let MemberAction::Send { message, .. } = action {
+                    prop_assert!(DatagramSeal::sealed_bytes(&message) <= MAX_DATAGRAM_BYTES);
+                }
+            }
+            told.check(&table, now);
+        }
+    }
+
+    /// Whatever lists show, only one that showed the mark and then the target live for the hold
+    /// takes the mark back.
+    #[test]
+    fn stale_lists_bring_no_target_back(
+        lists in prop::collection::vec((any::<bool>(), any::<bool>(), 0..12_000_u64), 1..60),
+        source in prop::sample::select(vec![MarkSource::Operator, MarkSource::Sheet, MarkSource::Target]),
+    ) {
+        let hold = MemberSettings::default().live_hold;
+        let mut now = Instant::now();
+        let mut table = table(now);
+        table.mark_target_leaving("t1", source, HybridTime::new(50, 0), now);
+        let mut shown = false;
+        let mut live_since: Option<Instant> = None;
+        for (named, leaving, gap) in lists {
+            now += Duration::from_millis(gap);
+            shown |= named && leaving;
+            live_since = match (named, leaving) {
+                (true, false) => live_since.or(Some(now)),
+                _ => None,
+            };
+            let mark = TargetMark { target: String::from("t1"), state: state(leaving) };
+            let targets = Vec::from_iter(named.then_some(mark));
+            let list = HostList { hosts: Vec::new(), targets };
+            table.on_host_list(list, HybridTime::new(100, 0), now);
+            table.on_tick(now);
+            let over = shown && live_since.is_some_and(|since| now - since >= hold);
+            let may_be_back = source == MarkSource::Target && over;
+            prop_assert!(table.is_target_leaving("t1") || may_be_back);
+            if may_be_back {
+                break;
+            }
+        }
+    }
+
+    /// Tables that got the same words in different orders end up the same.
+    #[test]
+    fn words_on_targets_commute(
+        words in prop::collection::vec((0..3_usize, 0..4_usize, 1..20_u64, any::<bool>()), 0..40),
+        order in any::<prop::sample::Index>(),
+    ) {
+        let sources = [MarkSource::HostList, MarkSource::Sheet, MarkSource::Operator, MarkSource::Target];
+        let now = Instant::now();
+        let mut unique = BTreeMap::new();
+        for (target, source, since, clear) in words {
+            unique.insert((target, source, since), clear);
+        }
+        let rumours: Vec<_> = unique.into_iter().map(|((target, source, since), clear)| {
+            PeerRumour::TargetLeaving {
+                target: format!("t{target}"),
+                source: sources[source],
+                since: HybridTime::new(since, 0),
+                clear,
+            }
+        }).collect();
+        let mut other = rumours.clone();
+        other.reverse();
+        if !other.is_empty() {
+            let middle = order.index(other.len());
+            other.rotate_left(middle);
+        }
+        let told = [rumours, other].map(|rumours| {
+            let mut table = table(now);
+            for rumour in rumours {
+                let message = heartbeat(about(1, 1, false), vec![rumour]);
+                table.on_datagram(message, String::from("10.0.0.1:81"), now);
+            }
+            table.leaving_targets()
+        });
+        prop_assert_eq!(&told[0], &told[1]);
+    }
+}
+
+#[test]
+fn a_later_process_is_welcome_under_a_stale_mark() {
+    let mut now = Instant::now();
+    let mut table = table(now);
+    let hear = |table: &mut MemberTable, start, now| {
+        table.on_datagram(
+            heartbeat(about(1, start, false), Vec::new()),
+            String::from("x"),
+            now,
+        )
+    };
+    hear(&mut table, 5, now);
+    for leaving in [false, true] {
+        let list = HostList {
+            hosts: vec![row(1, state(leaving))],
+            targets: Vec::new(),
+        };
+        table.on_host_list(list, HybridTime::default(), now);
+        now += Duration::from_secs(20);
+    }
+    assert!(!table.is_live_entry("h1"));
+    hear(&mut table, 6, now);
+    assert!(table.is_live_entry("h1"));
+    let list = HostList {
+        hosts: vec![row(1, HostState::Leaving)],
+        targets: Vec::new(),
+    };
+    table.on_host_list(list, HybridTime::default(), now);
+    assert!(
+        table.is_live_entry("h1"),
+        "the mark is about the process before"
+    );
+}
+
+#[test]
+fn an_operator_clears_every_mark_against_late_lists() {
+    let now = Instant::now();
+    let mut table = table(now);
+    let list = |leaving| {
+        let mark = TargetMark {
+            target: String::from("t1"),
+            state: state(leaving),
+        };
+        HostList {
+            hosts: Vec::new(),
+            targets: vec![mark],
+        }
+    };
+    table.on_host_list(list(false), HybridTime::new(1, 0), now);
+    table.mark_target_leaving("t1", MarkSource::Target, HybridTime::new(2, 0), now);
+    table.mark_target_leaving("t1", MarkSource::Operator, HybridTime::new(3, 0), now);
+    table.clear_target_leaving("t1", HybridTime::new(4, 0), now);
+    assert!(!table.is_target_leaving("t1"));
+    table.on_host_list(
+        list(true),
+        HybridTime::new(5, 0),
+        now + Duration::from_secs(1),
+    );
+    assert!(
+        !table.is_target_leaving("t1"),
+        "a list that lags shows the old mark"
+    );
+    table.on_host_list(
+        list(false),
+        HybridTime::new(6, 0),
+        now + Duration::from_secs(30),
+    );
+    table.on_host_list(
+        list(true),
+        HybridTime::new(7, 0),
+        now + Duration::from_secs(60),
+    );
+    assert!(table.is_target_leaving("t1"), "a new mark counts");
+}
+
+#[test]
+fn strikes_of_all_witnesses_add_up_until_cleared() {
+    let now = Instant::now();
+    let expires = now + Duration::from_secs(60);
+    let mut table = table(now);
+    let print = [7; 16];
+    assert_eq!(
+        table.note_strike(print, HybridTime::new(5, 0), expires, now),
+        1
+    );
+    let strike = PeerRumour::Strike {
+        fingerprint: print,
+        witness: String::from("h1"),
+        strikes: 1,
+        at: HybridTime::new(6, 0),
+        remaining_ms: 90_000,
+    };
+    let message = heartbeat(about(1, 1, false), vec![strike.clone(), strike.clone()]);
+    table.on_datagram(message, String::from("x"), now);
+    assert_eq!(table.strikes(&print, now), 2);
+    assert_eq!(table.strikes(&print, now + Duration::from_secs(70)), 1);
+    assert_eq!(table.strikes(&print, now + Duration::from_secs(100)), 0);
+    table.clear_strikes(print, HybridTime::new(7, 0), expires, now);
+    let message = heartbeat(about(1, 1, false), vec![strike]);
+    table.on_datagram(message, String::from("x"), now);
+    assert_eq!(table.strikes(&print, now), 0, "an old strike came back");
+    assert_eq!(
+        table.note_strike(print, HybridTime::new(8, 0), expires, now),
+        1
+    );
+}
+
+#[test]
+fn a_paused_process_suspects_no_one_at_once() {
+    let mut now = Instant::now();
+    let mut table = table(now);
+    let hosts = (1..HOSTS).map(|host| row(host, HostState::Live)).collect();
+    table.on_host_list(
+        HostList {
+            hosts,
+            targets: Vec::new(),
+        },
+        HybridTime::default(),
+        now,
+    );
+    table.on_tick(now);
+    now += Duration::from_secs(3_600);
+    let woken = table.on_tick(now);
+    assert!(
+        woken
+            .iter()
+            .any(|action| matches!(action, MemberAction::Changed(MemberEvent::Paused { .. })))
+    );
+    for _ in 0..35 {
+        now += Duration::from_millis(100);
+        let actions = table.on_tick(now);
+        let suspect = |action: &MemberAction| {
+            matches!(action, MemberAction::Changed(MemberEvent::Suspect { .. }))
+        };
+        assert!(!actions.iter().any(suspect));
+    }
+    assert_eq!(table.live_entries().len(), HOSTS);
+}
