Name suspects in every heartbeat, for members that missed the first word

At 220 members one daemon in some hundred still had a dead host in its answers a minute after a third of the fleet was cut off: it had missed the rumour, and old facts, suspects among them, came round only every 40 s. Each heartbeat now names up to three random suspects beside its news. Suspects are also kept as a set, so that doubt costs nothing while there are none.

--- a/crates/member/src/peer_book.rs
+++ b/crates/member/src/peer_book.rs
@@ -16,6 +16,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct PeerBook {
     records: BTreeMap<HostId, PeerRecord>,
+    suspects: BTreeSet<HostId>,
     departed: BTreeMap<HostId, Incarnation>,
 }
 
@@ -61,6 +62,9 @@
             record.heard = Some(now);
             news.revived = record.suspect_since.take().is_some();
         }
+        if !record.is_suspect() {
+            self.suspects.remove(&about.host);
+        }
         if about.leaving {
             record.leaving_up_to = record.leaving_up_to.max(about.incarnation);
         }
@@ -91,6 +95,7 @@
         }
         record.heard = Some(now);
         news.revived = record.suspect_since.take().is_some();
+        self.suspects.remove(&key.host);
         news
     }
 
@@ -172,6 +177,7 @@
             Some(record) if record.about.incarnation == key.incarnation => {
                 let news = record.suspect_since.is_none();
                 record.suspect_since.get_or_insert(now);
+                self.suspects.insert(key.host.clone());
                 news
             }
             _ => false,
@@ -191,6 +197,7 @@
             .map(|(host, _)| host.clone())
             .collect();
         for host in &gone {
+            self.suspects.remove(host);
             if let Some(record) = self.records.remove(host) {
                 self.depart(host, record.leaving_up_to);
             }
@@ -200,6 +207,9 @@
 
     /// True if more than half of those that should serve are suspects.
     pub(crate) fn is_doubtful(&self) -> bool {
+        if self.suspects.is_empty() {
+            return false;
+        }
         let serving = self.records.values().filter(|record| !record.is_leaving());
         let (all, suspects) = serving.fold((0, 0), |(all, suspects), record| {
             (all + 1, suspects + usize::from(record.is_suspect()))
@@ -217,6 +227,11 @@
         self.records.values()
     }
 
+    /// Hosts whose process is a suspect.
+    pub(crate) fn suspects(&self) -> &BTreeSet<HostId> {
+        &self.suspects
+    }
+
     /// Number of other hosts.
     pub(crate) fn len(&self) -> usize {
         self.records.len()
--- a/crates/member/src/table_rounds.rs
+++ b/crates/member/src/table_rounds.rs
@@ -28,6 +28,10 @@
 const PRUNE_INTERVAL: Duration = Duration::from_secs(5);
 /// Time between replays of what a returning peer may have missed.
 const REPLAY_INTERVAL: Duration = Duration::from_secs(2);
+/// Most suspects that each heartbeat names beside its news.
+const SUSPECT_FILLERS: usize = 3;
+/// Bytes that they may take.
+const SUSPECT_BYTES: usize = 80;
 /// Most facts that are looked at to fill one heartbeat.
 const MAX_FILLERS: usize = 64;
 /// Most words on targets that one replay puts into circulation.
@@ -167,9 +171,8 @@
 
     /// Probes a random suspect, which may be back.
     fn probe_suspect(&mut self, now: Instant) {
-        let suspects = self.peers.records().filter(|record| record.is_suspect());
-        let picked = suspects.choose(&mut self.random);
-        if let Some(host) = picked.map(|record| record.about.host.clone()) {
+        let picked = self.peers.suspects().iter().choose(&mut self.random);
+        if let Some(host) = picked.cloned() {
             self.probe_host(&host, 0, now);
         }
     }
@@ -275,10 +278,11 @@
         let bare = self.heartbeat(Vec::new());
         let base = DatagramSeal::sealed_bytes(&bare) + LIST_BYTES;
         let mut room = limit.min(MAX_DATAGRAM_BYTES).saturating_sub(base);
-        let mut rumours = self.rumours.take(room, now);
+        let mut rumours = self.rumours.take(room.saturating_sub(SUSPECT_BYTES), now);
+        self.add_suspects(&mut rumours);
         let used: usize = rumours.iter().map(PeerRumour::encoded_bytes).sum();
         if limit != HOT_BYTES {
-            room -= used;
+            room = room.saturating_sub(used);
             self.fill(&mut rumours, room, now);
         }
         let message = self.heartbeat(rumours);
@@ -293,6 +297,25 @@
         }
     }
 
+    /// Names some suspects in each heartbeat, for peers that the first word of them missed.
+    fn add_suspects(&mut self, rumours: &mut Vec<PeerRumour>) {
+        if self.doubting {
+            return;
+        }
+        let suspects = self.peers.suspects().iter();
+        let mut used = 0;
+        for host in suspects.choose_multiple(&mut self.random, SUSPECT_FILLERS) {
+            let record = self.peers.get(host);
+            let key = record.map(|record| record.about.key());
+            if let Some(rumour) = key.map(PeerRumour::HostSuspect) {
+                used += rumour.encoded_bytes();
+                if used <= SUSPECT_BYTES && !rumours.contains(&rumour) {
+                    rumours.push(rumour);
+                }
+            }
+        }
+    }
+
     /// Uses room that is left for old facts in turn, for peers that missed them.
     fn fill(&mut self, rumours: &mut Vec<PeerRumour>, mut room: usize, now: Instant) {
         let count = self.fact_count();
@@ -315,7 +338,7 @@
 
     /// Number of facts that a peer may have missed.
     fn fact_count(&self) -> usize {
-        self.targets.len() + self.strikes.len() + 2 * self.peers.len()
+        self.targets.len() + self.strikes.len() + self.peers.len()
     }
 
     /// One of the facts, if it is worth telling.
@@ -329,18 +352,14 @@
             return Some(with_remaining(&strike, Some(expires), now));
         }
         let index = index - self.strikes.len();
-        let record = self.peers.records().nth(index / 2)?;
-        if index.is_multiple_of(2) {
-            let key = PeerKey {
+        let record = self.peers.records().nth(index)?;
+        if record.is_bound_leaving() {
+            return Some(PeerRumour::HostLeaving(PeerKey {
                 host: record.about.host.clone(),
                 incarnation: record.leaving_up_to,
-            };
-            return (key.incarnation > 0).then_some(PeerRumour::HostLeaving(key));
-        }
-        if record.is_suspect() {
-            return (!self.doubting).then(|| PeerRumour::HostSuspect(record.about.key()));
+            }));
         }
-        let known = record.about.incarnation > 0;
+        let known = record.about.incarnation > 0 && !record.is_suspect();
         known.then(|| PeerRumour::Member(record.about.clone()))
     }
 
--- a/crates/member/tests/fleet/mod.rs
+++ b/crates/member/tests/fleet/mod.rs
@@ -44,13 +44,19 @@
     pub sent: usize,
     pub received_bytes: usize,
     pub received: usize,
-    backlog: Vec<(usize, PeerMessage)>,
+    backlog: Vec<(usize, Letter)>,
     next_tick: Option<Instant>,
 }
 
+/// A message on its way, with the bytes it takes on the network.
+struct Letter {
+    message: PeerMessage,
+    bytes: usize,
+}
+
 enum Due {
     Tick(usize),
-    Deliver(usize, usize, PeerMessage),
+    Deliver(usize, usize, Letter),
 }
 
 impl Fleet {
@@ -138,7 +144,7 @@
             self.now = self.now.max(at);
             match self.due.remove(&sequence) {
                 Some(Due::Tick(index)) => self.tick(index, at),
-                Some(Due::Deliver(from, to, message)) => self.deliver(from, to, message),
+                Some(Due::Deliver(from, to, letter)) => self.deliver(from, to, letter),
                 None => {}
             }
         }
@@ -152,8 +158,8 @@
         let backlog = std::mem::take(&mut self.nodes[index].backlog);
         let actions = self.nodes[index].table.on_tick(self.now);
         self.apply(index, actions);
-        for (from, message) in backlog {
-            self.deliver(from, index, message);
+        for (from, letter) in backlog {
+            self.deliver(from, index, letter);
         }
     }
 
@@ -243,20 +249,22 @@
         self.apply(index, actions);
     }
 
-    fn deliver(&mut self, from: usize, to: usize, message: PeerMessage) {
+    fn deliver(&mut self, from: usize, to: usize, letter: Letter) {
         let node = &mut self.nodes[to];
         if node.dead {
             return;
         }
         if node.frozen {
             if node.backlog.len() < BACKLOG {
-                node.backlog.push((from, message));
+                node.backlog.push((from, letter));
             }
             return;
         }
         node.received += 1;
-        node.received_bytes += DatagramSeal::sealed_bytes(&message) + HEADER_BYTES;
-        let actions = node.table.on_datagram(message, address(from), self.now);
+        node.received_bytes += letter.bytes;
+        let actions = node
+            .table
+            .on_datagram(letter.message, address(from), self.now);
         self.apply(to, actions);
     }
 
@@ -278,13 +286,17 @@
         let bytes = DatagramSeal::sealed_bytes(&message);
         assert!(bytes <= MAX_DATAGRAM_BYTES, "datagram of {bytes} bytes");
         self.nodes[from].sent += 1;
-        self.nodes[from].sent_bytes += bytes + HEADER_BYTES;
+        let bytes = bytes + HEADER_BYTES;
+        self.nodes[from].sent_bytes += bytes;
         let to = index_of(to);
         if self.cut.contains(&(from, to)) || self.random.random_bool(self.loss) {
             return;
         }
         let delay = Duration::from_micros(self.random.random_range(200..5_000));
-        self.schedule(self.now + delay, Due::Deliver(from, to, message));
+        self.schedule(
+            self.now + delay,
+            Due::Deliver(from, to, Letter { message, bytes }),
+        );
     }
 }
 
--- a/crates/member/tests/many_members.rs
+++ b/crates/member/tests/many_members.rs
@@ -50,7 +50,7 @@
         fleet.call(1, |table, now| table.on_tick(now));
         reaches(&mut fleet, count, |fleet| fleet.all_use(1, false));
         fleet.show_list(0..count, |_| HostState::Live);
-        fleet.run(Duration::from_secs(40));
+        fleet.run(Duration::from_secs(35));
         assert!(
             fleet.all_use(1, false),
             "{count}: a stale list brought it back"
@@ -73,7 +73,7 @@
         fleet.show_list([0], state);
         reaches(&mut fleet, count, |fleet| fleet.all_use(2, false));
         fleet.show_list(0..count, |_| HostState::Live);
-        fleet.run(Duration::from_secs(40));
+        fleet.run(Duration::from_secs(35));
         assert!(
             fleet.all_use(2, false),
             "{count}: a stale list brought it back"
