Split the examples into files with one job

What proves that a target died stands where the ledger takes the word for it: connections cut by the network would otherwise get innocents refused at the second cut.

--- /dev/null
+++ b/crates/limit/examples/overload/main.rs
@@ -0,0 +1,48 @@
+//! Compares ways to let requests in: one entry before one pool, one customer that floods it and
+//! three that stay within their share, as a seeded event simulation in one thread.
+
+mod overload_sim;
+
+use overload_sim::{EntryPolicy, OverloadSim, RunFigures};
+
+const SEEDS: u64 = 11;
+const LOADS: [f64; 4] = [0.8, 1.2, 2.0, 4.0];
+
+const POLICIES: [(EntryPolicy, &str); 4] = [
+    (EntryPolicy::Open, "no limit"),
+    (EntryPolicy::FixedLimit, "fixed limit, one queue"),
+    (EntryPolicy::Fair, "adaptive limit, fair queue"),
+    (EntryPolicy::FairGate, "the same and gate"),
+];
+
+fn spread(runs: &[RunFigures], figure: impl Fn(&RunFigures) -> f64) -> String {
+    let mut values: Vec<f64> = runs.iter().map(|run| 100.0 * figure(run)).collect();
+    values.sort_by(f64::total_cmp);
+    let last = values.len() - 1;
+    format!(
+        "{:.1} ({:.1}-{:.1})",
+        values[last / 2],
+        values[0],
+        values[last]
+    )
+}
+
+fn main() {
+    for load in LOADS {
+        println!("load {load} of capacity; median (range) of {SEEDS} seeds");
+        println!(
+            "policy | attainment % | of the small customers % | of urgent requests % | target time wasted %"
+        );
+        for (policy, name) in POLICIES {
+            let runs: Vec<RunFigures> = (1..=SEEDS)
+                .map(|seed| OverloadSim::new(policy, load, seed).run())
+                .collect();
+            let all = spread(&runs, |run| run.all);
+            let small = spread(&runs, |run| run.small);
+            let urgent = spread(&runs, |run| run.urgent);
+            let wasted = spread(&runs, |run| run.wasted);
+            println!("{name:<27} | {all} | {small} | {urgent} | {wasted}");
+        }
+        println!();
+    }
+}
--- a/crates/limit/examples/overload.rs
+++ b/crates/limit/examples/overload/overload_sim.rs
@@ -1,6 +1,3 @@
-//! Compares ways to let requests in: one entry before one pool, one customer that floods it and
-//! three that stay within their share, as a seeded event simulation in one thread.
-
 use {
     base::RequestPriority,
     limit::{
@@ -15,12 +12,10 @@
     },
 };
 
-const SEEDS: u64 = 11;
 const PLACES: usize = 16;
 const SMALL_CUSTOMERS: usize = 3;
 /// Load of each small customer as a part of what the pool can do.
 const SMALL_LOAD: f64 = 0.1;
-const LOADS: [f64; 4] = [0.8, 1.2, 2.0, 4.0];
 const RUN_TIME: Duration = Duration::from_secs(60);
 const DEADLINE: Duration = Duration::from_secs(1);
 const MEAN_SERVICE: Duration = Duration::from_millis(100);
@@ -29,8 +24,9 @@
 /// Weight of the latest call in the expected service time.
 const SERVICE_WEIGHT: f64 = 0.05;
 
+/// How an entry lets requests in.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum EntryPolicy {
+pub enum EntryPolicy {
     /// Everything goes to the pool at once and waits there.
     Open,
     /// A fixed limit with one queue in order of arrival.
@@ -41,13 +37,6 @@
     FairGate,
 }
 
-const POLICIES: [(EntryPolicy, &str); 4] = [
-    (EntryPolicy::Open, "no limit"),
-    (EntryPolicy::FixedLimit, "fixed limit, one queue"),
-    (EntryPolicy::Fair, "adaptive limit, fair queue"),
-    (EntryPolicy::FairGate, "the same and gate"),
-];
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum SimEvent {
     Arrive { customer: usize },
@@ -72,7 +61,8 @@
     whole: u64,
 }
 
-struct OverloadSim {
+/// One entry before one pool.
+pub struct OverloadSim {
     policy: EntryPolicy,
     generator: StdRng,
     start: Instant,
@@ -96,15 +86,15 @@
 
 /// Figures of one run, in parts of one.
 #[derive(Debug, Clone, Copy)]
-struct RunFigures {
-    all: f64,
-    small: f64,
-    urgent: f64,
-    wasted: f64,
+pub struct RunFigures {
+    pub all: f64,
+    pub small: f64,
+    pub urgent: f64,
+    pub wasted: f64,
 }
 
 impl OverloadSim {
-    fn new(policy: EntryPolicy, load: f64, seed: u64) -> Self {
+    pub fn new(policy: EntryPolicy, load: f64, seed: u64) -> Self {
         let start = Instant::now();
         let capacity = PLACES as f64 / MEAN_SERVICE.as_secs_f64();
         let flood = load - SMALL_LOAD * SMALL_CUSTOMERS as f64;
@@ -150,7 +140,7 @@
         }
     }
 
-    fn run(mut self) -> RunFigures {
+    pub fn run(mut self) -> RunFigures {
         for customer in 0..self.rates.len() {
             self.schedule_arrival(customer);
         }
@@ -329,35 +319,3 @@
         self.fill_pool();
     }
 }
-
-fn spread(runs: &[RunFigures], figure: impl Fn(&RunFigures) -> f64) -> String {
-    let mut values: Vec<f64> = runs.iter().map(|run| 100.0 * figure(run)).collect();
-    values.sort_by(f64::total_cmp);
-    let last = values.len() - 1;
-    format!(
-        "{:.1} ({:.1}-{:.1})",
-        values[last / 2],
-        values[0],
-        values[last]
-    )
-}
-
-fn main() {
-    for load in LOADS {
-        println!("load {load} of capacity; median (range) of {SEEDS} seeds");
-        println!(
-            "policy | attainment % | of the small customers % | of urgent requests % | target time wasted %"
-        );
-        for (policy, name) in POLICIES {
-            let runs: Vec<RunFigures> = (1..=SEEDS)
-                .map(|seed| OverloadSim::new(policy, load, seed).run())
-                .collect();
-            let all = spread(&runs, |run| run.all);
-            let small = spread(&runs, |run| run.small);
-            let urgent = spread(&runs, |run| run.urgent);
-            let wasted = spread(&runs, |run| run.wasted);
-            println!("{name:<27} | {all} | {small} | {urgent} | {wasted}");
-        }
-        println!();
-    }
-}
--- a/crates/retry/src/crash_ledger.rs
+++ b/crates/retry/src/crash_ledger.rs
@@ -55,7 +55,7 @@
     Granted,
     /// Not on this target; another may do.
     Elsewhere,
-    /// Not now: the same request runs already, and how that ends decides.
+    /// Not now: the same request runs already, and how that ends decides; ask again shortly.
     Later,
     /// It may run nowhere.
     Refused,
@@ -66,7 +66,9 @@
 pub enum RunEnd {
     /// The target answered whole.
     Whole,
-    /// The target died with the request running.
+    /// The target died with the request running: its process is gone, which a refused dial
+    /// shows. A lost connection alone is no proof and ends as `Other`, or a fault of the network
+    /// would pass for a crash.
     TargetDied,
     /// Anything else, for instance a cancelled call.
     Other,
--- /dev/null
+++ b/crates/route/examples/picks/entry_view.rs
@@ -0,0 +1,93 @@
+use {
+    super::PLACES,
+    rand::Rng,
+    route::{PickQuery, PoolSettings, TargetPool, TargetSpec},
+    std::time::Instant,
+};
+
+/// How an entry chooses a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PickPolicy {
+    Random,
+    LeastInFlight,
+    TwoChoices,
+    PoolWithoutEjection,
+    Pool(usize),
+}
+
+/// One entry's way to choose and what it keeps for that.
+pub struct EntryView {
+    pub policy: PickPolicy,
+    pub pool: TargetPool,
+    pub in_flight: Vec<u32>,
+}
+
+impl EntryView {
+    pub fn new(policy: PickPolicy, targets: usize, seed: u64, now: Instant) -> Self {
+        let (eject_share, choices) = match policy {
+            PickPolicy::Pool(choices) => (PoolSettings::default().eject_share, choices),
+            _ => (0.0, 2),
+        };
+        let settings = PoolSettings {
+            eject_share,
+            choices,
+            ..PoolSettings::default()
+        };
+        let mut pool = TargetPool::new(settings, seed);
+        pool.set_targets((0..targets).map(target_spec), now);
+        Self {
+            policy,
+            pool,
+            in_flight: vec![0; targets],
+        }
+    }
+
+    pub fn pick(&mut self, tried: &[String], generator: &mut impl Rng, now: Instant) -> usize {
+        let open: Vec<usize> = (0..self.in_flight.len())
+            .filter(|&target| !tried.contains(&target_name(target)))
+            .collect();
+        let draw = |generator: &mut dyn rand::RngCore| open[generator.random_range(0..open.len())];
+        match self.policy {
+            PickPolicy::Random => draw(generator),
+            PickPolicy::LeastInFlight => {
+                let least = open.iter().map(|&target| self.in_flight[target]).min();
+                let best: Vec<usize> = open
+                    .iter()
+                    .copied()
+                    .filter(|&target| Some(self.in_flight[target]) == least)
+                    .collect();
+                best[generator.random_range(0..best.len())]
+            }
+            PickPolicy::TwoChoices => {
+                let (first, second) = (draw(generator), draw(generator));
+                match self.in_flight[second] < self.in_flight[first] {
+                    true => second,
+                    false => first,
+                }
+            }
+            PickPolicy::PoolWithoutEjection | PickPolicy::Pool(_) => {
+                let query = PickQuery {
+                    tried,
+                    local_centre: "north",
+                    ..PickQuery::default()
+                };
+                let pick = self.pool.pick(query, now).expect("there are targets");
+                pick.target[1..].parse().expect("names are numbers")
+            }
+        }
+    }
+}
+
+pub fn target_name(target: usize) -> String {
+    format!("t{target:02}")
+}
+
+pub fn target_spec(target: usize) -> TargetSpec {
+    TargetSpec {
+        target: target_name(target),
+        address: format!("127.0.0.1:{}", 9_000 + target),
+        data_centre: String::from("north"),
+        capacity: PLACES,
+        leaving: false,
+    }
+}
--- /dev/null
+++ b/crates/route/examples/picks/main.rs
@@ -0,0 +1,105 @@
+//! Compares ways to choose a target: several entries before one pool with unequal targets, a
+//! straggler and a target that fails fast, as a seeded event simulation in one thread.
+
+mod entry_view;
+mod pool_sim;
+mod run_plan;
+mod sim_target;
+
+use {
+    entry_view::PickPolicy,
+    pool_sim::PoolSim,
+    run_plan::{RunFigures, RunPlan},
+    std::time::Duration,
+};
+
+const SEEDS: u64 = 11;
+const PLACES: u32 = 4;
+
+const POLICIES: [(PickPolicy, &str); 7] = [
+    (PickPolicy::Random, "random"),
+    (PickPolicy::LeastInFlight, "least in flight"),
+    (PickPolicy::TwoChoices, "two choices"),
+    (PickPolicy::PoolWithoutEjection, "two choices + speed"),
+    (PickPolicy::Pool(2), "two choices + speed + ejection"),
+    (PickPolicy::Pool(3), "three choices, same"),
+    (PickPolicy::Pool(usize::MAX), "all targets, same"),
+];
+
+fn spread<T: Copy + PartialOrd>(mut values: Vec<T>) -> (T, T, T) {
+    values.sort_by(|left, right| left.partial_cmp(right).expect("figures compare"));
+    let last = values.len() - 1;
+    (values[last / 2], values[0], values[last])
+}
+
+fn print_row(name: &str, runs: &[RunFigures]) {
+    let of = |figure: fn(&RunFigures) -> f64| spread(runs.iter().map(figure).collect());
+    let (whole, whole_least, whole_most) = of(|run| run.attainment * 100.0);
+    let (failed, failed_least, failed_most) = of(|run| run.failed * 100.0);
+    let (p50, p50_least, p50_most) = of(|run| run.p50.as_secs_f64() * 1e3);
+    let (p99, p99_least, p99_most) = of(|run| run.p99.as_secs_f64() * 1e3);
+    println!(
+        "{name:<30} | {whole:.2} ({whole_least:.2}-{whole_most:.2}) | {failed:.2} \
+         ({failed_least:.2}-{failed_most:.2}) | {p50:.0} ({p50_least:.0}-{p50_most:.0}) | {p99:.0} \
+         ({p99_least:.0}-{p99_most:.0})"
+    );
+}
+
+fn print_table(title: &str, plan: RunPlan) {
+    println!(
+        "{title}: {} targets, {} entries, load {}, load reports {:?} old; median (range) of \
+         {SEEDS} seeds",
+        plan.targets, plan.entries, plan.load, plan.report_lag
+    );
+    println!("policy | attainment % | failed calls % of requests | p50 ms | p99 ms");
+    for (policy, name) in POLICIES {
+        let runs: Vec<RunFigures> = (1..=SEEDS)
+            .map(|seed| PoolSim::new(policy, plan, seed).run())
+            .collect();
+        print_row(name, &runs);
+    }
+    println!();
+}
+
+fn main() {
+    let large = RunPlan {
+        targets: 12,
+        entries: 40,
+        load: 0.8,
+        retries: 1,
+        report_lag: Duration::from_secs(1),
+        straggler: false,
+        failing: false,
+    };
+    let few_entries = RunPlan {
+        entries: 4,
+        report_lag: Duration::ZERO,
+        ..large
+    };
+    let small = RunPlan {
+        targets: 4,
+        entries: 8,
+        load: 0.3,
+        ..large
+    };
+    for (size, plan) in [
+        ("large", large),
+        ("few entries", few_entries),
+        ("small", small),
+    ] {
+        for (fault, straggler, failing, retries) in [
+            ("no fault", false, false, 1),
+            ("straggler", true, false, 1),
+            ("fails fast, no retry", false, true, 0),
+            ("straggler and fails fast, one retry", true, true, 1),
+        ] {
+            let plan = RunPlan {
+                straggler,
+                failing,
+                retries,
+                ..plan
+            };
+            print_table(&format!("{size}, {fault}"), plan);
+        }
+    }
+}
--- a/crates/route/examples/picks.rs
+++ b/crates/route/examples/picks/pool_sim.rs
@@ -1,19 +1,20 @@
-//! Compares ways to choose a target: several entries before one pool with unequal targets, a
-//! straggler and a target that fails fast, as a seeded event simulation in one thread.
-
 use {
+    super::{
+        PLACES,
+        entry_view::{EntryView, PickPolicy, target_name},
+        run_plan::{RunFigures, RunPlan},
+        sim_target::SimTarget,
+    },
     rand::{Rng, SeedableRng},
     rand_chacha::ChaCha8Rng,
-    route::{CallOutcome, PickQuery, PoolSettings, TargetPool, TargetSpec},
+    route::CallOutcome,
     std::{
         cmp::Reverse,
-        collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque},
+        collections::{BTreeMap, BinaryHeap},
         time::{Duration, Instant},
     },
 };
 
-const SEEDS: u64 = 11;
-const PLACES: u32 = 4;
 const RUN_TIME: Duration = Duration::from_secs(60);
 const DEADLINE: Duration = Duration::from_secs(1);
 const FAULT_START: Duration = Duration::from_secs(20);
@@ -23,38 +24,6 @@
 const FAILING: usize = 1;
 const STRAGGLER_SPEED: f64 = 0.1;
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum PickPolicy {
-    Random,
-    LeastInFlight,
-    TwoChoices,
-    PoolWithoutEjection,
-    Pool(usize),
-}
-
-const POLICIES: [(PickPolicy, &str); 7] = [
-    (PickPolicy::Random, "random"),
-    (PickPolicy::LeastInFlight, "least in flight"),
-    (PickPolicy::TwoChoices, "two choices"),
-    (PickPolicy::PoolWithoutEjection, "two choices + speed"),
-    (PickPolicy::Pool(2), "two choices + speed + ejection"),
-    (PickPolicy::Pool(3), "three choices, same"),
-    (PickPolicy::Pool(usize::MAX), "all targets, same"),
-];
-
-/// What a run consists of.
-#[derive(Debug, Clone, Copy, PartialEq)]
-struct RunPlan {
-    targets: usize,
-    entries: usize,
-    /// Arrivals as a part of what the targets without faults can do.
-    load: f64,
-    retries: usize,
-    report_lag: Duration,
-    straggler: bool,
-    failing: bool,
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum SimEvent {
     Arrive,
@@ -73,111 +42,8 @@
     tried: Vec<String>,
 }
 
-#[derive(Debug, Clone, Default)]
-struct SimTarget {
-    speed: f64,
-    failing: bool,
-    running: BTreeSet<u64>,
-    waiting: VecDeque<u64>,
-    loads: VecDeque<(Duration, f64)>,
-}
-
-impl SimTarget {
-    /// Notes the load of this moment.
-    fn note(&mut self, now: Duration) {
-        let calls = self.running.len() + self.waiting.len();
-        self.loads
-            .push_back((now, calls as f64 / f64::from(PLACES)));
-    }
-
-    /// Load as it was a while ago.
-    fn load_at(&mut self, then: Duration) -> f64 {
-        while self.loads.get(1).is_some_and(|(at, _)| *at <= then) {
-            self.loads.pop_front();
-        }
-        let first = self.loads.front().filter(|(at, _)| *at <= then);
-        first.map_or(0.0, |(_, load)| *load)
-    }
-}
-
-/// One entry's way to choose and what it keeps for that.
-struct EntryView {
-    policy: PickPolicy,
-    pool: TargetPool,
-    in_flight: Vec<u32>,
-}
-
-impl EntryView {
-    fn new(policy: PickPolicy, targets: usize, seed: u64, now: Instant) -> Self {
-        let (eject_share, choices) = match policy {
-            PickPolicy::Pool(choices) => (PoolSettings::default().eject_share, choices),
-            _ => (0.0, 2),
-        };
-        let settings = PoolSettings {
-            eject_share,
-            choices,
-            ..PoolSettings::default()
-        };
-        let mut pool = TargetPool::new(settings, seed);
-        pool.set_targets((0..targets).map(target_spec), now);
-        Self {
-            policy,
-            pool,
-            in_flight: vec![0; targets],
-        }
-    }
-
-    fn pick(&mut self, tried: &[String], generator: &mut impl Rng, now: Instant) -> usize {
-        let open: Vec<usize> = (0..self.in_flight.len())
-            .filter(|&target| !tried.contains(&target_name(target)))
-            .collect();
-        let draw = |generator: &mut dyn rand::RngCore| open[generator.random_range(0..open.len())];
-        match self.policy {
-            PickPolicy::Random => draw(generator),
-            PickPolicy::LeastInFlight => {
-                let least = open.iter().map(|&target| self.in_flight[target]).min();
-                let best: Vec<usize> = open
-                    .iter()
-                    .copied()
-                    .filter(|&target| Some(self.in_flight[target]) == least)
-                    .collect();
-                best[generator.random_range(0..best.len())]
-            }
-            PickPolicy::TwoChoices => {
-                let (first, second) = (draw(generator), draw(generator));
-                match self.in_flight[second] < self.in_flight[first] {
-                    true => second,
-                    false => first,
-                }
-            }
-            PickPolicy::PoolWithoutEjection | PickPolicy::Pool(_) => {
-                let query = PickQuery {
-                    tried,
-                    local_centre: "north",
-                    ..PickQuery::default()
-                };
-                let pick = self.pool.pick(query, now).expect("there are targets");
-                pick.target[1..].parse().expect("names are numbers")
-            }
-        }
-    }
-}
-
-fn target_name(target: usize) -> String {
-    format!("t{target:02}")
-}
-
-fn target_spec(target: usize) -> TargetSpec {
-    TargetSpec {
-        target: target_name(target),
-        address: format!("127.0.0.1:{}", 9_000 + target),
-        data_centre: String::from("north"),
-        capacity: PLACES,
-        leaving: false,
-    }
-}
-
-struct PoolSim {
+/// Entries before one pool.
+pub struct PoolSim {
     plan: RunPlan,
     generator: ChaCha8Rng,
     start: Instant,
@@ -193,17 +59,8 @@
     latencies: Vec<Duration>,
 }
 
-/// What a run came to.
-#[derive(Debug, Clone, Copy)]
-struct RunFigures {
-    attainment: f64,
-    failed: f64,
-    p50: Duration,
-    p99: Duration,
-}
-
 impl PoolSim {
-    fn new(policy: PickPolicy, plan: RunPlan, seed: u64) -> Self {
+    pub fn new(policy: PickPolicy, plan: RunPlan, seed: u64) -> Self {
         let mut generator = ChaCha8Rng::seed_from_u64(seed);
         let start = Instant::now();
         let mut targets = vec![SimTarget::default(); plan.targets];
@@ -235,7 +92,7 @@
         }
     }
 
-    fn run(mut self) -> RunFigures {
+    pub fn run(mut self) -> RunFigures {
         self.schedule(Duration::ZERO, SimEvent::Arrive);
         self.schedule(FAULT_START, SimEvent::Fault);
         while let Some(Reverse((at, _, event))) = self.events.pop() {
@@ -385,81 +242,3 @@
         self.serve(call.target);
     }
 }
-
-fn spread<T: Copy + PartialOrd>(mut values: Vec<T>) -> (T, T, T) {
-    values.sort_by(|left, right| left.partial_cmp(right).expect("figures compare"));
-    let last = values.len() - 1;
-    (values[last / 2], values[0], values[last])
-}
-
-fn print_row(name: &str, runs: &[RunFigures]) {
-    let of = |figure: fn(&RunFigures) -> f64| spread(runs.iter().map(figure).collect());
-    let (whole, whole_least, whole_most) = of(|run| run.attainment * 100.0);
-    let (failed, failed_least, failed_most) = of(|run| run.failed * 100.0);
-    let (p50, p50_least, p50_most) = of(|run| run.p50.as_secs_f64() * 1e3);
-    let (p99, p99_least, p99_most) = of(|run| run.p99.as_secs_f64() * 1e3);
-    println!(
-        "{name:<30} | {whole:.2} ({whole_least:.2}-{whole_most:.2}) | {failed:.2} \
-         ({failed_least:.2}-{failed_most:.2}) | {p50:.0} ({p50_least:.0}-{p50_most:.0}) | {p99:.0} \
-         ({p99_least:.0}-{p99_most:.0})"
-    );
-}
-
-fn print_table(title: &str, plan: RunPlan) {
-    println!(
-        "{title}: {} targets, {} entries, load {}, load reports {:?} old; median (range) of \
-         {SEEDS} seeds",
-        plan.targets, plan.entries, plan.load, plan.report_lag
-    );
-    println!("policy | attainment % | failed calls % of requests | p50 ms | p99 ms");
-    for (policy, name) in POLICIES {
-        let runs: Vec<RunFigures> = (1..=SEEDS)
-            .map(|seed| PoolSim::new(policy, plan, seed).run())
-            .collect();
-        print_row(name, &runs);
-    }
-    println!();
-}
-
-fn main() {
-    let large = RunPlan {
-        targets: 12,
-        entries: 40,
-        load: 0.8,
-        retries: 1,
-        report_lag: Duration::from_secs(1),
-        straggler: false,
-        failing: false,
-    };
-    let few_entries = RunPlan {
-        entries: 4,
-        report_lag: Duration::ZERO,
-        ..large
-    };
-    let small = RunPlan {
-        targets: 4,
-        entries: 8,
-        load: 0.3,
-        ..large
-    };
-    for (size, plan) in [
-        ("large", large),
-        ("few entries", few_entries),
-        ("small", small),
-    ] {
-        for (fault, straggler, failing, retries) in [
-            ("no fault", false, false, 1),
-            ("straggler", true, false, 1),
-            ("fails fast, no retry", false, true, 0),
-            ("straggler and fails fast, one retry", true, true, 1),
-        ] {
-            let plan = RunPlan {
-                straggler,
-                failing,
-                retries,
-                ..plan
-            };
-            print_table(&format!("{size}, {fault}"), plan);
-        }
-    }
-}
