--- a/crates/retry/src/hedge_policy.rs
+++ b/crates/retry/src/hedge_policy.rs
@@ -5,7 +5,7 @@
 /// Calls that must have been seen before the quantile means anything.
 const LEAST_CALLS: usize = 32;
 /// Share of the calls that end before a hedge is sent.
-const HEDGE_QUANTILE: f64 = 0.95;
+const HEDGE_QUANTILE: f64 = 0.97;
 /// Calls between two computations of the quantile.
 const REFRESH_CALLS: usize = 8;
 
--- a/crates/route/examples/picks/entry_view.rs
+++ b/crates/route/examples/picks/entry_view.rs
@@ -1,6 +1,7 @@
 use {
     super::PLACES,
     rand::Rng,
+    retry::{BudgetSettings, HedgePolicy, RetryBudget},
     route::{PickQuery, PoolSettings, TargetPool, TargetSpec},
     std::time::Instant,
 };
@@ -20,6 +21,8 @@
     pub policy: PickPolicy,
     pub pool: TargetPool,
     pub in_flight: Vec<u32>,
+    pub hedges: HedgePolicy,
+    pub budget: RetryBudget,
 }
 
 impl EntryView {
@@ -39,6 +42,8 @@
             policy,
             pool,
             in_flight: vec![0; targets],
+            hedges: HedgePolicy::new(),
+            budget: RetryBudget::new(BudgetSettings::default(), now),
         }
     }
 
--- a/crates/route/examples/picks/main.rs
+++ b/crates/route/examples/picks/main.rs
@@ -53,14 +53,46 @@
     );
     println!("policy | attainment % | failed calls % of requests | p50 ms | p99 ms");
     for (policy, name) in POLICIES {
-        let runs: Vec<RunFigures> = (1..=SEEDS)
-            .map(|seed| PoolSim::new(policy, plan, seed).run())
-            .collect();
-        print_row(name, &runs);
+        print_row(name, &run_seeds(policy, plan));
     }
     println!();
 }
 
+fn print_hedges(size: &str, plan: RunPlan) {
+    println!("{size}, hedges with three choices: attainment % | hedges % of requests | p99 ms");
+    for (fault, pauses, straggler) in [
+        ("no fault", false, false),
+        ("straggler", false, true),
+        ("pauses", true, false),
+    ] {
+        for hedge in [false, true] {
+            let plan = RunPlan {
+                pauses,
+                straggler,
+                hedge,
+                ..plan
+            };
+            let runs = run_seeds(PickPolicy::Pool(3), plan);
+            let of = |figure: fn(&RunFigures) -> f64| spread(runs.iter().map(figure).collect());
+            let (whole, whole_least, whole_most) = of(|run| run.attainment * 100.0);
+            let (hedged, hedged_least, hedged_most) = of(|run| run.hedged * 100.0);
+            let (p99, p99_least, p99_most) = of(|run| run.p99.as_secs_f64() * 1e3);
+            println!(
+                "{fault:<9} hedge {hedge:<5} | {whole:.2} ({whole_least:.2}-{whole_most:.2}) | \
+                 {hedged:.2} ({hedged_least:.2}-{hedged_most:.2}) | {p99:.0} \
+                 ({p99_least:.0}-{p99_most:.0})"
+            );
+        }
+    }
+    println!();
+}
+
+fn run_seeds(policy: PickPolicy, plan: RunPlan) -> Vec<RunFigures> {
+    (1..=SEEDS)
+        .map(|seed| PoolSim::new(policy, plan, seed).run())
+        .collect()
+}
+
 fn main() {
     let large = RunPlan {
         targets: 12,
@@ -70,6 +102,8 @@
         report_lag: Duration::from_secs(1),
         straggler: false,
         failing: false,
+        pauses: false,
+        hedge: false,
     };
     let few_entries = RunPlan {
         entries: 4,
@@ -101,5 +135,6 @@
             };
             print_table(&format!("{size}, {fault}"), plan);
         }
+        print_hedges(size, plan);
     }
 }
--- a/crates/route/examples/picks/run_plan.rs
+++ b/crates/route/examples/picks/run_plan.rs
@@ -11,6 +11,10 @@
     pub report_lag: Duration,
     pub straggler: bool,
     pub failing: bool,
+    /// Targets stop for half a second now and then.
+    pub pauses: bool,
+    /// Calls that take long are sent a second time.
+    pub hedge: bool,
 }
 
 /// What a run came to.
@@ -18,6 +22,7 @@
 pub struct RunFigures {
     pub attainment: f64,
     pub failed: f64,
+    pub hedged: f64,
     pub p50: Duration,
     pub p99: Duration,
 }
--- a/crates/route/examples/picks/sim_target.rs
+++ b/crates/route/examples/picks/sim_target.rs
@@ -11,6 +11,7 @@
 pub struct SimTarget {
     pub speed: f64,
     pub failing: bool,
+    pub paused_until: Duration,
     pub running: BTreeSet<u64>,
     pub waiting: VecDeque<u64>,
     pub loads: VecDeque<(Duration, f64)>,
