--- a/crates/route/src/target_record.rs
+++ b/crates/route/src/target_record.rs
@@ -1,7 +1,5 @@
 use {
-    crate::entry_ranking::name_hash,
-    base::{CentreId, TargetId},
-    sheet::TargetRow,
+    crate::{CallOutcome, TargetSpec, TargetStanding, entry_ranking::name_hash},
     std::time::{Duration, Instant},
 };
 
@@ -25,87 +23,6 @@
 /// Least part of its full share that a returning target gets.
 const LEAST_RAMP: f64 = 0.05;
 
-/// A target as the sheet and the platform state it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct TargetSpec {
-    /// Name of the target.
-    pub target: TargetId,
-    /// Address in the form `ip:port`.
-    pub address: String,
-    /// Data centre that it stands in.
-    pub data_centre: CentreId,
-    /// Calls that it can run at once.
-    pub capacity: u32,
-    /// True if it is to receive no new work.
-    pub leaving: bool,
-}
-
-impl From<&TargetRow> for TargetSpec {
-    fn from(row: &TargetRow) -> Self {
-        Self {
-            target: row.name.clone(),
-            address: row.address.clone(),
-            data_centre: row.data_centre.clone(),
-            capacity: row.capacity,
-            leaving: row.leaving,
-        }
-    }
-}
-
-/// How a call to a target ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CallOutcome {
-    /// The target answered whole.
-    Whole,
-    /// The target answered with an error.
-    FailedFast,
-    /// The target refused the call and ran nothing.
-    Refused,
-    /// The connection was lost or never made.
-    Lost,
-    /// The entry or the caller gave the call up for a reason of its own.
-    Cancelled,
-    /// The target did not answer in time.
-    TimedOut,
-}
-
-/// Whether a target gets calls.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum TargetStanding {
-    /// It gets its share.
-    Usable,
-    /// It gets a growing part of its share since this time.
-    Returning(Instant),
-    /// It gets nothing until this time.
-    Ejected(Instant),
-}
-
-/// A target whose standing has changed, for the time line.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct StandingChange {
-    /// Name of the target.
-    pub target: TargetId,
-    /// Its standing from now on.
-    pub standing: TargetStanding,
-}
-
-/// What a pool knows of a target, for operators.
-#[derive(Debug, Clone, PartialEq)]
-pub struct TargetStatus {
-    /// Name of the target.
-    pub target: TargetId,
-    /// Calls of this entry that it runs.
-    pub in_flight: u32,
-    /// Measured time that it takes for a call once the call has a place.
-    pub service: Duration,
-    /// Share of its recent calls that failed.
-    pub failure_rate: f64,
-    /// Whether it gets calls.
-    pub standing: TargetStanding,
-    /// True if it is to receive no new work.
-    pub leaving: bool,
-}
-
 /// What one entry has measured of a target.
 #[derive(Debug, Clone)]
 pub(crate) struct TargetRecord {
