Teach a starting entry the leaving targets before it serves

Cause: a restarted entry put its sheet in force as soon as a peer or the service gave it one, and heard of leaving targets only with later heartbeats. Until then it gave a leaving target new work, long after the 3 s. Where the host list was stale it was worse: the list named only old addresses of peers that had been replaced, the seeds were tried only while no member was known at all, and the entry stayed alone with the stale list for good. Found by leaving_target.rs: "encode1 got new work from {h2}", then from {h3}.

Change: the peer frames that say or give a sheet carry the words on leaving targets, and the receiver takes them in before the sheet (wire, member, entry). The member table tries the seeds also while no peer that answers is known. The first heartbeats were lost, as a socket that was never waited for refuses to send; the tick now waits for it once.

Ruled out: larger greetings by datagram (lost or late ones would leave the gap open), a fixed wait at the start (says nothing about what was learnt).

Conclusion: an entry that can reach one peer knows the marks with its first sheet. If all entries are replaced at once, marks by operators and by targets themselves are lost; the list's and the sheet's are read again.

--- a/crates/entry/src/control/member_controller.rs
+++ b/crates/entry/src/control/member_controller.rs
@@ -79,6 +79,8 @@
 
     /// Does what is due, for ever.
     pub async fn tick(self: Rc<Self>) {
+        // A socket that was never waited for refuses its first datagrams.
+        let _ = self.socket.writable().await;
         loop {
             let now = Instant::now();
             let actions = self.table.borrow_mut().on_tick(now);
@@ -125,6 +127,18 @@
         self.perform(actions);
     }
 
+    /// Every word on leaving targets, for a peer that starts.
+    pub fn target_words(&self) -> Vec<PeerRumour> {
+        self.table.borrow().target_words()
+    }
+
+    /// Takes in a peer's words on leaving targets.
+    pub fn learn_targets(&self, words: Vec<PeerRumour>) {
+        let now = Instant::now();
+        let actions = self.table.borrow_mut().on_target_words(words, now);
+        self.perform(actions);
+    }
+
     /// Takes back every mark of a target, on an operator's word.
     pub fn clear_target(&self, target: &str) {
         let since = self.state.recorder.stamp();
--- a/crates/entry/src/control/peer_frames.rs
+++ b/crates/entry/src/control/peer_frames.rs
@@ -6,7 +6,7 @@
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
     },
-    wire::{FrameSeal, PeerFrame},
+    wire::{FrameSeal, PeerFrame, PeerRumour},
 };
 
 /// Longest time that one exchange with a peer may take.
@@ -60,12 +60,13 @@
 }
 
 /// The frame that gives a peer the sheet in force, or says that there is none.
-pub fn sheet_frame(bundle: Option<&SheetBundle>, wanted: u64) -> PeerFrame {
+pub fn sheet_frame(bundle: Option<&SheetBundle>, wanted: u64, marks: Vec<PeerRumour>) -> PeerFrame {
     let version = bundle.map_or(0, |bundle| bundle.index.version);
     match bundle {
         Some(bundle) if version >= wanted => PeerFrame::SheetReply {
             index_text: toml::to_string(&bundle.index).unwrap_or_default(),
             parts: bundle.parts.clone(),
+            marks,
         },
         _ => PeerFrame::SheetAbsent { version },
     }
--- a/crates/entry/src/control/sheet_controller.rs
+++ b/crates/entry/src/control/sheet_controller.rs
@@ -77,13 +77,15 @@
     /// Answers a frame of a peer.
     pub fn answer(&self, frame: &PeerFrame) -> PeerFrame {
         let keeper = self.keeper.borrow();
+        let marks = self.members.target_words();
         match frame {
             PeerFrame::SheetRequest { version } => {
-                sheet_frame(keeper.bundle().map(AsRef::as_ref), *version)
+                sheet_frame(keeper.bundle().map(AsRef::as_ref), *version, marks)
             }
             _ => PeerFrame::SheetHas {
                 version: keeper.version(),
                 digest: keeper.digest().to_string(),
+                marks,
             },
         }
     }
@@ -208,11 +210,18 @@
     async fn ask(self: Rc<Self>, host: HostId) {
         let answer = self.exchange(&host, &PeerFrame::SheetAsk).await;
         let event = match answer {
-            Some(PeerFrame::SheetHas { version, digest }) => SheetEvent::PeerHas {
-                host,
+            Some(PeerFrame::SheetHas {
                 version,
                 digest,
-            },
+                marks,
+            }) => {
+                self.members.learn_targets(marks);
+                SheetEvent::PeerHas {
+                    host,
+                    version,
+                    digest,
+                }
+            }
             _ => SheetEvent::PeerFailed { host },
         };
         self.handle(event);
@@ -238,7 +247,12 @@
             .exchange(&host, &PeerFrame::SheetRequest { version: 1 })
             .await;
         let event = match answer {
-            Some(PeerFrame::SheetReply { index_text, parts }) => {
+            Some(PeerFrame::SheetReply {
+                index_text,
+                parts,
+                marks,
+            }) => {
+                self.members.learn_targets(marks);
                 match toml::from_str(&index_text) {
                     Ok(index) => SheetEvent::PartsFetched {
                         source: SheetSource::Peer(host),
--- a/crates/member/src/table_messages.rs
+++ b/crates/member/src/table_messages.rs
@@ -43,6 +43,21 @@
         self.flush()
     }
 
+    /// Every word on leaving targets, for a peer that starts.
+    pub fn target_words(&self) -> Vec<PeerRumour> {
+        self.targets.rumours()
+    }
+
+    /// Takes in a peer's words on leaving targets; anything else among them is left out.
+    pub fn on_target_words(&mut self, words: Vec<PeerRumour>, now: Instant) -> Vec<MemberAction> {
+        for word in words {
+            if matches!(word, PeerRumour::TargetLeaving { .. }) {
+                self.on_rumour(word, now);
+            }
+        }
+        self.flush()
+    }
+
     fn on_heartbeat(&mut self, sender: PeerSelf, rumours: Vec<PeerRumour>, now: Instant) {
         if sender.host == self.own.host {
             self.on_namesake(sender.incarnation);
--- a/crates/member/src/table_rounds.rs
+++ b/crates/member/src/table_rounds.rs
@@ -193,16 +193,26 @@
         }
     }
 
-    /// Addresses of random peers; suspects are among them, since they may be back.
+    /// Addresses of random peers; suspects are among them, since they may be back. While no peer
+    /// answers, the seeds are tried as well: a stale list may name only old addresses.
     fn pick_peers(&mut self, count: usize, except: Option<&str>) -> Vec<String> {
         let records = self.peers.records();
         let others = records.filter(|record| Some(record.about.host.as_str()) != except);
         let mut addresses: Vec<_> = others.map(|record| record.about.peers.clone()).collect();
-        if addresses.is_empty() && except.is_none() {
-            addresses = self.settings.seeds.clone();
-        }
         let (picked, _) = addresses.partial_shuffle(&mut self.random, count);
-        picked.to_vec()
+        let mut picked = picked.to_vec();
+        if except.is_none() && self.is_unheard() {
+            let mut seeds = self.settings.seeds.clone();
+            let (tried, _) = seeds.partial_shuffle(&mut self.random, count);
+            picked.extend_from_slice(tried);
+        }
+        picked
+    }
+
+    /// True if no peer is known to answer.
+    fn is_unheard(&self) -> bool {
+        let mut records = self.peers.records();
+        !records.any(|record| record.heard.is_some() && !record.is_suspect())
     }
 
     pub(crate) fn send_heartbeat(&mut self, to: String, limit: usize, now: Instant) {
--- a/crates/wire/src/peer_frame.rs
+++ b/crates/wire/src/peer_frame.rs
@@ -1,4 +1,5 @@
 use {
+    crate::PeerRumour,
     base::SheetVersion,
     serde::{Deserialize, Serialize},
 };
@@ -17,6 +18,8 @@
         index_text: String,
         /// Texts of the parts in the index's order.
         parts: Vec<String>,
+        /// Words on leaving targets, so that whoever starts knows them with its first sheet.
+        marks: Vec<PeerRumour>,
     },
     /// No sheet of that version is in force here.
     SheetAbsent {
@@ -31,5 +34,7 @@
         version: SheetVersion,
         /// Digest of that sheet, hexadecimal; empty if none.
         digest: String,
+        /// Words on leaving targets.
+        marks: Vec<PeerRumour>,
     },
 }
