Prove that a leaving target gets no new work after 3 s

Harness: seeds of an entry, replaced entries, sheets that the test publishes by itself, proofs of a sheet sent back by callers.

--- a/crates/proofs/src/fleet_harness.rs
+++ b/crates/proofs/src/fleet_harness.rs
@@ -100,6 +100,17 @@
         Ok(self.version)
     }
 
+    /// Takes the next version for a sheet that the test publishes by itself.
+    pub fn take_version(&mut self) -> SheetVersion {
+        self.version += 1;
+        self.version
+    }
+
+    /// Publisher at the platform, for sheets that the harness would not publish.
+    pub fn publisher(&self) -> SheetPublisher {
+        SheetPublisher::new(self.process(PLATFORM).address("operators"))
+    }
+
     /// Publishes the host list as it stands.
     ///
     /// # Errors
@@ -177,6 +188,30 @@
         self.publish_hosts().await
     }
 
+    /// Ends an entry and starts another under a new host name in its place.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not start.
+    pub async fn replace_entry(&mut self, old: &str, new: &str) -> anyhow::Result<()> {
+        self.processes.remove(old);
+        self.hosts.hosts.retain(|row| row.host != old);
+        let mut plans = self.plan.entries.iter_mut();
+        let entry = plans.find(|entry| entry.host == old);
+        entry.context("no such entry")?.host = new.to_string();
+        self.restart_entry(new).await
+    }
+
+    /// Lets an entry try its peers' present addresses when it starts again.
+    pub fn seed_entry(&mut self, host: &str) {
+        let others = self.hosts.hosts.iter().filter(|row| row.host != host);
+        let seeds: Vec<String> = others.map(|row| row.peers.clone()).collect();
+        let mut plans = self.plan.entries.iter_mut();
+        if let Some(entry) = plans.find(|entry| entry.host == host) {
+            entry.seeds = seeds;
+        }
+    }
+
     /// Starts a target again at its old address; its postings live on.
     ///
     /// # Errors
@@ -295,10 +330,6 @@
         Ok(())
     }
 
-    fn publisher(&self) -> SheetPublisher {
-        SheetPublisher::new(self.process(PLATFORM).address("operators"))
-    }
-
     fn journal(&self, name: &str) -> PathBuf {
         self.processes.path(&format!("{name}.journal"))
     }
--- a/crates/proofs/src/fleet_plan.rs
+++ b/crates/proofs/src/fleet_plan.rs
@@ -20,6 +20,8 @@
     pub size: u32,
     /// Whether peers reach it through a proxy that is named `{host}-proxy`.
     pub proxied: bool,
+    /// Addresses of peers that it may try while it can't read the host list.
+    pub seeds: Vec<String>,
     /// Further tables of its settings file, in TOML.
     pub settings: String,
 }
@@ -37,13 +39,13 @@
         let advertise = advertise.map(|address| format!("advertise = \"{address}\"\n"));
         let advertise = advertise.unwrap_or_default();
         let (host, data_centre, size) = (&self.host, &self.data_centre, self.size);
-        let further = &self.settings;
+        let (seeds, further) = (&self.seeds, &self.settings);
         format!(
             "host = \"{host}\"\ndata_centre = \"{data_centre}\"\nsize = {size}\n\n\
              [listen]\ncallers = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
              operators = \"127.0.0.1:0\"\n\n\
              [platform]\naddress = \"{platform}\"\n\n\
-             [peers]\nkey = \"{PEER_KEY}\"\n{advertise}\n\
+             [peers]\nkey = \"{PEER_KEY}\"\nseeds = {seeds:?}\n{advertise}\n\
              [log]\nlevel = \"info\"\n\n{further}"
         )
     }
@@ -87,6 +89,7 @@
             data_centre: CENTRES[number % CENTRES.len()].to_string(),
             size: 1,
             proxied: false,
+            seeds: Vec::new(),
             settings: String::new(),
         });
         Self {
--- a/crates/proofs/src/run_request.rs
+++ b/crates/proofs/src/run_request.rs
@@ -28,6 +28,8 @@
     pub ticket: Option<String>,
     /// Latest sheet version that the caller has seen.
     pub sheet: Option<SheetVersion>,
+    /// Proof of that version as an entry gave it; it is sent in place of the bare version.
+    pub sheet_proof: Option<String>,
 }
 
 impl RunRequest {
@@ -60,6 +62,7 @@
             stream: false,
             ticket: None,
             sheet: None,
+            sheet_proof: None,
         }
     }
 
--- a/crates/proofs/src/test_caller.rs
+++ b/crates/proofs/src/test_caller.rs
@@ -26,6 +26,9 @@
     pub keep_ms: u64,
     /// Version of the sheet in force.
     pub sheet_version: SheetVersion,
+    /// Proof that this version was in force, to be sent back with requests.
+    #[serde(default)]
+    pub sheet_proof: String,
     /// Fresh tickets of the entry that answered.
     #[serde(default)]
     pub tickets: Vec<String>,
@@ -154,8 +157,9 @@
         if let Some(ticket) = &request.ticket {
             head = head.insert_header((TICKET_HEADER, ticket.as_str()));
         }
-        if let Some(version) = request.sheet {
-            head = head.insert_header((SHEET_HEADER, version.to_string()));
+        let version = request.sheet.map(|version| version.to_string());
+        if let Some(seen) = request.sheet_proof.clone().or(version) {
+            head = head.insert_header((SHEET_HEADER, seen));
         }
         head
     }
