--- a/crates/member/src/table_rounds.rs
+++ b/crates/member/src/table_rounds.rs
@@ -232,15 +232,25 @@
         }
     }
 
-    /// Addresses of random peers; suspects are among them, since they may be back.
+    /// Addresses of random peers; suspects are among them, since they may be back. While no peer
+    /// answers, the seeds are tried as well: a stale list may name only old addresses.
     fn pick_peers(&mut self, count: usize) -> Vec<String> {
         let records = self.peers.records();
-        let mut addresses: Vec<_> = records.map(|record| &record.about.peers).collect();
-        if addresses.is_empty() {
-            addresses = self.settings.seeds.iter().collect();
-        }
+        let mut addresses: Vec<_> = records.map(|record| record.about.peers.clone()).collect();
         let (picked, _) = addresses.partial_shuffle(&mut self.random, count);
-        picked.iter().map(|address| address.to_string()).collect()
+        let mut picked = picked.to_vec();
+        if self.is_unheard() {
+            let mut seeds = self.settings.seeds.clone();
+            let (tried, _) = seeds.partial_shuffle(&mut self.random, count);
+            picked.extend_from_slice(tried);
+        }
+        picked
+    }
+
+    /// True if no peer is known to answer.
+    fn is_unheard(&self) -> bool {
+        let mut records = self.peers.records();
+        !records.any(|record| record.heard.is_some() && !record.is_suspect())
     }
 
     /// Addresses of random peers that are no suspects and can probe another.
--- a/crates/wire/tests/seals.rs
+++ b/crates/wire/tests/seals.rs
@@ -88,8 +88,18 @@
     prop_oneof![
         any::<u64>().prop_map(|version| PeerFrame::SheetRequest { version }),
         any::<u64>().prop_map(|version| PeerFrame::SheetAbsent { version }),
-        (".{0,99}", prop::collection::vec(".{0,200}", 0..5))
-            .prop_map(|(index_text, parts)| PeerFrame::SheetReply { index_text, parts }),
+        (".{0,99}", prop::collection::vec(".{0,200}", 0..5)).prop_map(|(index_text, parts)| {
+            PeerFrame::SheetReply {
+                index_text,
+                parts,
+                marks: Vec::new(),
+            }
+        }),
+        (any::<u64>(), ".{0,64}").prop_map(|(version, digest)| PeerFrame::SheetHas {
+            version,
+            digest,
+            marks: Vec::new(),
+        }),
     ]
 }
 
@@ -184,6 +194,7 @@
     let reply = PeerFrame::SheetReply {
         index_text: String::new(),
         parts: vec!["x".repeat(MAX_FRAME_BYTES)],
+        marks: Vec::new(),
     };
     assert!(matches!(
         seal.encode(&reply),
