--- a/crates/member/src/peer_book.rs
+++ b/crates/member/src/peer_book.rs
@@ -8,7 +8,7 @@
     wire::{PeerKey, PeerSelf},
 };
 
-/// Most forgotten hosts whose leaving mark is remembered.
+/// Most forgotten hosts that are remembered by their last incarnations.
 const MAX_DEPARTED: usize = 4_096;
 
 /// All other hosts, and the rules by which words on them replace each other: a later incarnation
@@ -16,7 +16,17 @@
 #[derive(Debug, Default)]
 pub(crate) struct PeerBook {
     records: BTreeMap<HostId, PeerRecord>,
-    departed: BTreeMap<HostId, Incarnation>,
+    suspects: BTreeSet<HostId>,
+    departed: BTreeMap<HostId, DepartedMark>,
+}
+
+/// What must not be forgotten of a host that was forgotten.
+#[derive(Debug, Clone, Copy, Default)]
+struct DepartedMark {
+    /// Its latest incarnation; an earlier one is old news.
+    latest: Incarnation,
+    /// Incarnations up to this one are leaving.
+    leaving_up_to: Incarnation,
 }
 
 /// What a word on a host changed.
@@ -36,11 +46,14 @@
     /// Takes in a process's own description, direct or passed on.
     pub(crate) fn on_report(&mut self, about: &PeerSelf, direct: bool, now: Instant) -> PeerNews {
         let mut news = PeerNews::default();
-        let departed = self.departed.get(&about.host).copied().unwrap_or_default();
+        let departed = self.departed(&about.host);
+        if about.incarnation < departed.latest {
+            return news;
+        }
         let record = self.records.entry(about.host.clone()).or_insert_with(|| {
             let mut record = PeerRecord::reported(about, now);
             record.about.incarnation = 0;
-            record.leaving_up_to = departed;
+            record.leaving_up_to = departed.leaving_up_to;
             record
         });
         if about.incarnation < record.about.incarnation {
@@ -61,6 +74,9 @@
             record.heard = Some(now);
             news.revived = record.suspect_since.take().is_some();
         }
+        if !record.is_suspect() {
+            self.suspects.remove(&about.host);
+        }
         if about.leaving {
             record.leaving_up_to = record.leaving_up_to.max(about.incarnation);
         }
@@ -71,10 +87,11 @@
     /// Takes in a sign of life of a process.
     pub(crate) fn on_sign(&mut self, key: &PeerKey, now: Instant) -> PeerNews {
         let mut news = PeerNews::default();
+        let departed = self.departed(&key.host);
         let Some(record) = self.records.get_mut(&key.host) else {
             return news;
         };
-        if key.incarnation < record.about.incarnation {
+        if key.incarnation < record.about.incarnation.max(departed.latest) {
             return news;
         }
         if key.incarnation > record.about.incarnation {
@@ -91,6 +108,7 @@
         }
         record.heard = Some(now);
         news.revived = record.suspect_since.take().is_some();
+        self.suspects.remove(&key.host);
         news
     }
 
@@ -102,7 +120,11 @@
                 record.leaving_up_to = record.leaving_up_to.max(key.incarnation);
                 news
             }
-            None => self.depart(&key.host, key.incarnation),
+            None => {
+                let news = key.incarnation > self.departed(&key.host).leaving_up_to;
+                self.depart(&key.host, key.incarnation, key.incarnation);
+                news
+            }
         }
     }
 
@@ -113,10 +135,10 @@
     /// that was known for longer than the list may lag. Any other mark may concern an earlier
     /// process: it ends when a later process is heard of, or by `settle`.
     pub(crate) fn on_row(&mut self, row: &HostRow, lag: Duration, now: Instant) -> bool {
-        let departed = self.departed.get(&row.host).copied().unwrap_or_default();
+        let departed = self.departed(&row.host);
         let record = self.records.entry(row.host.clone()).or_insert_with(|| {
             let mut record = PeerRecord::listed(row, now);
-            record.leaving_up_to = departed;
+            record.leaving_up_to = departed.leaving_up_to;
             record
         });
         let was_leaving = record.is_leaving();
@@ -172,6 +194,7 @@
             Some(record) if record.about.incarnation == key.incarnation => {
                 let news = record.suspect_since.is_none();
                 record.suspect_since.get_or_insert(now);
+                self.suspects.insert(key.host.clone());
                 news
             }
             _ => false,
@@ -191,8 +214,9 @@
             .map(|(host, _)| host.clone())
             .collect();
         for host in &gone {
+            self.suspects.remove(host);
             if let Some(record) = self.records.remove(host) {
-                self.depart(host, record.leaving_up_to);
+                self.depart(host, record.about.incarnation, record.leaving_up_to);
             }
         }
         gone
@@ -200,6 +224,9 @@
 
     /// True if more than half of those that should serve are suspects.
     pub(crate) fn is_doubtful(&self) -> bool {
+        if self.suspects.is_empty() {
+            return false;
+        }
         let serving = self.records.values().filter(|record| !record.is_leaving());
         let (all, suspects) = serving.fold((0, 0), |(all, suspects), record| {
             (all + 1, suspects + usize::from(record.is_suspect()))
@@ -217,27 +244,34 @@
         self.records.values()
     }
 
+    /// Hosts whose process is a suspect.
+    pub(crate) fn suspects(&self) -> &BTreeSet<HostId> {
+        &self.suspects
+    }
+
     /// Number of other hosts.
     pub(crate) fn len(&self) -> usize {
         self.records.len()
     }
 
-    fn depart(&mut self, host: &str, incarnation: Incarnation) -> bool {
-        let known = self.departed.get(host).copied().unwrap_or_default();
-        if incarnation <= known {
-            return false;
-        }
-        self.departed.insert(host.to_string(), incarnation);
+    fn departed(&self, host: &str) -> DepartedMark {
+        self.departed.get(host).copied().unwrap_or_default()
+    }
+
+    fn depart(&mut self, host: &str, latest: Incarnation, leaving_up_to: Incarnation) {
+        let known = self.departed(host);
+        let mark = DepartedMark {
+            latest: latest.max(known.latest),
+            leaving_up_to: leaving_up_to.max(known.leaving_up_to),
+        };
+        self.departed.insert(host.to_string(), mark);
         if self.departed.len() > MAX_DEPARTED {
-            let oldest = self
-                .departed
-                .iter()
-                .min_by_key(|(_, incarnation)| **incarnation);
+            let marks = self.departed.iter();
+            let oldest = marks.min_by_key(|(_, mark)| mark.latest);
             if let Some(host) = oldest.map(|(host, _)| host.clone()) {
                 self.departed.remove(&host);
             }
         }
-        true
     }
 }
 
--- /dev/null
+++ b/crates/route/examples/picks/pool_sim.rs
@@ -0,0 +1,325 @@
+use {
+    super::{
+        PLACES,
+        entry_view::{EntryView, PickPolicy, target_name},
+        run_plan::{RunFigures, RunPlan},
+        sim_target::SimTarget,
+    },
+    rand::{Rng, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    retry::HedgeCall,
+    route::CallOutcome,
+    std::{
+        cmp::Reverse,
+        collections::{BTreeMap, BinaryHeap},
+        time::{Duration, Instant},
+    },
+};
+
+const UNARY_CALL: HedgeCall = HedgeCall {
+    idempotent: true,
+    streaming: false,
+};
+const RUN_TIME: Duration = Duration::from_secs(60);
+const DEADLINE: Duration = Duration::from_secs(1);
+const FAULT_START: Duration = Duration::from_secs(20);
+const MEAN_SERVICE: Duration = Duration::from_millis(100);
+const FAILURE_TIME: Duration = Duration::from_millis(2);
+const STRAGGLER: usize = 0;
+const FAILING: usize = 1;
+const STRAGGLER_SPEED: f64 = 0.1;
+const PAUSE_TIME: Duration = Duration::from_millis(500);
+/// Mean time between two pauses of any target.
+const PAUSE_GAP: Duration = Duration::from_secs(1);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum SimEvent {
+    Arrive,
+    Fault,
+    Pause,
+    Hedge { call: u64 },
+    Finish { call: u64 },
+    Deadline { call: u64 },
+}
+
+#[derive(Debug, Clone)]
+struct SimCall {
+    entry: usize,
+    arrived: Duration,
+    sent: Duration,
+    target: usize,
+    service: Duration,
+    tried: Vec<String>,
+    /// The other copy of a hedged call.
+    twin: Option<u64>,
+}
+
+/// Entries before one pool.
+pub struct PoolSim {
+    plan: RunPlan,
+    generator: ChaCha8Rng,
+    start: Instant,
+    now: Duration,
+    events: BinaryHeap<Reverse<(Duration, u64, SimEvent)>>,
+    next_number: u64,
+    targets: Vec<SimTarget>,
+    entries: Vec<EntryView>,
+    calls: BTreeMap<u64, SimCall>,
+    rate: f64,
+    arrived: u64,
+    failed_calls: u64,
+    hedges: u64,
+    latencies: Vec<Duration>,
+}
+
+impl PoolSim {
+    pub fn new(policy: PickPolicy, plan: RunPlan, seed: u64) -> Self {
+        let mut generator = ChaCha8Rng::seed_from_u64(seed);
+        let start = Instant::now();
+        let mut targets = vec![SimTarget::default(); plan.targets];
+        for target in &mut targets {
+            target.speed = 2_f64.powf(generator.random_range(-1.0..1.0));
+        }
+        let lost = |place: usize| {
+            (plan.straggler && place == STRAGGLER) || (plan.failing && place == FAILING)
+        };
+        let whole = (0..plan.targets).filter(|&place| !lost(place));
+        let speed: f64 = whole.map(|place| targets[place].speed).sum();
+        let rate = plan.load * speed * f64::from(PLACES) / MEAN_SERVICE.as_secs_f64();
+        let entries = (0..plan.entries as u64)
+            .map(|entry| EntryView::new(policy, plan.targets, seed ^ entry, start));
+        Self {
+            plan,
+            start,
+            now: Duration::ZERO,
+            events: BinaryHeap::new(),
+            next_number: 0,
+            targets,
+            entries: entries.collect(),
+            calls: BTreeMap::new(),
+            rate,
+            arrived: 0,
+            failed_calls: 0,
+            hedges: 0,
+            latencies: Vec::new(),
+            generator,
+        }
+    }
+
+    pub fn run(mut self) -> RunFigures {
+        self.schedule(Duration::ZERO, SimEvent::Arrive);
+        self.schedule(FAULT_START, SimEvent::Fault);
+        if self.plan.pauses {
+            self.schedule(PAUSE_GAP, SimEvent::Pause);
+        }
+        while let Some(Reverse((at, _, event))) = self.events.pop() {
+            self.now = at;
+            match event {
+                SimEvent::Arrive => self.arrive(),
+                SimEvent::Fault => self.fail_targets(),
+                SimEvent::Pause => self.pause_target(),
+                SimEvent::Hedge { call } => self.hedge(call),
+                SimEvent::Finish { call } => self.finish(call),
+                SimEvent::Deadline { call } => self.give_up(call),
+            }
+        }
+        let whole = self.latencies.len() as f64;
+        self.latencies.resize(self.arrived as usize, DEADLINE);
+        self.latencies.sort_unstable();
+        let at = |quantile: f64| {
+            let rank = (self.latencies.len() as f64 * quantile) as usize;
+            self.latencies[rank.min(self.latencies.len() - 1)]
+        };
+        RunFigures {
+            attainment: whole / self.arrived as f64,
+            failed: self.failed_calls as f64 / self.arrived as f64,
+            hedged: self.hedges as f64 / self.arrived as f64,
+            p50: at(0.5),
+            p99: at(0.99),
+        }
+    }
+
+    fn clock(&self) -> Instant {
+        self.start + self.now
+    }
+
+    fn number(&mut self) -> u64 {
+        self.next_number += 1;
+        self.next_number
+    }
+
+    fn schedule(&mut self, delay: Duration, event: SimEvent) {
+        let number = self.number();
+        self.events.push(Reverse((self.now + delay, number, event)));
+    }
+
+    fn exponential(&mut self, mean: f64) -> Duration {
+        let uniform: f64 = self.generator.random_range(f64::EPSILON..1.0);
+        Duration::from_secs_f64(-mean * uniform.ln())
+    }
+
+    fn fail_targets(&mut self) {
+        if self.plan.straggler {
+            self.targets[STRAGGLER].speed = STRAGGLER_SPEED;
+        }
+        self.targets[FAILING].failing = self.plan.failing;
+    }
+
+    fn pause_target(&mut self) {
+        let place = self.generator.random_range(0..self.plan.targets);
+        self.targets[place].paused_until = self.now + PAUSE_TIME;
+        let gap = self.exponential(PAUSE_GAP.as_secs_f64());
+        if self.now + gap < RUN_TIME {
+            self.schedule(gap, SimEvent::Pause);
+        }
+    }
+
+    /// Sends a second copy of a call that takes long, if the budget allows.
+    fn hedge(&mut self, id: u64) {
+        let now = self.clock();
+        let Some(call) = self.calls.get(&id).filter(|call| call.twin.is_none()) else {
+            return;
+        };
+        if !self.entries[call.entry].budget.may_retry(now) {
+            return;
+        }
+        let copy = SimCall {
+            twin: Some(id),
+            ..call.clone()
+        };
+        let twin = self.number();
+        self.calls.insert(twin, copy);
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.twin = Some(twin);
+        }
+        self.hedges += 1;
+        self.send(twin);
+    }
+
+    fn arrive(&mut self) {
+        let gap = self.exponential(1.0 / self.rate);
+        if self.now + gap < RUN_TIME {
+            self.schedule(gap, SimEvent::Arrive);
+        }
+        self.arrived += 1;
+        let id = self.number();
+        // Half fixed and half exponential, so that calls differ without a heavy tail.
+        let mean = MEAN_SERVICE.as_secs_f64() / 2.0;
+        let service = MEAN_SERVICE / 2 + self.exponential(mean);
+        let call = SimCall {
+            entry: self.generator.random_range(0..self.plan.entries),
+            arrived: self.now,
+            sent: self.now,
+            target: 0,
+            service,
+            tried: Vec::new(),
+            twin: None,
+        };
+        let entry = call.entry;
+        self.calls.insert(id, call);
+        self.schedule(DEADLINE, SimEvent::Deadline { call: id });
+        let delay = self.entries[entry].hedges.hedge_after(UNARY_CALL);
+        if let Some(delay) = delay.filter(|_| self.plan.hedge) {
+            self.schedule(delay, SimEvent::Hedge { call: id });
+        }
+        self.send(id);
+    }
+
+    fn send(&mut self, id: u64) {
+        let now = self.clock();
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let entry = &mut self.entries[call.entry];
+        let target = entry.pick(&call.tried, &mut self.generator, now);
+        entry.in_flight[target] += 1;
+        entry.pool.started(&target_name(target), now);
+        call.target = target;
+        call.sent = self.now;
+        call.tried.push(target_name(target));
+        let failing = self.targets[target].failing;
+        if failing {
+            self.schedule(FAILURE_TIME, SimEvent::Finish { call: id });
+            return;
+        }
+        self.targets[target].waiting.push_back(id);
+        self.serve(target);
+    }
+
+    fn serve(&mut self, place: usize) {
+        self.targets[place].note(self.now);
+        while self.targets[place].running.len() < PLACES as usize {
+            let Some(id) = self.targets[place].waiting.pop_front() else {
+                return;
+            };
+            self.targets[place].running.insert(id);
+            let service = self.calls[&id].service.div_f64(self.targets[place].speed);
+            self.schedule(service, SimEvent::Finish { call: id });
+        }
+    }
+
+    fn finish(&mut self, id: u64) {
+        let Some(call) = self.calls.get(&id).cloned() else {
+            return;
+        };
+        let target = &self.targets[call.target];
+        if target.paused_until > self.now {
+            let delay = target.paused_until - self.now;
+            self.schedule(delay, SimEvent::Finish { call: id });
+            return;
+        }
+        if target.failing {
+            self.fail(id, &call);
+            return;
+        }
+        self.leave(id, &call, CallOutcome::Whole);
+        self.calls.remove(&id);
+        self.cancel_twin(&call);
+        let entry = &mut self.entries[call.entry];
+        entry.hedges.observe(self.now - call.sent);
+        entry.budget.on_success();
+        self.latencies.push(self.now - call.arrived);
+    }
+
+    fn fail(&mut self, id: u64, call: &SimCall) {
+        self.leave(id, call, CallOutcome::FailedFast);
+        self.failed_calls += 1;
+        if call.tried.len() > self.plan.retries {
+            self.calls.remove(&id);
+            return;
+        }
+        self.send(id);
+    }
+
+    fn cancel_twin(&mut self, call: &SimCall) {
+        let twin = call
+            .twin
+            .and_then(|twin| Some((twin, self.calls.remove(&twin)?)));
+        if let Some((id, copy)) = twin {
+            self.leave(id, &copy, CallOutcome::Cancelled);
+        }
+    }
+
+    fn give_up(&mut self, id: u64) {
+        if let Some(call) = self.calls.remove(&id) {
+            self.leave(id, &call, CallOutcome::TimedOut);
+            self.cancel_twin(&call);
+        }
+    }
+
+    /// Takes the call off its target and tells the entry how it ended.
+    fn leave(&mut self, id: u64, call: &SimCall, outcome: CallOutcome) {
+        let now = self.clock();
+        let target = &mut self.targets[call.target];
+        target.running.remove(&id);
+        target.waiting.retain(|waiting| *waiting != id);
+        let load = target.load_at(self.now.saturating_sub(self.plan.report_lag));
+        let reported = (outcome == CallOutcome::Whole).then_some(load);
+        let entry = &mut self.entries[call.entry];
+        entry.in_flight[call.target] -= 1;
+        let elapsed = self.now - call.sent;
+        let name = target_name(call.target);
+        entry.pool.answered(&name, elapsed, outcome, reported, now);
+        self.serve(call.target);
+    }
+}
