Count calls that still run as calls

The service time was busy time over finished calls, and the pool's figure is the prior of each target's: while calls ran, each refresh added their time again, so that the first long calls of a pool drove its expected service far beyond their own length, and the gate would have refused what fits. A call that still runs now counts as the part of an ordinary call that it has run, up to a whole one.

The larger public types show all their functions in their examples.

--- a/crates/limit/src/concurrency_limit.rs
+++ b/crates/limit/src/concurrency_limit.rs
@@ -63,6 +63,9 @@
 /// assert!(!limit.try_acquire());
 /// limit.release(ReleaseOutcome::Answered, Duration::from_millis(5), now);
 /// assert!(limit.try_acquire());
+///
+/// limit.set_range(LimitRange { min: 4, max: 8 });
+/// assert_eq!(limit.limit(), 4);
 /// ```
 #[derive(Debug, Clone)]
 pub struct ConcurrencyLimit {
--- a/crates/limit/src/fair_queue.rs
+++ b/crates/limit/src/fair_queue.rs
@@ -37,19 +37,29 @@
 ///
 /// let now = Instant::now();
 /// let mut queue = FairQueue::new(QueueSettings::default());
+/// queue.set_capacity(2.0);
+/// let call = |customer: &str, item| WaitingCall {
+///     customer: customer.to_string(),
+///     weight: 1,
+///     priority: RequestPriority::Normal,
+///     deadline: now + Duration::from_secs(3),
+///     cost: 0.1,
+///     item,
+/// };
 /// for (customer, item) in [("large", 1), ("large", 2), ("small", 3)] {
-///     let call = WaitingCall {
-///         customer: customer.to_string(),
-///         weight: 1,
-///         priority: RequestPriority::Normal,
-///         deadline: now + Duration::from_secs(3),
-///         cost: 0.1,
-///         item,
-///     };
-///     queue.push(call, now).unwrap();
+///     queue.push(call(customer, item), now).unwrap();
 /// }
+/// let wait = queue.wait_estimate("large", 1, RequestPriority::Normal, 0.1);
+/// assert_eq!(wait.as_millis(), 150);
 /// let order: Vec<i32> = std::iter::from_fn(|| queue.pop(now)).map(|next| next.call.item).collect();
 /// assert_eq!(order, [1, 3, 2]);
+///
+/// queue.settle("large", 0.05);
+/// let place = queue.push(call("small", 4), now).unwrap().place;
+/// assert_eq!(queue.cancel(place), Some(4));
+/// queue.push(call("small", 5), now).unwrap();
+/// assert!(queue.next_expiry().is_some());
+/// assert_eq!(queue.expire(now + Duration::from_secs(3)), [5]);
 /// ```
 #[derive(Debug, Clone)]
 pub struct FairQueue<T> {
--- a/crates/retry/src/crash_ledger.rs
+++ b/crates/retry/src/crash_ledger.rs
@@ -95,6 +95,12 @@
 ///     ledger.finish(call, RunEnd::TargetDied, now);
 /// }
 /// assert_eq!(ledger.verdict(&fingerprint, now), CrashVerdict::Refused);
+///
+/// let mut peer = CrashLedger::new(LedgerSettings::default());
+/// for record in ledger.records(8, now) {
+///     peer.merge(&record, now);
+/// }
+/// assert_eq!(peer.verdict(&fingerprint, now), CrashVerdict::Refused);
 /// ```
 #[derive(Debug, Clone)]
 pub struct CrashLedger {
--- a/crates/route/src/target_pool.rs
+++ b/crates/route/src/target_pool.rs
@@ -62,6 +62,14 @@
 /// let later = now + Duration::from_millis(80);
 /// pool.answered(&pick.target, later - now, CallOutcome::Whole, Some(0.25), later);
 /// assert_eq!(pool.usable_capacity(later), 4);
+/// assert!(pool.expected_service(later) < Duration::from_millis(100));
+/// assert!(pool.take_changes().is_empty());
+///
+/// pool.skip_pause(later + Duration::from_secs(5));
+/// pool.set_centre_cost("south", Duration::from_micros(900));
+/// pool.mark_leaving("t1", later);
+/// assert_eq!(pool.pick(PickQuery::default(), later), None);
+/// assert!(pool.status(later)[0].leaving);
 /// ```
 #[derive(Debug, Clone)]
 pub struct TargetPool {
--- a/crates/route/src/target_record.rs
+++ b/crates/route/src/target_record.rs
@@ -116,8 +116,14 @@
     }
 
     /// Seconds that a call takes at the target once it has a place.
+    ///
+    /// A call that still runs counts as the part of an ordinary call that it has run, and as a
+    /// whole one from there on: so it shows that the target is slow, but only once it is.
     pub fn service(&self, pool_service: f64) -> f64 {
-        (self.busy + PRIOR_CALLS * pool_service) / (self.finished + PRIOR_CALLS)
+        let placed = f64::from(self.in_flight).min(self.capacity());
+        let unfinished = (self.busy / pool_service - self.finished).clamp(0.0, placed);
+        let calls = self.finished + unfinished;
+        (self.busy + PRIOR_CALLS * pool_service) / (calls + PRIOR_CALLS)
     }
 
     /// Seconds until a further call would be answered, failures counted as slow.
--- a/crates/route/tests/target_pool.rs
+++ b/crates/route/tests/target_pool.rs
@@ -145,6 +145,30 @@
     assert!(pool.expected_service(now) <= 2 * SERVICE);
 }
 
+#[test]
+fn calls_that_still_run_do_not_make_a_pool_look_slower_than_it_is() {
+    let long = Duration::from_secs(2);
+    for targets in [1, 4] {
+        let mut now = Instant::now();
+        let mut pool = pool_of(targets, now);
+        let calls: Vec<String> = (0..targets * 3)
+            .map(|_| {
+                let pick = pool.pick(query(), now).expect("there are targets");
+                pool.started(&pick.target, now);
+                pick.target
+            })
+            .collect();
+        for _ in 0..40 {
+            now += Duration::from_millis(50);
+            assert!(pool.expected_service(now) <= long);
+        }
+        for target in calls {
+            pool.answered(&target, long, CallOutcome::Whole, None, now);
+        }
+        assert!(pool.expected_service(now) <= long);
+    }
+}
+
 #[test]
 fn a_prefix_stays_with_its_target_until_that_is_busy() {
     let now = Instant::now();
