--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -15,10 +15,15 @@
 mod rumour_buffer;
 mod rumour_key;
 mod strike_book;
+mod table_heartbeats;
 mod table_lists;
 mod table_messages;
+mod table_probes;
+mod table_queries;
 mod table_rounds;
+mod table_words;
 mod target_marks;
+mod target_word;
 
 pub use {
     entry_row::EntryRow, member_action::MemberAction, member_event::MemberEvent,
--- a/crates/member/src/table_lists.rs
+++ b/crates/member/src/table_lists.rs
@@ -8,6 +8,25 @@
 
 impl MemberTable {
     /// Takes in the platform's host list as it was just read; `since` is the present hybrid time.
+    ///
+    /// ```
+    /// # use {member::{MemberSettings, MemberTable}, std::time::{Duration, Instant}};
+    /// # let about = wire::PeerSelf::new("h1", 1, "dc1", "10.0.0.1:80", "10.0.0.1:81");
+    /// # let now = Instant::now();
+    /// # let mut table = MemberTable::new(MemberSettings::default(), about, 7, now);
+    /// use {base::{HostList, HostRow, HostState}, stamp::HybridTime};
+    /// let row = HostRow {
+    ///     host: String::from("h2"),
+    ///     data_centre: String::from("dc1"),
+    ///     callers: String::from("10.0.0.2:80"),
+    ///     peers: String::from("10.0.0.2:81"),
+    ///     size: 1,
+    ///     state: HostState::Live,
+    /// };
+    /// let list = HostList { hosts: vec![row], targets: Vec::new() };
+    /// table.on_host_list(list, HybridTime::new(5, 0), now);
+    /// assert!(table.is_live_entry("h2"));
+    /// ```
     pub fn on_host_list(
         &mut self,
         list: HostList,
@@ -33,6 +52,19 @@
 
     /// Takes in the targets that the sheet just put in force marks as leaving; `since` is the
     /// present hybrid time.
+    ///
+    /// ```
+    /// # use {member::{MemberSettings, MemberTable}, std::time::{Duration, Instant}};
+    /// # let about = wire::PeerSelf::new("h1", 1, "dc1", "10.0.0.1:80", "10.0.0.1:81");
+    /// # let now = Instant::now();
+    /// # let mut table = MemberTable::new(MemberSettings::default(), about, 7, now);
+    /// use {stamp::HybridTime, std::collections::BTreeSet};
+    /// let leaving = BTreeSet::from([String::from("t1")]);
+    /// table.on_sheet_targets(leaving, HybridTime::new(5, 0), now);
+    /// assert!(table.is_target_leaving("t1"));
+    /// table.on_sheet_targets(BTreeSet::new(), HybridTime::new(6, 0), now);
+    /// assert!(!table.is_target_leaving("t1"));
+    /// ```
     pub fn on_sheet_targets(
         &mut self,
         leaving: BTreeSet<TargetId>,
--- a/crates/member/src/table_messages.rs
+++ b/crates/member/src/table_messages.rs
@@ -11,6 +11,18 @@
 
 impl MemberTable {
     /// Takes in a message from the address `from`, `ip:port`.
+    ///
+    /// ```
+    /// # use {member::{MemberSettings, MemberTable}, std::time::{Duration, Instant}};
+    /// # let about = wire::PeerSelf::new("h1", 1, "dc1", "10.0.0.1:80", "10.0.0.1:81");
+    /// # let now = Instant::now();
+    /// # let mut table = MemberTable::new(MemberSettings::default(), about, 7, now);
+    /// use {member::MemberAction, wire::{PeerKey, PeerMessage}};
+    /// let sender = PeerKey { host: String::from("h2"), incarnation: 1 };
+    /// let probe = PeerMessage::Probe { sender, nonce: 5 };
+    /// let actions = table.on_datagram(probe, String::from("10.0.0.2:81"), now);
+    /// assert!(matches!(&actions[0], MemberAction::Send { to, .. } if to == "10.0.0.2:81"));
+    /// ```
     pub fn on_datagram(
         &mut self,
         message: PeerMessage,
--- a/crates/member/src/target_marks.rs
+++ b/crates/member/src/target_marks.rs
@@ -1,4 +1,5 @@
 use {
+    crate::target_word::TargetWord,
     base::{HostState, TargetId, TargetMark},
     stamp::HybridTime,
     std::{
@@ -30,13 +31,6 @@
     sheet_marked: BTreeSet<TargetId>,
 }
 
-#[derive(Debug, Clone)]
-struct TargetWord {
-    since: HybridTime,
-    clear: bool,
-    seen: Instant,
-}
-
 /// What the host list showed of a target here.
 #[derive(Debug, Clone, Default)]
 struct ListTrace {
@@ -204,7 +198,7 @@
     /// One of the words as a rumour.
     pub(crate) fn rumour(&self, index: usize) -> Option<PeerRumour> {
         let ((target, source), word) = self.words.iter().nth(index)?;
-        Some(rumour_of(target, *source, word))
+        Some(word.rumour(target, *source))
     }
 
     /// Drops cleared marks that are old, and the oldest words if there are too many.
@@ -297,17 +291,8 @@
             clear,
             seen: now,
         };
-        let rumour = rumour_of(target, source, &word);
+        let rumour = word.rumour(target, source);
         self.words.insert((target.to_string(), source), word);
         vec![rumour]
     }
 }
-
-fn rumour_of(target: &str, source: MarkSource, word: &TargetWord) -> PeerRumour {
-    PeerRumour::TargetLeaving {
-        target: target.to_string(),
-        source,
-        since: word.since,
-        clear: word.clear,
-    }
-}
--- a/crates/member/tests/fleet/mod.rs
+++ b/crates/member/tests/fleet/mod.rs
@@ -3,8 +3,12 @@
 
 #![allow(dead_code)]
 
+mod names;
+
+pub use names::*;
+
 use {
-    base::{HostList, HostRow, HostState},
+    base::{HostList, HostState},
     member::{MemberAction, MemberEvent, MemberSettings, MemberTable},
     rand::{Rng, SeedableRng},
     rand_chacha::ChaCha8Rng,
@@ -14,11 +18,13 @@
         collections::{BTreeSet, BinaryHeap},
         time::{Duration, Instant},
     },
-    wire::{DatagramSeal, MAX_DATAGRAM_BYTES, PeerMessage, PeerSelf},
+    wire::{DatagramSeal, MAX_DATAGRAM_BYTES, PeerMessage},
 };
 
 /// Bytes of the IP and UDP headers of each datagram.
 pub const HEADER_BYTES: usize = 28;
+/// Incarnation of every member's first process.
+const FIRST_INCARNATION: u64 = 1_700_000_000_000_000;
 /// Datagrams that a stopped process finds waiting, at most.
 const BACKLOG: usize = 400;
 
@@ -77,7 +83,7 @@
             sequence: 0,
         };
         for index in 0..count {
-            let node = fleet.fresh_node(index, 1_000);
+            let node = fleet.fresh_node(index, FIRST_INCARNATION);
             fleet.nodes.push(node);
             let phase = fleet.random.random_range(0..500);
             fleet.schedule(now + Duration::from_millis(phase), Due::Tick(index));
@@ -241,10 +247,13 @@
 
     fn tick(&mut self, index: usize, at: Instant) {
         let node = &mut self.nodes[index];
-        if node.frozen || node.dead || node.next_tick != Some(at) {
+        if node.next_tick != Some(at) {
             return;
         }
         node.next_tick = None;
+        if node.frozen || node.dead {
+            return;
+        }
         let actions = node.table.on_tick(self.now);
         self.apply(index, actions);
     }
@@ -299,44 +308,3 @@
         );
     }
 }
-
-pub fn host(index: usize) -> String {
-    format!("entry-{index:03}")
-}
-
-pub fn address(index: usize) -> String {
-    format!("10.0.{}.{}:7000", index / 250, index % 250 + 1)
-}
-
-fn index_of(address: &str) -> usize {
-    let octets: Vec<usize> = address
-        .split([':', '.'])
-        .map(|part| part.parse().unwrap())
-        .collect();
-    octets[2] * 250 + octets[3] - 1
-}
-
-fn about(index: usize, incarnation: u64) -> PeerSelf {
-    PeerSelf {
-        host: host(index),
-        incarnation: 1_700_000_000_000_000 + incarnation,
-        data_centre: format!("dc-{}", index % 8),
-        callers: address(index),
-        peers: address(index),
-        size: 4,
-        leaving: false,
-        sheet_version: 20_250_101_001,
-        sheet_digest: [7; 8],
-    }
-}
-
-fn row_of(about: &PeerSelf, state: HostState) -> HostRow {
-    HostRow {
-        host: about.host.clone(),
-        data_centre: about.data_centre.clone(),
-        callers: about.callers.clone(),
-        peers: about.peers.clone(),
-        size: about.size,
-        state,
-    }
-}
--- a/crates/member/tests/rules.rs
+++ b/crates/member/tests/rules.rs
@@ -1,21 +1,20 @@
 //! Rules that hold in every order of events.
 
+mod peers;
+
 use {
-    base::{HostList, HostRow, HostState, TargetMark},
-    member::{MemberAction, MemberEvent, MemberSettings, MemberTable},
+    base::{HostList, TargetMark},
+    member::{MemberAction, MemberSettings, MemberTable},
+    peers::{HOSTS, about, heartbeat, row, state, table},
     proptest::{prelude::*, test_runner::RngSeed},
     stamp::HybridTime,
     std::{
         collections::{BTreeMap, BTreeSet},
         time::{Duration, Instant},
     },
-    wire::{
-        DatagramSeal, MAX_DATAGRAM_BYTES, MarkSource, PeerKey, PeerMessage, PeerRumour, PeerSelf,
-    },
+    wire::{DatagramSeal, MAX_DATAGRAM_BYTES, MarkSource, PeerKey, PeerMessage, PeerRumour},
 };
 
-const HOSTS: usize = 5;
-
 fn config() -> ProptestConfig {
     ProptestConfig {
         rng_seed: RngSeed::Fixed(0x6d65_6d62),
@@ -24,51 +23,6 @@
     }
 }
 
-fn about(host: usize, incarnation: u64, leaving: bool) -> PeerSelf {
-    PeerSelf {
-        host: format!("h{host}"),
-        incarnation,
-        data_centre: String::from("dc1"),
-        callers: format!("10.0.0.{host}:80"),
-        peers: format!("10.0.0.{host}:81"),
-        size: 1,
-        leaving,
-        sheet_version: incarnation,
-        sheet_digest: [0; 8],
-    }
-}
-
-fn table(now: Instant) -> MemberTable {
-    MemberTable::new(MemberSettings::default(), about(0, 10, false), 5, now)
-}
-
-fn row(host: usize, state: HostState) -> HostRow {
-    let about = about(host, 0, false);
-    HostRow {
-        host: about.host,
-        data_centre: about.data_centre,
-        callers: about.callers,
-        peers: about.peers,
-        size: about.size,
-        state,
-    }
-}
-
-fn heartbeat(sender: PeerSelf, rumours: Vec<PeerRumour>) -> PeerMessage {
-    PeerMessage::Heartbeat {
-        sender,
-        stamp: HybridTime::default(),
-        rumours,
-    }
-}
-
-fn state(leaving: bool) -> HostState {
-    match leaving {
-        true => HostState::Leaving,
-        false => HostState::Live,
-    }
-}
-
 /// Something that happens to a table.
 #[derive(Debug, Clone)]
 enum Happening {
@@ -294,179 +248,3 @@
         prop_assert_eq!(&told[1], &expected);
     }
 }
-
-#[test]
-fn a_later_process_is_welcome_under_a_stale_mark() {
-    let mut now = Instant::now();
-    let mut table = table(now);
-    let hear = |table: &mut MemberTable, start, now| {
-        table.on_datagram(
-            heartbeat(about(1, start, false), Vec::new()),
-            String::from("x"),
-            now,
-        )
-    };
-    hear(&mut table, 5, now);
-    for leaving in [false, true] {
-        let list = HostList {
-            hosts: vec![row(1, state(leaving))],
-            targets: Vec::new(),
-        };
-        table.on_host_list(list, HybridTime::default(), now);
-        now += Duration::from_secs(20);
-    }
-    assert!(!table.is_live_entry("h1"));
-    hear(&mut table, 6, now);
-    assert!(table.is_live_entry("h1"));
-    let list = HostList {
-        hosts: vec![row(1, HostState::Leaving)],
-        targets: Vec::new(),
-    };
-    table.on_host_list(list, HybridTime::default(), now);
-    assert!(
-        table.is_live_entry("h1"),
-        "the mark is about the process before"
-    );
-}
-
-#[test]
-fn a_late_mark_on_a_young_process_is_not_bound_to_it() {
-    let mut now = Instant::now();
-    let mut table = table(now);
-    let hear = |table: &mut MemberTable, start, now| {
-        table.on_datagram(
-            heartbeat(about(1, start, false), Vec::new()),
-            String::from("x"),
-            now,
-        )
-    };
-    let show = |table: &mut MemberTable, leaving, now| {
-        let list = HostList {
-            hosts: vec![row(1, state(leaving))],
-            targets: Vec::new(),
-        };
-        table.on_host_list(list, HybridTime::default(), now);
-        table.on_tick(now);
-    };
-    hear(&mut table, 5, now);
-    show(&mut table, false, now);
-    now += Duration::from_secs(60);
-    hear(&mut table, 6, now);
-    now += Duration::from_secs(1);
-    show(&mut table, true, now);
-    assert!(!table.is_live_entry("h1"), "leaving wins for now");
-    for _ in 0..40 {
-        now += Duration::from_secs(1);
-        hear(&mut table, 6, now);
-        show(&mut table, false, now);
-    }
-    assert!(
-        table.is_live_entry("h1"),
-        "the mark was about the process before"
-    );
-}
-
-#[test]
-fn an_operator_clears_every_mark_against_late_lists() {
-    let now = Instant::now();
-    let mut table = table(now);
-    let list = |leaving| {
-        let mark = TargetMark {
-            target: String::from("t1"),
-            state: state(leaving),
-        };
-        HostList {
-            hosts: Vec::new(),
-            targets: vec![mark],
-        }
-    };
-    table.on_host_list(list(false), HybridTime::new(1, 0), now);
-    table.mark_target_leaving("t1", MarkSource::Target, HybridTime::new(2, 0), now);
-    table.mark_target_leaving("t1", MarkSource::Operator, HybridTime::new(3, 0), now);
-    table.clear_target_leaving("t1", HybridTime::new(4, 0), now);
-    assert!(!table.is_target_leaving("t1"));
-    table.on_host_list(
-        list(true),
-        HybridTime::new(5, 0),
-        now + Duration::from_secs(1),
-    );
-    assert!(
-        !table.is_target_leaving("t1"),
-        "a list that lags shows the old mark"
-    );
-    table.on_host_list(
-        list(false),
-        HybridTime::new(6, 0),
-        now + Duration::from_secs(30),
-    );
-    table.on_host_list(
-        list(true),
-        HybridTime::new(7, 0),
-        now + Duration::from_secs(60),
-    );
-    assert!(table.is_target_leaving("t1"), "a new mark counts");
-}
-
-#[test]
-fn strikes_of_all_witnesses_add_up_until_cleared() {
-    let now = Instant::now();
-    let expires = now + Duration::from_secs(60);
-    let mut table = table(now);
-    let print = [7; 16];
-    assert_eq!(
-        table.note_strike(print, HybridTime::new(5, 0), expires, now),
-        1
-    );
-    let strike = PeerRumour::Strike {
-        fingerprint: print,
-        witness: String::from("h1"),
-        strikes: 1,
-        at: HybridTime::new(6, 0),
-        remaining_ms: 90_000,
-    };
-    let message = heartbeat(about(1, 1, false), vec![strike.clone(), strike.clone()]);
-    table.on_datagram(message, String::from("x"), now);
-    assert_eq!(table.strikes(&print, now), 2);
-    assert_eq!(table.strikes(&print, now + Duration::from_secs(70)), 1);
-    assert_eq!(table.strikes(&print, now + Duration::from_secs(100)), 0);
-    table.clear_strikes(print, HybridTime::new(7, 0), expires, now);
-    let message = heartbeat(about(1, 1, false), vec![strike]);
-    table.on_datagram(message, String::from("x"), now);
-    assert_eq!(table.strikes(&print, now), 0, "an old strike came back");
-    assert_eq!(
-        table.note_strike(print, HybridTime::new(8, 0), expires, now),
-        1
-    );
-}
-
-#[test]
-fn a_paused_process_suspects_no_one_at_once() {
-    let mut now = Instant::now();
-    let mut table = table(now);
-    let hosts = (1..HOSTS).map(|host| row(host, HostState::Live)).collect();
-    table.on_host_list(
-        HostList {
-            hosts,
-            targets: Vec::new(),
-        },
-        HybridTime::default(),
-        now,
-    );
-    table.on_tick(now);
-    now += Duration::from_secs(3_600);
-    let woken = table.on_tick(now);
-    assert!(
-        woken
-            .iter()
-            .any(|action| matches!(action, MemberAction::Changed(MemberEvent::Paused { .. })))
-    );
-    for _ in 0..35 {
-        now += Duration::from_millis(100);
-        let actions = table.on_tick(now);
-        let suspect = |action: &MemberAction| {
-            matches!(action, MemberAction::Changed(MemberEvent::Suspect { .. }))
-        };
-        assert!(!actions.iter().any(suspect));
-    }
-    assert_eq!(table.live_entries().len(), HOSTS);
-}
--- a/crates/wire/src/peer_self.rs
+++ b/crates/wire/src/peer_self.rs
@@ -28,6 +28,32 @@
 }
 
 impl PeerSelf {
+    /// A daemon of size 1 that has no sheet and is not leaving.
+    ///
+    /// ```
+    /// let about = wire::PeerSelf::new("h1", 5, "dc1", "10.0.0.1:80", "10.0.0.1:81");
+    /// assert_eq!(about.key().incarnation, 5);
+    /// ```
+    pub fn new(
+        host: impl Into<HostId>,
+        incarnation: Incarnation,
+        data_centre: impl Into<CentreId>,
+        callers: impl Into<String>,
+        peers: impl Into<String>,
+    ) -> Self {
+        Self {
+            host: host.into(),
+            incarnation,
+            data_centre: data_centre.into(),
+            callers: callers.into(),
+            peers: peers.into(),
+            size: 1,
+            leaving: false,
+            sheet_version: 0,
+            sheet_digest: [0; 8],
+        }
+    }
+
     /// Host and incarnation.
     pub fn key(&self) -> PeerKey {
         PeerKey {
