Ask for facts only after the start

The slopes showed more bytes around a mark at 32 and 128 members than at 370: each mark heard by rumour set off eight requests for facts, each answered with a full datagram, until the budget of a process's life was spent. What comes after the last request is ordinary news now.

cargo test -p member: 16 tests and 12 doc examples pass.

--- a/crates/member/src/fact_pulls.rs
+++ b/crates/member/src/fact_pulls.rs
@@ -25,9 +25,11 @@
         }
     }
 
-    /// Notes that something new was told.
+    /// Notes that something new was told; what comes after the last request is ordinary news.
     pub(crate) fn learned(&mut self) {
-        self.left = PULLS_AFTER_NEWS;
+        if self.left > 0 {
+            self.left = PULLS_AFTER_NEWS;
+        }
     }
 
     /// Starts a request if one is due.
