--- a/crates/member/tests/fleet/mod.rs
+++ b/crates/member/tests/fleet/mod.rs
@@ -178,6 +178,16 @@
         self.show_list([index], live);
     }
 
+    /// Starts a later process that can read no host list and knows only one address.
+    pub fn restart_blind(&mut self, index: usize, seed: usize) {
+        let incarnation = self.nodes[index].table.own().incarnation + 1_000;
+        let settings = self.settings.clone();
+        self.settings.seeds = vec![address(seed)];
+        self.nodes[index] = self.fresh_node(index, incarnation);
+        self.settings = settings;
+        self.schedule(self.now, Due::Tick(index));
+    }
+
     /// Cuts both ways between the groups.
     pub fn partition(&mut self, left: &[usize], right: &[usize]) {
         for &one in left {
--- a/crates/member/tests/many_members.rs
+++ b/crates/member/tests/many_members.rs
@@ -155,3 +155,18 @@
         assert!(whole.is_some(), "{count}: the views did not become whole");
     }
 }
+
+#[test]
+fn a_process_without_a_host_list_learns_from_one_peer() {
+    for count in [8, 32, 60] {
+        let mut fleet = warm_fleet(count, 18);
+        mark(&mut fleet, 0, "t1");
+        fleet.run(Duration::from_secs(10));
+        fleet.restart_blind(3, 5);
+        reaches(&mut fleet, count, |fleet| {
+            all_know(fleet, "t1") && fleet.all_use(3, true)
+        });
+        let known = fleet.run_while_not(Duration::from_secs(30), |fleet| fleet.view(3) == count);
+        assert!(known.is_some(), "{count}: it sees {}", fleet.view(3));
+    }
+}
