Shrink the concurrency limit only where targets report that they are full

Cause: a window of ten calls takes the mean over long and short answers and fast and slow engines; the least of such means became the baseline, so an ordinary mix looked like a queue and the limit fell to its floor, a quarter of the equal share. Calls that slow down now shrink the limit only if the targets' mean reported load is 0.9 or more, and the floor is the equal share.

--- a/crates/entry/src/data/call_place.rs
+++ b/crates/entry/src/data/call_place.rs
@@ -31,6 +31,7 @@
     pub pool: PoolId,
     pub outcome: ReleaseOutcome,
     pub elapsed: Duration,
+    pub load: Option<f64>,
 }
 
 /// Places that were given back and not yet handed out again.
@@ -63,6 +64,7 @@
     taken: Instant,
     outcome: ReleaseOutcome,
     elapsed: Option<Duration>,
+    load: Option<f64>,
     returns: Option<ReturnBox>,
 }
 
@@ -73,14 +75,16 @@
             taken: Instant::now(),
             outcome: ReleaseOutcome::Ignored,
             elapsed: None,
+            load: None,
             returns: Some(returns),
         }
     }
 
-    /// Notes how the call ended.
-    pub fn note(&mut self, outcome: ReleaseOutcome, elapsed: Duration) {
+    /// Notes how the call ended, and the load that the target reported with it.
+    pub fn note(&mut self, outcome: ReleaseOutcome, elapsed: Duration, load: Option<f64>) {
         self.outcome = outcome;
         self.elapsed = Some(elapsed);
+        self.load = load;
     }
 
     /// Drops the place without giving it back.
@@ -98,6 +102,7 @@
             pool: std::mem::take(&mut self.pool),
             outcome: self.outcome,
             elapsed: self.elapsed.unwrap_or_else(|| self.taken.elapsed()),
+            load: self.load,
         });
     }
 }
--- a/crates/entry/src/data/pool_desk.rs
+++ b/crates/entry/src/data/pool_desk.rs
@@ -15,9 +15,6 @@
     tokio::sync::oneshot,
 };
 
-/// Part of its equal share of a pool that an entry may always use, as a divisor.
-const LEAST_SHARE: u32 = 4;
-
 /// Gets the place of a call, or the reason why there is none.
 pub type PlaceSender = oneshot::Sender<Result<CallPlace, PlaceEnd>>;
 
@@ -239,6 +236,9 @@
 
     fn take_back(&mut self, back: &PlaceReturn, now: Instant) {
         if let Some(state) = self.pools.get_mut(&back.pool) {
+            if let Some(load) = back.load {
+                state.limit.note_load(load);
+            }
             state.limit.release(back.outcome, back.elapsed, now);
         }
     }
@@ -286,14 +286,13 @@
 }
 
 /// An entry may use all that the targets can take; the limit finds out what others leave it,
-/// but never falls below a part of its equal share.
+/// but never falls below its equal share.
 fn limit_range(specs: &[TargetSpec], entries: usize) -> LimitRange {
     let usable = specs.iter().filter(|spec| !spec.leaving);
     let max = usable.map(|spec| spec.capacity).sum::<u32>().max(1);
     let entries = u32::try_from(entries.max(1)).unwrap_or(u32::MAX);
-    let min = max / entries.saturating_mul(LEAST_SHARE);
     LimitRange {
-        min: min.max(1),
+        min: max.div_ceil(entries),
         max,
     }
 }
--- a/crates/entry/src/data/stage_call.rs
+++ b/crates/entry/src/data/stage_call.rs
@@ -217,7 +217,7 @@
         let elapsed = guard.elapsed().saturating_sub(report.blocked);
         let scaled = scaled_time(elapsed, self.stage.engine, report.tokens);
         if let Some(place) = &mut report.place {
-            place.note(release_outcome(&end), scaled);
+            place.note(release_outcome(&end), scaled, report.word.load);
         }
         let load = report.word.load;
         guard.finish(
--- a/crates/limit/src/concurrency_limit.rs
+++ b/crates/limit/src/concurrency_limit.rs
@@ -25,6 +25,9 @@
 /// Part of the limit that must be in use before it grows.
 const GROWTH_USE: f64 = 0.8;
 
+/// Mean reported load from which the targets count as full.
+const FULL_LOAD: f64 = 0.9;
+
 /// Bounds of a limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LimitRange {
@@ -84,6 +87,8 @@
     seconds: f64,
     busiest: u32,
     refused: u32,
+    reports: u32,
+    load: f64,
 }
 
 impl LatencyWindow {
@@ -94,8 +99,15 @@
             seconds: 0.0,
             busiest: 0,
             refused: 0,
+            reports: 0,
+            load: 0.0,
         }
     }
+
+    /// True if the targets say that they have room, so that slow calls mean no queue there.
+    fn has_room(&self) -> bool {
+        self.reports > 0 && self.load / f64::from(self.reports) < FULL_LOAD
+    }
 }
 
 impl ConcurrencyLimit {
@@ -126,6 +138,15 @@
         true
     }
 
+    /// Takes in the load that a target reported with an answer.
+    ///
+    /// As long as the targets report room, calls that take longer are longer calls or slower
+    /// targets, and the limit does not shrink for them.
+    pub fn note_load(&mut self, load: f64) {
+        self.window.reports += 1;
+        self.window.load += load;
+    }
+
     /// Gives a place back.
     pub fn release(&mut self, outcome: ReleaseOutcome, elapsed: Duration, now: Instant) {
         self.in_flight = self.in_flight.saturating_sub(1);
@@ -167,7 +188,10 @@
         let in_use = f64::from(window.busiest) >= GROWTH_USE * self.limit;
         let baseline = self.next_baseline(mean, in_use);
         self.baseline = Some(baseline);
-        let factor = (TOLERANCE * baseline / mean).clamp(LEAST_FACTOR, 1.0);
+        let factor = match window.has_room() {
+            true => 1.0,
+            false => (TOLERANCE * baseline / mean).clamp(LEAST_FACTOR, 1.0),
+        };
         if factor < 1.0 {
             self.set_limit(self.limit * factor);
         } else if in_use {
