Queue for the costliest stage before anything of a request runs

Cause: at twice the capacity a third of all encode, retrieve and rerank time was wasted, since requests ran these and then found no place at the engines before their deadline. Ruled out: the estimate at admission alone (it cannot know who comes next). A run now waits in the fair queue of its costliest stage first and holds that place through the stages before; who finds none is told that nothing was run.

What is still wasted are calls at slow engines that pass their deadline.

--- a/crates/entry/src/data/run_driver.rs
+++ b/crates/entry/src/data/run_driver.rs
@@ -10,7 +10,7 @@
         shared::EntryLife,
     },
     actix_rt::task::JoinHandle,
-    base::{AttemptNumber, FailureReport, RunVerdict},
+    base::{AttemptNumber, FailureReport, RunVerdict, StageIndex},
     once::RecordedAnswer,
     pipe::{CallOrder, RunAction, RunEvent, RunState},
     setup::HttpReply,
@@ -82,6 +82,7 @@
             events,
             tried: RefCell::default(),
             retry_after: RefCell::default(),
+            reserved: RefCell::default(),
         };
         Self {
             scope: Rc::new(scope),
@@ -95,7 +96,7 @@
     }
 
     async fn run(mut self, mut sink: AnswerSink) {
-        let mut event = RunEvent::Start;
+        let mut event = self.reserve().await;
         loop {
             let position = self.run.position();
             let now = Instant::now();
@@ -138,6 +139,40 @@
         }
     }
 
+    /// Waits at the costliest stage's pool before anything runs, so that a request which would
+    /// find no place there wastes nothing and is told that it was not run.
+    async fn reserve(&self) -> RunEvent {
+        let costs = self.stage_costs();
+        let costliest = costs.iter().enumerate().max_by_key(|(_, cost)| **cost);
+        let Some((position, cost)) = costliest.filter(|(position, _)| *position > 0) else {
+            return RunEvent::Start;
+        };
+        let others = costs.iter().sum::<Duration>() - *cost;
+        let deadline = self.scope.deadline.checked_sub(others);
+        let deadline = deadline.unwrap_or(self.scope.deadline);
+        let pool = &self.run.plan().stages[position].pool;
+        match self.scope.wait_place(pool, *cost, deadline).await {
+            Ok(place) => {
+                let stage = StageIndex::try_from(position).unwrap_or(StageIndex::MAX);
+                self.scope.reserved.replace(Some((stage, place)));
+                RunEvent::Start
+            }
+            Err(end) => {
+                self.scope.retry_after.replace(Some(end.retry_after));
+                RunEvent::Withheld { reason: end.reason }
+            }
+        }
+    }
+
+    fn stage_costs(&self) -> Vec<Duration> {
+        let now = Instant::now();
+        let mut desk = self.scope.core.stages.borrow_mut();
+        let stages = self.run.plan().stages.iter().zip(0..);
+        let costs = stages
+            .map(|(stage, index)| desk.expected(&self.scope.pipeline, index, stage.least, now));
+        costs.collect()
+    }
+
     async fn next_event(&mut self, sink: &AnswerSink) -> RunEvent {
         let watched = self.run.plan().is_idempotent();
         let core = &self.scope.core;
--- a/crates/entry/src/data/stage_call.rs
+++ b/crates/entry/src/data/stage_call.rs
@@ -10,7 +10,7 @@
         },
         shared::ControlNote,
     },
-    base::{CallIdentity, FailureReason, PipelineId, RequestPriority, TargetId},
+    base::{CallIdentity, FailureReason, PipelineId, RequestPriority, StageIndex, TargetId},
     limit::ReleaseOutcome,
     pipe::{CallFailure, CallOrder, PlanStage, RunEvent, UnsentProof},
     retry::{CrashFingerprint, HedgeCall, RunEnd, RunPermit, SuspectCall},
@@ -46,6 +46,40 @@
     pub tried: RefCell<Vec<TargetId>>,
     /// When a caller whose call got no place should come back.
     pub retry_after: RefCell<Option<Duration>>,
+    /// Place that is held for a stage still to come.
+    pub reserved: RefCell<Option<(StageIndex, CallPlace)>>,
+}
+
+impl CallScope {
+    /// Waits for a place at a pool.
+    pub async fn wait_place(
+        &self,
+        pool: &str,
+        cost: Duration,
+        deadline: Instant,
+    ) -> Result<CallPlace, PlaceEnd> {
+        let query = PlaceQuery {
+            pool,
+            customer: &self.customer,
+            weight: self.weight,
+            priority: self.priority,
+            deadline,
+            cost,
+        };
+        self.core.refresh();
+        let waiting = self.core.pools.borrow_mut().request(query, Instant::now());
+        match waiting.await {
+            Ok(outcome) => outcome,
+            Err(_) => Err(PlaceEnd::new(FailureReason::NoTarget, Duration::ZERO)),
+        }
+    }
+
+    /// Place that was held for this stage.
+    fn take_reserved(&self, stage: StageIndex) -> Option<CallPlace> {
+        let mut reserved = self.reserved.borrow_mut();
+        let (_, place) = reserved.take_if(|(held, _)| *held == stage)?;
+        Some(place)
+    }
 }
 
 /// One call of one stage: waits for its place, chooses a target and makes the call.
@@ -97,20 +131,13 @@
 
     async fn wait_place(&self) -> Result<CallPlace, PlaceEnd> {
         let scope = &self.scope;
-        let now = Instant::now();
-        let query = PlaceQuery {
-            pool: &self.stage.pool,
-            customer: &scope.customer,
-            weight: scope.weight,
-            priority: scope.priority,
-            deadline: scope.deadline,
-            cost: self.cost,
-        };
-        scope.core.refresh();
-        let waiting = scope.core.pools.borrow_mut().request(query, now);
-        match waiting.await {
-            Ok(outcome) => outcome,
-            Err(_) => Err(PlaceEnd::new(FailureReason::NoTarget, Duration::ZERO)),
+        match scope.take_reserved(self.order.stage) {
+            Some(place) => Ok(place),
+            None => {
+                scope
+                    .wait_place(&self.stage.pool, self.cost, scope.deadline)
+                    .await
+            }
         }
     }
 
--- a/crates/pipe/src/run_event.rs
+++ b/crates/pipe/src/run_event.rs
@@ -1,10 +1,19 @@
-use {crate::CallFailure, base::AttemptNumber, bytes::Bytes};
+use {
+    crate::CallFailure,
+    base::{AttemptNumber, FailureReason},
+    bytes::Bytes,
+};
 
 /// What a run is told.
 #[derive(Debug, Clone, PartialEq)]
 pub enum RunEvent {
     /// The request may start.
     Start,
+    /// The request may not start.
+    Withheld {
+        /// Why it may not.
+        reason: FailureReason,
+    },
     /// A plain service has answered whole.
     Answered {
         /// Call that was answered.
--- a/crates/pipe/src/run_state.rs
+++ b/crates/pipe/src/run_state.rs
@@ -96,6 +96,7 @@
         }
         match event {
             RunEvent::Start => self.start_stage(now),
+            RunEvent::Withheld { reason } => self.fail(reason, "no place for the costliest stage"),
             RunEvent::Answered { attempt, body } => self.on_answer(attempt, body, now),
             RunEvent::Token {
                 attempt,
