Stamp events by the corrected clock, and take engines' word on sheets

The operators' interface reads the sheet version that a placer has from engines. Reads of the index by daemons that started together spread out.

--- a/crates/entry/src/control/operator_server.rs
+++ b/crates/entry/src/control/operator_server.rs
@@ -1,10 +1,10 @@
 use {
     crate::{
-        control::{ControlState, MemberController, SheetController},
+        control::{ControlState, MemberController, SheetController, SheetWord},
         shared::EntryLife,
     },
-    actix_http::{Method, Request, StatusCode},
-    base::TargetId,
+    actix_http::{HttpMessage, Method, Request, StatusCode},
+    base::{SHEET_HEADER, TargetId},
     serde::Serialize,
     setup::{HttpReply, json_reply, text_reply},
     stamp::EventFilter,
@@ -52,6 +52,7 @@
     let path = request.path().to_string();
     let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
     let state = &desk.state;
+    note_sheet(state, &request);
     match (request.method(), segments.as_slice()) {
         (&Method::GET, ["status"]) => status(state),
         (&Method::GET, ["members"]) => json_reply(StatusCode::OK, &desk.members.members()),
@@ -79,6 +80,16 @@
     }
 }
 
+/// A placer passes on the latest version that an engine has met; who can reach this interface
+/// needs no further proof.
+fn note_sheet(state: &ControlState, request: &Request) {
+    let seen = request.headers().get(SHEET_HEADER);
+    let version = seen.and_then(|value| value.to_str().ok()?.parse().ok());
+    if let Some(version) = version {
+        state.tell(SheetWord::Proved(version));
+    }
+}
+
 fn status(state: &ControlState) -> HttpReply {
     let view = state.view.borrow();
     let digest = view.sheet.as_ref().map(|sheet| sheet.index.digest());
--- a/crates/entry/src/control/sheet_controller.rs
+++ b/crates/entry/src/control/sheet_controller.rs
@@ -159,16 +159,16 @@
         }
     }
 
-    /// Pause before the next read; none for those that watch.
+    /// Pause before the next read; none for those that watch. The others differ in their pauses,
+    /// so that daemons which start together do not go on reading together.
     fn index_pause(&self) -> Duration {
         let entries = self.members.entries().into_iter();
         let rota = WatchRota::new(entries.map(|row| (row.host, row.data_centre)));
         let host = &self.state.settings.host;
         if rota.is_watcher(host) {
-            Duration::ZERO
-        } else {
-            rota.poll_period()
+            return Duration::ZERO;
         }
+        rota.poll_period() / 2 + rota.poll_phase(host)
     }
 
     fn on_index(self: &Rc<Self>, text: &str) {
--- a/crates/entry/src/shared/event_recorder.rs
+++ b/crates/entry/src/shared/event_recorder.rs
@@ -1,6 +1,6 @@
 use {
     base::HostId,
-    stamp::{EventFilter, EventKind, EventRing, HybridClock, HybridTime, TimelineEvent},
+    stamp::{EventFilter, EventKind, EventRing, HybridTime, SkewClock, TimelineEvent},
     std::{
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::{SystemTime, UNIX_EPOCH},
@@ -19,14 +19,14 @@
 }
 
 struct RecorderState {
-    clock: HybridClock,
+    clock: SkewClock,
     ring: EventRing,
 }
 
 impl EventRecorder {
     pub fn new(host: impl Into<HostId>) -> Self {
         let state = RecorderState {
-            clock: HybridClock::new(),
+            clock: SkewClock::new(),
             ring: EventRing::new(RING_EVENTS),
         };
         Self {
