Hold a suspect while the entry that struck it tries it again

Cause: an entry that heard of one strike ran the request as a suspect while the entry that had struck it tried its second target, so a third one crashed.

Change: the ledger holds a request that a peer has newly struck for 2 s: new sends are refused as not run, reason crash_suspect, with the time to come back; a run that is under way waits. After a strike of its own an entry waits 100 ms before it tries the request again, so that peers hear of it and their own strikes arrive. Operators see how many strikes of peers an entry knows.

Ruled out: holding every suspect until the second try has ended, which needs word of how it ended and would hold innocents for as long as they stream.

--- a/crates/entry/src/control/operator_server.rs
+++ b/crates/entry/src/control/operator_server.rs
@@ -44,6 +44,7 @@
     latest_version: u64,
     hosts: Vec<String>,
     leaving_targets: Vec<TargetId>,
+    peer_strikes: u32,
     counters: BTreeMap<String, i64>,
 }
 
@@ -91,6 +92,7 @@
         latest_version: view.latest_version,
         hosts: view.hosts.iter().map(|row| row.host.clone()).collect(),
         leaving_targets: view.leaving_targets.iter().cloned().collect(),
+        peer_strikes: view.strikes.iter().map(|row| u32::from(row.2)).sum(),
         counters: state.metrics.values(),
     };
     json_reply(StatusCode::OK, &answer)
--- a/crates/entry/src/data/entry_core.rs
+++ b/crates/entry/src/data/entry_core.rs
@@ -26,6 +26,8 @@
     tokio::sync::{mpsc, watch},
 };
 
+/// Pause after a strike in which peers hear of it before the request runs again.
+const STRIKE_PAUSE: Duration = Duration::from_millis(100);
 /// Time for which a strike that a peer saw counts here.
 const FOREIGN_LIFETIME: Duration = Duration::from_secs(60);
 
@@ -94,7 +96,10 @@
             )),
             stages: RefCell::default(),
             budget: RefCell::new(RetryBudget::new(BudgetSettings::default(), Instant::now())),
-            crashes: RefCell::new(CrashLedger::new(LedgerSettings::default())),
+            crashes: RefCell::new(CrashLedger::new(LedgerSettings {
+                own_hold: STRIKE_PAUSE,
+                ..LedgerSettings::default()
+            })),
             client: TargetClient::new(settings.limits.answer_bytes),
             random: RefCell::new(ChaCha8Rng::from_os_rng()),
             running: Cell::new(0),
--- a/crates/entry/src/filters/crash_filter.rs
+++ b/crates/entry/src/filters/crash_filter.rs
@@ -9,21 +9,29 @@
     std::{rc::Rc, time::Instant},
 };
 
-/// Refuses requests that have crashed as many targets as any may.
+/// Refuses requests that have crashed as many targets as any may, and for a while those that a
+/// peer tries again after a first crash.
 pub struct CrashFilter;
 
 impl RequestFilter for CrashFilter {
     fn apply(&self, core: Rc<EntryCore>, draft: RequestDraft) -> LocalBoxFuture<'_, FilterStep> {
         Box::pin(async move {
             core.refresh();
+            let (fingerprint, now) = (draft.fingerprint(), Instant::now());
             let crashes = core.crashes.borrow();
-            let verdict = crashes.verdict(&draft.fingerprint(), Instant::now());
+            let verdict = crashes.verdict(&fingerprint, now);
+            let hold = crashes.hold(&fingerprint, now);
             drop(crashes);
-            if verdict != CrashVerdict::Refused {
-                return Ok(draft);
+            if verdict == CrashVerdict::Refused {
+                let detail = "targets died while they ran this request";
+                return refused(draft.refuse(FailureReason::CrashSuspect, detail));
             }
-            let detail = "targets died while they ran this request";
-            refused(draft.refuse(FailureReason::CrashSuspect, detail))
+            let Some(hold) = hold else {
+                return Ok(draft);
+            };
+            let detail = "a target died while it ran this request, which is tried again first";
+            let report = draft.refuse(FailureReason::CrashSuspect, detail);
+            refused(report.retry_after(hold))
         })
     }
 }
--- a/crates/retry/src/crash_entry.rs
+++ b/crates/retry/src/crash_entry.rs
@@ -13,6 +13,8 @@
 pub(crate) struct CrashEntry {
     pub victims: Vec<TargetStrikes>,
     pub until: Instant,
+    /// Until when no new call of the request may leave.
+    pub held_until: Option<Instant>,
 }
 
 impl CrashEntry {
@@ -20,6 +22,7 @@
         Self {
             victims: Vec::new(),
             until,
+            held_until: None,
         }
     }
 
@@ -29,6 +32,11 @@
         self.victims.iter().map(open).sum()
     }
 
+    /// Holds the request; a longer hold wins.
+    pub fn hold(&mut self, until: Instant) {
+        self.held_until = self.held_until.max(Some(until));
+    }
+
     pub fn strike(&mut self, call: SuspectCall<'_>) {
         if let Some(victim) = self.victim(short_hash(call.target), call.stage) {
             victim.strikes += 1;
--- a/crates/retry/src/crash_ledger.rs
+++ b/crates/retry/src/crash_ledger.rs
@@ -25,6 +25,12 @@
     pub lifetime: Duration,
     /// Requests that are remembered at most.
     pub records: usize,
+    /// Time for which a request that a peer has struck is held, so that the peer alone tries it
+    /// again.
+    pub peer_hold: Duration,
+    /// Time for which a request is held after a strike of this entry, so that peers hear of it
+    /// and what they saw is heard here.
+    pub own_hold: Duration,
 }
 
 impl Default for LedgerSettings {
@@ -32,6 +38,8 @@
         Self {
             lifetime: Duration::from_secs(600),
             records: 4_096,
+            peer_hold: Duration::from_secs(2),
+            own_hold: Duration::ZERO,
         }
     }
 }
@@ -54,7 +62,7 @@
     Granted,
     /// Not on this target; another may do.
     Elsewhere,
-    /// Not now: the same request runs already, and how that ends decides.
+    /// Not now: the same request runs already, here or at a peer, and how that ends decides.
     Later,
     /// It may run nowhere.
     Refused,
@@ -121,6 +129,26 @@
         }
     }
 
+    /// True if the request has run this stage to its end lately.
+    pub fn is_proven(
+        &self,
+        fingerprint: &CrashFingerprint,
+        stage: StageIndex,
+        now: Instant,
+    ) -> bool {
+        let proven = self.proven.get(&(*fingerprint, stage));
+        proven.is_some_and(|until| *until > now)
+    }
+
+    /// Time for which a suspect is still held; `None` if it is not.
+    pub fn hold(&self, fingerprint: &CrashFingerprint, now: Instant) -> Option<Duration> {
+        if self.verdict(fingerprint, now) != CrashVerdict::Suspect {
+            return None;
+        }
+        let until = self.entries.get(fingerprint)?.held_until?;
+        Some(until.saturating_duration_since(now)).filter(|left| !left.is_zero())
+    }
+
     /// Asks whether the call may run now; a granted call must be finished.
     pub fn permit(&mut self, call: SuspectCall<'_>, now: Instant) -> RunPermit {
         let permit = match self.verdict(&call.fingerprint, now) {
@@ -144,17 +172,23 @@
         }
     }
 
-    /// Takes in what a peer knows; the larger of each count wins.
+    /// Takes in what a peer knows; the larger of each count wins. A request with a new strike
+    /// is held.
     pub fn merge(&mut self, record: &CrashRecord, now: Instant) {
         let until = now + record.remaining.min(self.settings.lifetime);
         if until <= now {
             return;
         }
+        let held_until = now + self.settings.peer_hold;
         let entry = self.live_entry(&record.fingerprint, now);
         if until > entry.until + MERGE_SLACK || entry.victims.is_empty() {
             entry.until = entry.until.max(until);
         }
+        let known = entry.strikes();
         entry.merge(&record.victims);
+        if entry.strikes() > known {
+            entry.hold(held_until);
+        }
         self.make_room();
     }
 
@@ -184,7 +218,8 @@
     }
 
     fn permit_suspect(&self, call: SuspectCall<'_>, now: Instant) -> RunPermit {
-        if self.running.is_running(&call.fingerprint) {
+        let held = self.hold(&call.fingerprint, now).is_some();
+        if held || self.running.is_running(&call.fingerprint) {
             return RunPermit::Later;
         }
         let mut running = self.running.on_target(call.target);
@@ -195,8 +230,7 @@
     }
 
     fn permit_clear(&self, call: SuspectCall<'_>, now: Instant) -> RunPermit {
-        let proven = self.proven.get(&(call.fingerprint, call.stage));
-        if proven.is_some_and(|until| *until > now) {
+        if self.is_proven(&call.fingerprint, call.stage, now) {
             return RunPermit::Granted;
         }
         match self.running.other_targets(call) < REFUSED_STRIKES as usize {
@@ -209,7 +243,9 @@
     fn strike(&mut self, call: SuspectCall<'_>, now: Instant) {
         self.proven.remove(&(call.fingerprint, call.stage));
         let until = now + self.settings.lifetime;
+        let held_until = now + self.settings.own_hold;
         let entry = self.live_entry(&call.fingerprint, now);
+        entry.hold(held_until);
         entry.until = entry.until.max(until);
         entry.strike(call);
         self.running.mark_struck(call);
@@ -244,7 +280,7 @@
             .entry(*fingerprint)
             .or_insert_with(|| CrashEntry::new(now));
         if entry.until <= now {
-            entry.victims.clear();
+            *entry = CrashEntry::new(now);
         }
         entry
     }
--- a/crates/retry/tests/crash_ledger.rs
+++ b/crates/retry/tests/crash_ledger.rs
@@ -280,3 +280,83 @@
     ledger.finish(call, RunEnd::TargetDied, now);
     assert_eq!(ledger.verdict(&request, now), CrashVerdict::Refused);
 }
+
+#[test]
+fn a_request_that_a_peer_struck_is_held_until_the_peer_has_tried_it_again() {
+    let mut trial = CrashTrial::new(2);
+    trial.start(0, CRASHER, 0);
+    trial.end(0);
+    trial.gossip();
+    let hold = LedgerSettings::default().peer_hold;
+    let struck = trial.now;
+    while trial.now < struck + hold {
+        let left = trial.ledgers[1].hold(&request(CRASHER), trial.now);
+        assert_eq!(left, Some(struck + hold - trial.now));
+        assert_eq!(trial.start(1, CRASHER, 1), RunPermit::Later);
+        trial.now += Duration::from_millis(100);
+        // What is known already prolongs nothing.
+        trial.gossip();
+    }
+    assert_eq!(trial.ledgers[1].hold(&request(CRASHER), trial.now), None);
+    assert_eq!(trial.start(1, CRASHER, 1), RunPermit::Granted);
+}
+
+#[test]
+fn a_request_that_this_entry_struck_waits_for_word_of_peers() {
+    let now = Instant::now();
+    let own_hold = Duration::from_millis(100);
+    let mut ledger = CrashLedger::new(LedgerSettings {
+        own_hold,
+        ..LedgerSettings::default()
+    });
+    let call = SuspectCall {
+        fingerprint: request(1),
+        stage: 0,
+        target: "t1",
+    };
+    assert_eq!(ledger.permit(call, now), RunPermit::Granted);
+    ledger.finish(call, RunEnd::TargetDied, now);
+    let other = SuspectCall {
+        target: "t2",
+        ..call
+    };
+    assert_eq!(ledger.permit(other, now), RunPermit::Later);
+    assert_eq!(ledger.permit(other, now + own_hold), RunPermit::Granted);
+}
+
+#[test]
+fn a_refused_request_is_not_held() {
+    let mut trial = CrashTrial::new(2);
+    for place in [0, 1] {
+        trial.start(0, CRASHER, place);
+        trial.end(0);
+    }
+    trial.gossip();
+    assert_eq!(trial.ledgers[1].hold(&request(CRASHER), trial.now), None);
+    assert_eq!(trial.start(1, CRASHER, 2), RunPermit::Refused);
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn copies_on_other_entries_after_the_first_crash_add_one_crash_at_most(
+        steps in prop::collection::vec((any::<bool>(), 0_usize..4, 0..TARGETS), 1..100),
+    ) {
+        let mut trial = CrashTrial::new(4);
+        trial.start(0, CRASHER, 0);
+        trial.end(0);
+        trial.gossip();
+        for (start, entry, place) in steps {
+            trial.now += Duration::from_millis(15);
+            // The dead target is not asked again.
+            if start && place > 0 {
+                trial.start(entry, CRASHER, place);
+            } else if !trial.running.is_empty() {
+                trial.end(entry % trial.running.len());
+                trial.gossip();
+            }
+        }
+        prop_assert!(trial.crashes <= 2);
+    }
+}
