Send copies of an unproven request to the same targets on all entries

Cause: copies that reach several entries before any has heard of a crash each crashed a target of their own. An innocent neighbour that was struck on one entry could resume beside the crasher of another entry and be refused as if it had crashed two targets.

Change: the two targets among which a call chooses are drawn from the request's fingerprint instead of the entry's generator until the request has run whole there; a further call stays among them and leaves prefix affinity aside, and a third target waits 100 ms for word of peers. A suspect is tried for up to 500 ms, and never a quarter of what remains, within its entry's own part of the pool, which no other entry's suspects use. The choice of the target moves into a file of its own.

Ruled out: narrowing first calls to the fingerprint's targets without affinity, which would cost cache hits of every new prompt; asking a customer's first entry for leave, a round trip for each request.

Limit: where prefix affinity outweighs the drawn targets on some entries only, first copies may meet a third target. Where entries outnumber the targets of a pool some share a part.

--- a/crates/entry/src/data/mod.rs
+++ b/crates/entry/src/data/mod.rs
@@ -16,6 +16,7 @@
 mod spend_guard;
 mod stage_call;
 mod stage_desk;
+mod stage_target;
 mod start_entry;
 mod target_call;
 mod target_client;
--- a/crates/entry/src/data/pool_desk.rs
+++ b/crates/entry/src/data/pool_desk.rs
@@ -8,7 +8,7 @@
     route::{CallOutcome, Pick, PickQuery, PoolSettings, TargetPool, TargetSpec},
     sheet::FleetSheet,
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -168,24 +168,33 @@
             .wait_estimate(query.customer, query.weight, query.cost.as_secs_f64())
     }
 
-    /// Target for the next call of a request that has tried some already.
-    pub fn pick(
-        &mut self,
-        pool: &str,
-        prefix: Option<u64>,
-        tried: &[TargetId],
-        now: Instant,
-    ) -> Option<Pick> {
+    /// Target for the next call of a request, as the query asks but for this entry's data centre.
+    pub fn pick(&mut self, pool: &str, query: PickQuery<'_>, now: Instant) -> Option<Pick> {
         let state = self.pools.get_mut(pool)?;
         let query = PickQuery {
-            prefix,
-            tried,
             local_centre: &self.centre,
-            expected_cost: 0.0,
+            ..query
         };
         state.targets.pick(query, now)
     }
 
+    /// Targets of the pool that lie in other entries' parts of it. Entries with the same view of
+    /// the fleet share the pool out alike; with fewer targets than entries some share a part.
+    pub fn parts_of_others(&self, pool: &str, host: &str) -> Vec<TargetId> {
+        let Some(sheet) = &self.view.sheet else {
+            return Vec::new();
+        };
+        let rows = sheet.targets.values().filter(|row| row.pool == pool);
+        let targets: BTreeSet<&TargetId> = rows.map(|row| &row.name).collect();
+        let hosts = self.view.hosts.iter().map(|row| row.host.as_str());
+        let hosts: BTreeSet<&str> = hosts.chain([host]).collect();
+        let parts = hosts.len().min(targets.len()).max(1);
+        let own = hosts.iter().position(|other| *other == host).unwrap_or(0) % parts;
+        let others = targets.into_iter().enumerate();
+        let others = others.filter(|(place, _)| place % parts != own);
+        others.map(|(_, target)| target.clone()).collect()
+    }
+
     /// Notes that a call goes to a target.
     pub fn started(&mut self, pool: &str, target: &str, now: Instant) {
         if let Some(state) = self.pools.get_mut(pool) {
--- a/crates/entry/src/data/stage_call.rs
+++ b/crates/entry/src/data/stage_call.rs
@@ -13,7 +13,7 @@
     base::{CallIdentity, FailureReason, PipelineId, RequestPriority, TargetId},
     limit::ReleaseOutcome,
     pipe::{CallFailure, CallOrder, PlanStage, RunEvent, UnsentProof},
-    retry::{CrashFingerprint, HedgeCall, RunEnd, RunPermit, SuspectCall},
+    retry::{CrashFingerprint, HedgeCall, RunEnd, SuspectCall},
     route::{CallOutcome, Pick},
     stamp::EventKind,
     std::{
@@ -26,11 +26,6 @@
 
 /// Tokens that an engine's call is scaled to, so that long and short answers compare.
 const NOMINAL_TOKENS: f64 = 16.0;
-/// Pause before a suspect asks again whether it may run.
-const SUSPECT_PAUSE: Duration = Duration::from_millis(10);
-/// Bytes at the beginning of a prompt that an engine may have cached.
-const PREFIX_BYTES: usize = 256;
-
 /// What all calls of one request share.
 pub struct CallScope {
     pub core: Rc<EntryCore>,
@@ -50,9 +45,9 @@
 
 /// One call of one stage: waits for its place, chooses a target and makes the call.
 pub struct StageCall {
-    scope: Rc<CallScope>,
-    stage: PlanStage,
-    order: CallOrder,
+    pub(super) scope: Rc<CallScope>,
+    pub(super) stage: PlanStage,
+    pub(super) order: CallOrder,
     cost: Duration,
 }
 
@@ -114,52 +109,7 @@
         }
     }
 
-    /// A target that the request has not tried and may run on.
-    async fn pick_target(&self) -> Result<Pick, CallFailure> {
-        let scope = &self.scope;
-        let mut passed = Vec::new();
-        loop {
-            let now = Instant::now();
-            if now >= scope.deadline {
-                return Err(self.unsent(FailureReason::DeadlinePassed));
-            }
-            let Some(pick) = self.pick_open(&passed, now) else {
-                if passed.is_empty() {
-                    self.forget_tried()?;
-                } else {
-                    passed.clear();
-                    actix_rt::time::sleep(SUSPECT_PAUSE).await;
-                }
-                continue;
-            };
-            let call = self.suspect_call(&pick.target);
-            let permit = scope.core.crashes.borrow_mut().permit(call, now);
-            match permit {
-                RunPermit::Granted => {
-                    scope.tried.borrow_mut().push(pick.target.clone());
-                    return Ok(pick);
-                }
-                RunPermit::Elsewhere | RunPermit::Later => passed.push(pick.target),
-                RunPermit::Refused => return Err(self.unsent(FailureReason::CrashSuspect)),
-            }
-        }
-    }
-
-    /// A target that was neither tried nor passed over.
-    fn pick_open(&self, passed: &[TargetId], now: Instant) -> Option<Pick> {
-        let scope = &self.scope;
-        scope.core.refresh();
-        let prefix = self.stage.engine.then(|| prefix_hash(&self.order.input));
-        let mut closed = scope.tried.borrow().clone();
-        closed.extend_from_slice(passed);
-        scope
-            .core
-            .pools
-            .borrow_mut()
-            .pick(&self.stage.pool, prefix, &closed, now)
-    }
-
-    fn suspect_call<'a>(&self, target: &'a str) -> SuspectCall<'a> {
+    pub(super) fn suspect_call<'a>(&self, target: &'a str) -> SuspectCall<'a> {
         SuspectCall {
             fingerprint: self.scope.fingerprint,
             stage: self.order.stage,
@@ -167,17 +117,6 @@
         }
     }
 
-    /// Lets all tried targets but the last one be tried again.
-    fn forget_tried(&self) -> Result<(), CallFailure> {
-        let mut tried = self.scope.tried.borrow_mut();
-        if tried.len() < 2 {
-            return Err(CallFailure::NoTarget(UnsentProof::not_called()));
-        }
-        let last = tried.len() - 1;
-        tried.drain(..last);
-        Ok(())
-    }
-
     async fn make_call(
         &self,
         pick: Pick,
@@ -298,7 +237,7 @@
         self.unsent(end.reason)
     }
 
-    fn unsent(&self, reason: FailureReason) -> CallFailure {
+    pub(super) fn unsent(&self, reason: FailureReason) -> CallFailure {
         CallFailure::Withheld(UnsentProof::not_called(), reason)
     }
 
@@ -327,13 +266,6 @@
     }
 }
 
-fn prefix_hash(input: &[u8]) -> u64 {
-    let prefix = &input[..input.len().min(PREFIX_BYTES)];
-    let mut word = [0; 8];
-    word.copy_from_slice(&blake3::hash(prefix).as_bytes()[..8]);
-    u64::from_le_bytes(word)
-}
-
 /// Engine calls are compared by their time for each token.
 fn scaled_time(elapsed: Duration, engine: bool, tokens: u64) -> Duration {
     if !engine || tokens == 0 {
--- a/crates/route/src/target_pool.rs
+++ b/crates/route/src/target_pool.rs
@@ -30,6 +30,9 @@
     pub local_centre: &'a str,
     /// Seconds that the call takes on an ordinary target; 0 if it is an ordinary call.
     pub expected_cost: f64,
+    /// Hash of the request: its copies on all entries choose among the same few targets. The
+    /// choice is random without it.
+    pub copies: Option<u64>,
 }
 
 /// Target that a call should go to.
@@ -254,15 +257,18 @@
         query: PickQuery<'_>,
         now: Instant,
     ) -> Option<usize> {
-        let drawn = self.draw(open);
+        let drawn = match query.copies {
+            Some(hash) => self.draw_alike(open, hash, now),
+            None => self.draw(open),
+        };
         let cost = |place: usize| self.cost(place, query, now);
         let best = drawn
             .into_iter()
             .min_by(|left, right| cost(*left).total_cmp(&cost(*right)))?;
-        let Some(owner) = query
-            .prefix
-            .and_then(|prefix| self.prefix_owner(open, prefix))
-        else {
+        // A copy that was sent on stays among the targets of its other copies.
+        let sent_on = query.copies.is_some() && !query.tried.is_empty();
+        let prefix = query.prefix.filter(|_| !sent_on);
+        let Some(owner) = prefix.and_then(|prefix| self.prefix_owner(open, prefix)) else {
             return Some(best);
         };
         let ordinary = match query.expected_cost > 0.0 {
@@ -293,6 +299,29 @@
         drawn
     }
 
+    /// Draws places by weight, the same ones for the same hash on every entry, those that were
+    /// tried included. Over many hashes it draws as often as the random choice does.
+    fn draw_alike(&self, open: &[(usize, f64)], hash: u64, now: Instant) -> Vec<usize> {
+        let score = |place: usize, weight| {
+            let record = &self.records[place];
+            weighted_score(mix(record.hash ^ mix(hash)), weight)
+        };
+        let mut ranked: Vec<(f64, usize)> = self
+            .open_places(&[], now)
+            .into_iter()
+            .map(|(place, weight)| (score(place, weight), place))
+            .collect();
+        ranked.sort_by(|left, right| right.0.total_cmp(&left.0));
+        let is_open = |place: &usize| open.iter().any(|(other, _)| other == place);
+        let choices = self.settings.choices.max(1);
+        let places = || ranked.iter().map(|(_, place)| *place);
+        let drawn: Vec<usize> = places().take(choices).filter(is_open).collect();
+        match drawn.is_empty() {
+            true => places().find(is_open).into_iter().collect(),
+            false => drawn,
+        }
+    }
+
     /// Seconds until a call would be answered, the way to the target included.
     fn cost(&self, place: usize, query: PickQuery<'_>, now: Instant) -> f64 {
         let record = &self.records[place];
