--- a/crates/proofs/tests/crashing_request.rs
+++ b/crates/proofs/tests/crashing_request.rs
@@ -268,6 +268,7 @@
     }
 }
 
+/// Copies that leave before any entry has heard of a crash meet the same two targets.
 #[actix_rt::test]
 async fn copies_to_all_entries_at_once_crash_no_third_target() {
     for pipeline in ["chat", "read"] {
