--- a/crates/route/src/target_choice.rs
+++ b/crates/route/src/target_choice.rs
@@ -11,6 +11,9 @@
     },
 };
 
+/// Targets that the copies of one request choose among: a request may crash no more than two.
+const COPY_CHOICES: usize = 2;
+
 /// A target that may be chosen, with its weight in the random choice.
 #[derive(Debug, Clone, Copy)]
 struct OpenPlace {
@@ -36,11 +39,16 @@
         if open.is_empty() {
             return self.last_resort();
         }
-        let drawn = self.draw(&open, generator);
+        let drawn = match self.query.copies {
+            Some(hash) => self.draw_alike(&open, hash),
+            None => self.draw(&open, generator),
+        };
         let best = drawn
             .into_iter()
             .min_by(|left, right| self.cost(*left).total_cmp(&self.cost(*right)))?;
-        let Some(prefix) = self.query.prefix else {
+        // A copy that was sent on stays among the targets of its other copies.
+        let sent_on = self.query.copies.is_some() && !self.query.tried.is_empty();
+        let Some(prefix) = self.query.prefix.filter(|_| !sent_on) else {
             return Some(best);
         };
         let owner = self.prefix_owner(&open, prefix)?;
@@ -101,6 +109,31 @@
         drawn
     }
 
+    /// Draws places by weight, the same ones for the same hash on every entry, those that were
+    /// tried included. Over many hashes it draws as often as the random choice does.
+    fn draw_alike(&self, open: &[OpenPlace], hash: u64) -> Vec<usize> {
+        let untried = TargetChoice {
+            query: PickQuery {
+                tried: &[],
+                ..self.query
+            },
+            ..*self
+        };
+        let score = |open: &OpenPlace| {
+            let record = &self.records[open.place];
+            weighted_score(mix(record.hash ^ mix(hash)), open.weight)
+        };
+        let mut ranked = untried.open_places();
+        ranked.sort_by(|left, right| score(right).total_cmp(&score(left)));
+        let is_open = |place: &usize| open.iter().any(|other| other.place == *place);
+        let places = || ranked.iter().map(|open| open.place);
+        let drawn: Vec<usize> = places().take(COPY_CHOICES).filter(is_open).collect();
+        match drawn.is_empty() {
+            true => places().find(is_open).into_iter().collect(),
+            false => drawn,
+        }
+    }
+
     /// Seconds until a call would be answered, the way to the target included.
     fn cost(&self, place: usize) -> f64 {
         let record = &self.records[place];
--- a/crates/route/src/target_pool.rs
+++ b/crates/route/src/target_pool.rs
@@ -30,6 +30,9 @@
     pub local_centre: &'a str,
     /// Seconds that the call takes on an ordinary target; 0 if it is an ordinary call.
     pub expected_cost: f64,
+    /// Hash of the request: its copies on all entries choose among the same few targets. The
+    /// choice is random without it.
+    pub copies: Option<u64>,
 }
 
 /// Target that a call should go to.
