Let agreement among newcomers not outweigh a proof of a later sheet

Cause: a daemon took its first sheet for confirmed when any peer had the same. If every entry was replaced while the service was stale, they confirmed the old sheet to each other, and a caller's proof of the later one refused that one request only: the old sheet stayed in force for all others.

Change: SheetStanding tells agreement from being vouched for. A daemon is vouched for if one that is itself vouched for has its version (a field of the peer frame SheetHas, event PeerVouches), or if the service moved on while it ran. One that peers only agree with stops being ready at a proof of a later version until it has a sheet as late. Words of peers act as before.

Ruled out: dropping agreement altogether, since an entry that starts with the whole fleet would then refuse requests at the next publish until it has fetched the sheet; asking peers on after the start, for the load it brings.

What remains: a service that moves from one old version to another while a newcomer watches vouches for it.

--- a/crates/entry/src/control/sheet_controller.rs
+++ b/crates/entry/src/control/sheet_controller.rs
@@ -85,6 +85,7 @@
             _ => PeerFrame::SheetHas {
                 version: keeper.version(),
                 digest: keeper.digest().to_string(),
+                vouched: keeper.is_vouched(),
                 marks,
             },
         }
@@ -213,9 +214,13 @@
             Some(PeerFrame::SheetHas {
                 version,
                 digest,
+                vouched,
                 marks,
             }) => {
                 self.members.learn_targets(marks);
+                if vouched {
+                    self.handle(SheetEvent::PeerVouches { version });
+                }
                 SheetEvent::PeerHas {
                     host,
                     version,
--- a/crates/sheet/src/lib.rs
+++ b/crates/sheet/src/lib.rs
@@ -16,6 +16,7 @@
 mod sheet_index;
 mod sheet_keeper;
 mod sheet_part;
+mod sheet_standing;
 mod source_plan;
 mod start_watch;
 mod watch_rota;
--- a/crates/sheet/src/sheet_event.rs
+++ b/crates/sheet/src/sheet_event.rs
@@ -39,6 +39,12 @@
         /// Digest of that sheet, empty if none.
         digest: String,
     },
+    /// A peer says that its sheet of this version may be relied on; see
+    /// [`crate::SheetKeeper::is_vouched`].
+    PeerVouches {
+        /// Version that it has in force.
+        version: SheetVersion,
+    },
     /// A peer did not answer, or broke off.
     PeerFailed {
         /// The peer.
--- a/crates/sheet/src/sheet_keeper.rs
+++ b/crates/sheet/src/sheet_keeper.rs
@@ -1,7 +1,8 @@
 use {
     crate::{
         FleetSheet, SheetAction, SheetBundle, SheetEvent, SheetIndex, SheetReport, SheetSource,
-        report_book::ReportBook, source_plan::SourcePlan, start_watch::StartWatch,
+        report_book::ReportBook, sheet_standing::SheetStanding, source_plan::SourcePlan,
+        start_watch::StartWatch,
     },
     base::{HostId, SheetVersion},
     std::{sync::Arc, time::Instant},
@@ -30,7 +31,9 @@
 ///
 /// A daemon that starts out of reach of every peer, caller and engine cannot tell that the
 /// service is stale; it puts in force what it is served and stops being ready if it hears of a
-/// later version before any peer has confirmed its own.
+/// later version before any peer has confirmed its own. Peers that started in the same way may
+/// agree on a stale sheet; then a caller's proof of a later one still ends it, unless one of them
+/// was vouched for.
 ///
 /// ```
 /// use sheet::{SheetAction, SheetBundle, SheetEvent, SheetIndex, SheetKeeper, SheetSource};
@@ -52,8 +55,7 @@
 #[derive(Debug)]
 pub struct SheetKeeper {
     in_force: Option<SheetInForce>,
-    confirmed: bool,
-    heard: SheetVersion,
+    standing: SheetStanding,
     start: StartWatch,
     sources: SourcePlan,
     reports: ReportBook,
@@ -64,8 +66,7 @@
     pub fn new(host: impl Into<HostId>, now: Instant) -> Self {
         Self {
             in_force: None,
-            confirmed: false,
-            heard: 0,
+            standing: SheetStanding::default(),
             start: StartWatch::new(now),
             sources: SourcePlan::new(host.into()),
             reports: ReportBook::default(),
@@ -96,12 +97,18 @@
 
     /// Latest version that was in force anywhere, as far as is known.
     pub fn heard(&self) -> SheetVersion {
-        self.heard
+        self.standing.heard()
+    }
+
+    /// True if a peer that starts may rely on the sheet in force here: a daemon that was vouched
+    /// for itself said so, or the service moved on while this daemon ran.
+    pub fn is_vouched(&self) -> bool {
+        self.is_started() && self.standing.is_vouched()
     }
 
     /// True if requests may be accepted under the sheet in force.
     pub fn is_ready(&self) -> bool {
-        self.in_force.is_some() && (self.confirmed || self.version() >= self.heard)
+        self.in_force.is_some() && self.standing.is_trusted(self.version())
     }
 
     /// When to send the next tick at the latest.
@@ -121,13 +128,14 @@
                 version,
                 digest,
             } => self.learn_peer(host, version, digest, &mut actions),
+            SheetEvent::PeerVouches { version } => self.learn_vouch(version),
             SheetEvent::PeerFailed { host } => {
                 self.start.fail(&host);
                 self.sources.fail(&SheetSource::Peer(host), now);
             }
             SheetEvent::IndexRead { index } => self.learn_index(index, &mut actions),
             SheetEvent::ServiceFailed => self.sources.fail(&SheetSource::Service, now),
-            SheetEvent::SeenVersion { version } => self.heard = self.heard.max(version),
+            SheetEvent::SeenVersion { version } => self.standing.prove(version),
             SheetEvent::PartsFetched { source, bundle } => {
                 self.take_bundle(source, bundle, now, &mut actions);
             }
@@ -146,15 +154,23 @@
         actions: &mut Vec<SheetAction>,
     ) {
         self.start.answer(&host, version > 0);
-        self.heard = self.heard.max(version);
-        if version > 0 && version == self.version() && version == self.heard {
-            self.confirmed = true;
+        self.standing.hear(version);
+        if version > 0 && version == self.version() {
+            self.standing.agree(version);
         }
         let source = SheetSource::Peer(host.clone());
         self.note_conflict(version, &digest, source, actions);
         self.sources.peers.learn(host, version, digest);
     }
 
+    fn learn_vouch(&mut self, version: SheetVersion) {
+        self.start.vouch();
+        self.standing.hear(version);
+        if version > 0 && version == self.version() {
+            self.standing.vouch(version);
+        }
+    }
+
     fn learn_index(&mut self, index: SheetIndex, actions: &mut Vec<SheetAction>) {
         let digest = index.digest();
         let in_force = self.version();
@@ -230,8 +246,10 @@
     ) {
         let sheet = Arc::new(sheet);
         let version = sheet.version();
-        self.confirmed = self.is_started() || self.start.has_answer();
-        self.heard = self.heard.max(version);
+        let moved_on = self.is_started();
+        let agreed = moved_on || self.start.has_answer();
+        let vouched = moved_on || self.start.is_vouched();
+        self.standing.replace(version, agreed, vouched);
         self.reports.forget_up_to(version);
         self.in_force = Some(SheetInForce {
             sheet: Arc::clone(&sheet),
@@ -255,7 +273,7 @@
         let late_enough = if self.is_started() {
             version > self.version()
         } else {
-            version > 0 && version >= self.heard
+            version > 0 && version >= self.heard()
         };
         late_enough && !self.reports.is_refused(version, digest)
     }
@@ -275,8 +293,10 @@
         let offers = self
             .sources
             .offers(|version, digest| self.accepts(version, digest));
-        if !self.is_started() && offers.is_empty() && self.heard > 0 && self.sources.has_index() {
-            let report = SheetReport::HeldBack { heard: self.heard };
+        if !self.is_started() && offers.is_empty() && self.heard() > 0 && self.sources.has_index() {
+            let report = SheetReport::HeldBack {
+                heard: self.heard(),
+            };
             self.reports.push(report, "", actions);
         }
         actions.extend(self.sources.fetch_first(offers, now));
--- a/crates/sheet/src/start_watch.rs
+++ b/crates/sheet/src/start_watch.rs
@@ -18,6 +18,7 @@
     open: BTreeSet<HostId>,
     asked: bool,
     answered: bool,
+    vouched: bool,
 }
 
 impl StartWatch {
@@ -28,6 +29,7 @@
             open: BTreeSet::new(),
             asked: false,
             answered: false,
+            vouched: false,
         }
     }
 
@@ -54,6 +56,16 @@
         self.answered
     }
 
+    /// Records that a vouched peer answered.
+    pub(crate) fn vouch(&mut self) {
+        self.vouched = true;
+    }
+
+    /// True if a vouched peer answered.
+    pub(crate) fn is_vouched(&self) -> bool {
+        self.vouched
+    }
+
     /// Records that a peer failed.
     pub(crate) fn fail(&mut self, host: &str) {
         self.open.remove(host);
--- a/crates/wire/src/peer_frame.rs
+++ b/crates/wire/src/peer_frame.rs
@@ -34,6 +34,8 @@
         version: SheetVersion,
         /// Digest of that sheet, hexadecimal; empty if none.
         digest: String,
+        /// True if a daemon that starts may rely on it.
+        vouched: bool,
         /// Words on leaving targets.
         marks: Vec<PeerRumour>,
     },
