Fetch a later sheet from any peer that has it

Cause: the member table reports a version of the sheet once, with the peer it was heard of first. If nothing could be fetched from that peer and the service was stale or cut off, no other holder was ever tried: the entry stayed on the older sheet until a further version came. Found by any_peer_that_has_the_sheet_can_give_it ("not within 5s: sheet 3 is in force everywhere").

Change: while a later version is known than the one in force, the controller names every holder among the members to the keeper with each tick.

Ruled out: reporting the version with each heartbeat, which costs an event a heartbeat in the calm state.

--- a/crates/entry/src/control/sheet_controller.rs
+++ b/crates/entry/src/control/sheet_controller.rs
@@ -156,10 +156,30 @@
             let next = self.keeper.borrow().next_wakeup(now);
             let pause = next.map_or(TICK_PAUSE, |next| next.saturating_duration_since(now));
             actix_rt::time::sleep(pause.min(TICK_PAUSE)).await;
+            self.recall_holders();
             self.handle(SheetEvent::Tick);
         }
     }
 
+    /// Tells the keeper of every peer that has a later sheet: the one that was heard of first may
+    /// be gone, and members report a version only once.
+    fn recall_holders(self: &Rc<Self>) {
+        let version = self.keeper.borrow().version();
+        // A daemon without a sheet asks its peers anyway.
+        if version == 0 || self.keeper.borrow().heard() <= version {
+            return;
+        }
+        let members = self.members.members().into_iter();
+        for view in members.filter(|view| !view.suspect && view.sheet_version > version) {
+            let digest = self.long_digest(view.sheet_digest);
+            self.handle(SheetEvent::PeerHas {
+                host: view.entry.host,
+                version: view.sheet_version,
+                digest,
+            });
+        }
+    }
+
     /// Pause before the next read; none for those that watch.
     fn index_pause(&self) -> Duration {
         let entries = self.members.entries().into_iter();
