--- a/crates/entry/src/control/sheet_controller.rs
+++ b/crates/entry/src/control/sheet_controller.rs
@@ -85,6 +85,7 @@
             _ => PeerFrame::SheetHas {
                 version: keeper.version(),
                 digest: keeper.digest().to_string(),
+                vouched: keeper.is_vouched(),
                 marks,
             },
         }
@@ -155,10 +156,30 @@
             let next = self.keeper.borrow().next_wakeup(now);
             let pause = next.map_or(TICK_PAUSE, |next| next.saturating_duration_since(now));
             actix_rt::time::sleep(pause.min(TICK_PAUSE)).await;
+            self.recall_holders();
             self.handle(SheetEvent::Tick);
         }
     }
 
+    /// Tells the keeper of every peer that has a later sheet: the one that was heard of first may
+    /// be gone, and members report a version only once.
+    fn recall_holders(self: &Rc<Self>) {
+        let version = self.keeper.borrow().version();
+        // A daemon without a sheet asks its peers anyway.
+        if version == 0 || self.keeper.borrow().heard() <= version {
+            return;
+        }
+        let members = self.members.members().into_iter();
+        for view in members.filter(|view| !view.suspect && view.sheet_version > version) {
+            let digest = self.long_digest(view.sheet_digest);
+            self.handle(SheetEvent::PeerHas {
+                host: view.entry.host,
+                version: view.sheet_version,
+                digest,
+            });
+        }
+    }
+
     /// Pause before the next read; none for those that watch. The others differ in their pauses,
     /// so that daemons which start together do not go on reading together.
     fn index_pause(&self) -> Duration {
@@ -213,9 +234,13 @@
             Some(PeerFrame::SheetHas {
                 version,
                 digest,
+                vouched,
                 marks,
             }) => {
                 self.members.learn_targets(marks);
+                if vouched {
+                    self.handle(SheetEvent::PeerVouches { version });
+                }
                 SheetEvent::PeerHas {
                     host,
                     version,
--- a/crates/route/src/target_choice.rs
+++ b/crates/route/src/target_choice.rs
@@ -127,7 +127,8 @@
         ranked.sort_by(|left, right| score(right).total_cmp(&score(left)));
         let is_open = |place: &usize| open.iter().any(|other| other.place == *place);
         let places = || ranked.iter().map(|open| open.place);
-        let drawn: Vec<usize> = places().take(COPY_CHOICES).filter(is_open).collect();
+        let choices = self.settings.choices.clamp(1, COPY_CHOICES);
+        let drawn: Vec<usize> = places().take(choices).filter(is_open).collect();
         match drawn.is_empty() {
             true => places().find(is_open).into_iter().collect(),
             false => drawn,
--- a/crates/sheet/src/start_watch.rs
+++ b/crates/sheet/src/start_watch.rs
@@ -20,6 +20,7 @@
     open: BTreeSet<HostId>,
     first_ask: Option<Instant>,
     answered: bool,
+    vouched: bool,
 }
 
 impl StartWatch {
@@ -30,6 +31,7 @@
             open: BTreeSet::new(),
             first_ask: None,
             answered: false,
+            vouched: false,
         }
     }
 
@@ -58,6 +60,16 @@
         self.answered
     }
 
+    /// Records that a vouched peer answered.
+    pub(crate) fn vouch(&mut self) {
+        self.vouched = true;
+    }
+
+    /// True if a vouched peer answered.
+    pub(crate) fn is_vouched(&self) -> bool {
+        self.vouched
+    }
+
     /// Records that a peer failed.
     pub(crate) fn fail(&mut self, host: &str) {
         self.open.remove(host);
--- a/crates/wire/tests/seals.rs
+++ b/crates/wire/tests/seals.rs
@@ -98,6 +98,7 @@
         (any::<u64>(), ".{0,64}").prop_map(|(version, digest)| PeerFrame::SheetHas {
             version,
             digest,
+            vouched: version % 2 == 0,
             marks: Vec::new(),
         }),
     ]
