Refuse addresses nobody can connect to, and say failures in words

An entry that listened on 0.0.0.0 told callers and peers that address. The settings check now refuses it, with a test of the command line. The detail of a failure carried the debug form of an inner type to callers; it has words. Doc comments of the settings say what the code does (the poll is of the host list only, the queue is for each pool).

--- a/crates/entry/src/data/stage_call.rs
+++ b/crates/entry/src/data/stage_call.rs
@@ -236,7 +236,7 @@
                 Ok(())
             }
             CallEnd::Failed(failure) => {
-                let detail = format!("{failure:?}");
+                let detail = failure.to_string();
                 self.record(EventKind::CallFailed, &pick.target, &detail);
                 if died {
                     self.record(
--- a/crates/entry/src/entry_settings.rs
+++ b/crates/entry/src/entry_settings.rs
@@ -54,9 +54,9 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ListenSettings {
-    /// For callers, HTTP.
+    /// For callers, HTTP; they are told this very address.
     pub callers: SocketAddr,
-    /// For peers, UDP and TCP.
+    /// For peers, UDP and TCP; they are told this very address unless another one is advertised.
     pub peers: SocketAddr,
     /// For operators, HTTP.
     pub operators: SocketAddr,
@@ -68,7 +68,7 @@
 pub struct PlatformSettings {
     /// Address of the configuration service and host list.
     pub address: SocketAddr,
-    /// Pause between two reads of the host list and, without a watch, of the sheet's index.
+    /// Shortest pause between two reads of the host list; it grows with the number of entries.
     #[serde(default = "default_poll", with = "humantime_serde")]
     pub poll: Duration,
     /// Time after which a read has failed.
@@ -128,7 +128,7 @@
     pub stall_time: Duration,
     /// Connections of callers that may be open at once.
     pub connections: usize,
-    /// Requests that may wait for their turn.
+    /// Calls that may wait for their turn, for each pool.
     pub queue: usize,
 }
 
@@ -229,6 +229,15 @@
         if self.size == 0 {
             return wrong("size", "at least 1");
         }
+        if self.listen.callers.ip().is_unspecified() {
+            return wrong("listen.callers", "an address that callers can connect to");
+        }
+        if self.listen.peers.ip().is_unspecified() && self.peers.advertise.is_none() {
+            return wrong(
+                "listen.peers",
+                "one that peers can reach, or set `peers.advertise`",
+            );
+        }
         if self.answers.entries == Some(0) {
             return wrong("answers.entries", "at least 1");
         }
--- a/crates/entry/tests/cli.rs
+++ b/crates/entry/tests/cli.rs
@@ -67,6 +67,17 @@
     );
 }
 
+#[test]
+fn addresses_that_nobody_can_connect_to_are_refused() {
+    for key in ["callers", "peers"] {
+        let good = format!("{key} = \"127.0.0.1:0\"");
+        let output = run(&SETTINGS.replace(&good, &format!("{key} = \"0.0.0.0:0\"")));
+        assert_eq!(output.status.code(), Some(2));
+        let reason = reason(&output);
+        assert!(reason.contains(&format!("`listen.{key}`")), "{reason}");
+    }
+}
+
 #[test]
 fn missing_file_is_a_settings_fault() {
     let mut command = Command::new(env!("CARGO_BIN_EXE_camphor-entry"));
--- a/crates/pipe/src/call_failure.rs
+++ b/crates/pipe/src/call_failure.rs
@@ -1,4 +1,4 @@
-use base::FailureReason;
+use {base::FailureReason, std::fmt};
 
 /// Proof that a target ran no part of a call. It can be had in three ways only.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -51,6 +51,21 @@
     TimedOut,
 }
 
+impl fmt::Display for CallFailure {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NoTarget(_) => formatter.write_str("no target can be used"),
+            Self::Withheld(_, reason) => write!(formatter, "not sent: {reason}"),
+            Self::NotSent(_) => formatter.write_str("target could not be reached"),
+            Self::Refused(_) => formatter.write_str("target refused it and ran nothing"),
+            Self::Errored => formatter.write_str("target answered with an error"),
+            Self::Lost => formatter.write_str("connection was lost"),
+            Self::Broken => formatter.write_str("answer was not whole, or not to this call"),
+            Self::TimedOut => formatter.write_str("call took too long"),
+        }
+    }
+}
+
 impl CallFailure {
     /// True if it is proved that the target ran nothing.
     pub fn is_unsent(self) -> bool {
--- a/crates/pipe/src/run_state.rs
+++ b/crates/pipe/src/run_state.rs
@@ -235,7 +235,7 @@
         }
         let stage = &self.plan.stages[self.position];
         let repeatable = stage.repeatable || failure.is_unsent();
-        let detail = format!("stage {} ({}): {failure:?}", self.position, stage.call);
+        let detail = format!("stage {} ({}): {failure}", self.position, stage.call);
         if failure.is_final() || !repeatable {
             return self.fail(failure.reason(), detail);
         }
