--- a/crates/entry/src/data/run_driver.rs
+++ b/crates/entry/src/data/run_driver.rs
@@ -105,7 +105,7 @@
                 .run
                 .on_event(event, now, || budget.borrow_mut().may_retry(now));
             if self.run.position() != position {
-                self.scope.tried.borrow_mut().clear();
+                self.scope.leave_stages_before(self.run.position());
             }
             let mut stop = None;
             for action in actions {
--- a/crates/entry/src/data/stage_call.rs
+++ b/crates/entry/src/data/stage_call.rs
@@ -69,6 +69,13 @@
         }
     }
 
+    /// Forgets what was kept for stages that have ended.
+    pub fn leave_stages_before(&self, position: usize) {
+        self.tried.borrow_mut().clear();
+        let mut reserved = self.reserved.borrow_mut();
+        reserved.take_if(|(held, _)| usize::from(*held) < position);
+    }
+
     /// Place that was held for this stage.
     fn take_reserved(&self, stage: StageIndex) -> Option<CallPlace> {
         let mut reserved = self.reserved.borrow_mut();
@@ -212,11 +219,22 @@
                     );
                     scope.core.note(ControlNote::Strike(scope.fingerprint));
                 }
+                self.keep_place(report.place, failure);
                 Err(failure)
             }
         }
     }
 
+    /// Keeps the place for a further call of the stage: a request that was let in does not queue
+    /// again for its target's fault. A target that is too busy is told apart.
+    fn keep_place(&self, place: Option<CallPlace>, failure: CallFailure) {
+        let busy = matches!(failure, CallFailure::Refused(_) | CallFailure::TimedOut);
+        if let Some(place) = place.filter(|_| !busy) {
+            let held = Some((self.order.stage, place));
+            self.scope.reserved.replace(held);
+        }
+    }
+
     fn target_call(&self, pick: &Pick) -> TargetCall {
         let scope = &self.scope;
         TargetCall {
--- a/crates/entry/src/data/stage_target.rs
+++ b/crates/entry/src/data/stage_target.rs
@@ -15,7 +15,7 @@
 const WORD_PAUSE: Duration = Duration::from_millis(100);
 /// Longest time for which a suspect waits for a place in its entry's own part of the pool, while
 /// suspects of other entries run in theirs.
-const PART_WAIT: Duration = Duration::from_millis(500);
+const PART_WAIT: Duration = Duration::from_secs(2);
 /// Part of the time that remains which such a wait may take, as a divisor.
 const PART_SHARE: u32 = 4;
 /// Bytes at the beginning of a prompt that an engine may have cached.
