Measure slopes of each mechanism and reckon the size to design for

The users ask for each role's state, messages, processor time and memory at 370 daemons, 600 targets and 31,000 customers, from measured slopes.

A test keeps the orders of growth by counts alone.

Ruled out: weighing state in the process that measures, where memory freed before hid it; each is now weighed in a process of its own.

--- /dev/null
+++ b/crates/proofs/examples/capacity/main.rs
@@ -0,0 +1,96 @@
+//! Slopes of every mechanism, from which `docs/CAPACITY.md` reckons the size to design for.
+//! Prints one table for each mechanism; seeds are fixed.
+//!
+//! `cargo build --release --workspace && cargo run --release -p proofs --example capacity`
+
+#[path = "../../../sheet/tests/common/mod.rs"]
+mod common;
+mod customer_slopes;
+mod daemon_points;
+#[path = "../../../member/tests/fleet/mod.rs"]
+mod fleet;
+mod fresh_memory;
+mod line_fit;
+mod member_slopes;
+mod own_memory;
+mod service_slopes;
+mod sheet_slopes;
+mod target_slopes;
+#[allow(dead_code)]
+#[path = "../../../sheet/tests/common/world.rs"]
+mod world;
+
+use {
+    line_fit::LineFit,
+    own_memory::own_load,
+    std::time::{Duration, Instant},
+};
+
+/// Entries.
+const MEMBERS: [usize; 4] = [8, 32, 128, 370];
+/// Customers of the sheet.
+const CUSTOMERS: [usize; 4] = [100, 1_000, 10_000, 31_000];
+/// Targets of the sheet.
+const TARGETS: [usize; 3] = [30, 150, 600];
+/// Changes of the sheet, one after another.
+const CHANGES: [usize; 4] = [1, 16, 160, 1_600];
+
+#[actix_rt::main]
+async fn main() -> anyhow::Result<()> {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    if let [what, size] = arguments.as_slice() {
+        return fresh_memory::weigh(what, size.parse()?);
+    }
+    let begin = Instant::now();
+    println!("load average before: {}", own_load());
+    let parts: [(&str, fn()); 6] = [
+        ("customers", customer_slopes::print),
+        ("targets", target_slopes::print),
+        ("sheet", sheet_slopes::print),
+        ("service", service_slopes::print),
+        ("members", member_slopes::print),
+        ("memory", fresh_memory::print),
+    ];
+    for (name, part) in parts {
+        let start = Instant::now();
+        part();
+        println!("\n{name}: {:.0} s", start.elapsed().as_secs_f64());
+    }
+    daemon_points::print().await?;
+    println!("\nload average after: {}", own_load());
+    println!("whole run: {:.0} s", begin.elapsed().as_secs_f64());
+    Ok(())
+}
+
+/// Prints the points of a figure and the line through them.
+fn show(figure: &str, by: &str, points: &[(f64, f64)]) {
+    let fit = LineFit::new(points);
+    let values: Vec<String> = points.iter().map(|(_, y)| format!("{y:.4}")).collect();
+    println!(
+        "| {figure} | {by} | {} | {:.6} | {:.4} | {:.4} |",
+        values.join(", "),
+        fit.slope,
+        fit.intercept,
+        fit.residual
+    );
+}
+
+/// Prints the heading of a table and the sizes of its points.
+fn head(title: &str, sizes: &[usize]) {
+    println!("\n## {title}, at {sizes:?}\n");
+    println!("| figure | by | points | slope | intercept | residual |");
+    println!("|---|---|---|---|---|---|");
+}
+
+/// Microseconds of one call, over many.
+fn time_each(count: u32, mut call: impl FnMut(u32)) -> f64 {
+    let begin = Instant::now();
+    for number in 0..count {
+        call(number);
+    }
+    micros(begin.elapsed()) / f64::from(count)
+}
+
+fn micros(time: Duration) -> f64 {
+    time.as_secs_f64() * 1e6
+}
--- /dev/null
+++ b/crates/proofs/examples/capacity/sheet_slopes.rs
@@ -0,0 +1,166 @@
+use {
+    crate::{CHANGES, CUSTOMERS, MEMBERS, head, micros, show, world::World},
+    proofs::FleetPlan,
+    sheet::{FleetSheet, PoolKind, SheetPart, TargetRow},
+    stand::SheetPublisher,
+    std::time::{Duration, Instant},
+    wire::{FrameSeal, PeerFrame},
+};
+
+const SEED: u64 = 1;
+const LOSS: f64 = 0.01;
+/// Longest time that a world is watched for one change.
+const LIMIT: Duration = Duration::from_secs(60);
+const STEP: Duration = Duration::from_millis(100);
+/// Members of the fleet whose sheet changes again and again.
+const CHANGED_MEMBERS: usize = 8;
+
+/// What a sheet weighs and how it spreads.
+pub fn print() {
+    head("Whole sheet with 600 targets and 17 pipelines", &CUSTOMERS);
+    let parts = CUSTOMERS.map(|customers| (customers, texts(customers)));
+    let points = parts.each_ref().map(|(size, texts)| {
+        let bytes: usize = texts.iter().map(String::len).sum();
+        (*size as f64, bytes as f64)
+    });
+    show("bytes of text", "customers", &points);
+    let points = parts
+        .each_ref()
+        .map(|(size, texts)| (*size as f64, texts.len() as f64));
+    show("parts", "customers", &points);
+    let points = parts.each_ref().map(|(size, texts)| {
+        let index = SheetPublisher::index_of(1, texts);
+        let text = toml::to_string(&index).expect("the index can be written");
+        (*size as f64, text.len() as f64)
+    });
+    show("bytes of the index", "customers", &points);
+    let points = parts
+        .each_ref()
+        .map(|(size, texts)| (*size as f64, assemble_micros(texts) / 1e3));
+    show("ms to check and assemble", "customers", &points);
+    let points = parts
+        .each_ref()
+        .map(|(size, texts)| (*size as f64, frame_micros(texts) / 1e3));
+    show("ms to encode and open for a peer", "customers", &points);
+    spread();
+    changes();
+}
+
+/// Rows of a sheet of the size to design for but with so many customers.
+pub fn rows(customers: usize) -> SheetPart {
+    let mut plan = FleetPlan::new(1);
+    for pool in 0..17 {
+        let name = format!("pool-{pool:02}");
+        plan = plan.pool(&name, PoolKind::Plain, &[]);
+        let stage = (name.as_str(), "run");
+        plan = plan.pipeline(&format!("pipeline-{pool:02}"), &[stage; 4]);
+    }
+    for number in 0..customers {
+        plan = plan.customer(&format!("customer-{number:05}"), 1);
+    }
+    let targets = (0..600).map(|number| TargetRow {
+        name: format!("target-{number:03}"),
+        pool: format!("pool-{:02}", number % 17),
+        data_centre: format!("dc-{}", number % 8),
+        address: format!("127.0.{}.{}:9", number / 200, number % 200 + 1),
+        capacity: 8,
+        leaving: false,
+        models: Vec::new(),
+        checks_orders: false,
+    });
+    plan.rows.target = targets.collect();
+    plan.rows
+}
+
+/// Texts of the parts of such a sheet.
+pub fn texts(customers: usize) -> Vec<String> {
+    SheetPublisher::parts_of(&rows(customers)).expect("rows can be written")
+}
+
+/// Sheet put together from its parts.
+pub fn assemble(texts: &[String]) -> FleetSheet {
+    let index = SheetPublisher::index_of(1, texts);
+    FleetSheet::assemble(index, texts).expect("the sheet is right")
+}
+
+fn assemble_micros(texts: &[String]) -> f64 {
+    let begin = Instant::now();
+    let sheet = assemble(texts);
+    let took = micros(begin.elapsed());
+    assert_eq!(sheet.version(), 1);
+    took
+}
+
+fn frame_micros(texts: &[String]) -> f64 {
+    let seal = FrameSeal::new([7; 32]);
+    let frame = PeerFrame::SheetReply {
+        index_text: String::new(),
+        parts: texts.to_vec(),
+        marks: Vec::new(),
+    };
+    let begin = Instant::now();
+    let bytes = seal.encode(&frame).expect("the frame can be written");
+    let mut decoder = seal.decoder();
+    decoder.push(&bytes);
+    assert!(matches!(decoder.next_frame(), Ok(Some(_))));
+    micros(begin.elapsed())
+}
+
+/// Seconds until every keeper has what was published last.
+fn reach(world: &mut World) -> f64 {
+    let begin = world.now;
+    let version = world.published.last().map_or(0, |last| last.index.version);
+    while !world.behind(version).is_empty() && world.now - begin < LIMIT {
+        world.run(STEP);
+    }
+    (world.now - begin).as_secs_f64()
+}
+
+fn spread() {
+    head("Spread of a sheet, 1 % loss", &MEMBERS);
+    let (mut plain, mut healed, mut reads) = (Vec::new(), Vec::new(), Vec::new());
+    for members in MEMBERS {
+        let mut world = World::new(members, SEED);
+        world.loss = LOSS;
+        world.publish(true);
+        reach(&mut world);
+        world.service_reads = 0;
+        world.publish(true);
+        plain.push((members as f64, reach(&mut world)));
+        reads.push((members as f64, world.service_reads as f64));
+        world.island = (0..members / 3).collect();
+        world.service_down = true;
+        world.publish(true);
+        world.run(Duration::from_secs(20));
+        world.service_down = false;
+        world.island.clear();
+        healed.push((members as f64, reach(&mut world)));
+    }
+    show("s to all", "entries", &plain);
+    show(
+        "s to all after a cut of a third and a dead service heal",
+        "entries",
+        &healed,
+    );
+    show("fetches of the parts from the service", "entries", &reads);
+}
+
+fn changes() {
+    head("Changes 2 s apart, 8 entries, 1 % loss", &CHANGES);
+    let (mut reads, mut behind) = (Vec::new(), Vec::new());
+    for count in CHANGES {
+        let mut world = World::new(CHANGED_MEMBERS, SEED);
+        world.loss = LOSS;
+        let mut late = 0;
+        for _ in 0..count {
+            world.publish(true);
+            world.run(Duration::from_secs(2));
+            let version = world.published.last().map_or(0, |last| last.index.version);
+            late += world.behind(version).len();
+        }
+        reads.push((count as f64, world.service_reads as f64));
+        behind.push((count as f64, late as f64));
+    }
+    show("fetches of the parts from the service", "changes", &reads);
+    show("entries behind after 2 s, summed", "changes", &behind);
+}
--- /dev/null
+++ b/crates/proofs/tests/capacity.rs
@@ -0,0 +1,105 @@
+//! Order of growth of what `docs/CAPACITY.md` reckons with: counts only, never times.
+
+#[path = "../../sheet/tests/common/mod.rs"]
+mod common;
+#[path = "../../member/tests/fleet/mod.rs"]
+mod fleet;
+#[allow(dead_code)]
+#[path = "../../sheet/tests/common/world.rs"]
+mod world;
+
+use {
+    fleet::Fleet,
+    order::TargetOwner,
+    route::{DEFAULT_ENTRIES, EntryRanking},
+    sheet::WatchRota,
+    std::{collections::BTreeMap, time::Duration},
+    world::World,
+};
+
+const SEED: u64 = 1;
+const LOSS: f64 = 0.01;
+const CENTRES: usize = 8;
+const SIZES: [usize; 3] = [32, 128, 370];
+/// Messages a second that a member may send and receive more in any larger fleet.
+const MORE_MESSAGES: f64 = 2.0;
+/// Reads of the index a second by a fleet of any size: one each 30 ms.
+const INDEX_READS: f64 = 34.0;
+/// Fetches of one sheet from the service: two watchers of each of 3 data centres, twice, and all
+/// that poll in one second.
+const SHEET_FETCHES: u64 = 12 + 34;
+
+/// Messages a second of one member, mean over all.
+fn messages(members: usize) -> f64 {
+    let mut fleet = Fleet::new(members, SEED, LOSS);
+    fleet.run(Duration::from_secs(15));
+    fleet.reset_counts();
+    fleet.run(Duration::from_secs(5));
+    let nodes = fleet.nodes.iter();
+    let count: usize = nodes.map(|node| node.sent + node.received).sum();
+    count as f64 / 5.0 / members as f64
+}
+
+#[test]
+fn messages_of_a_member_do_not_grow_with_the_fleet() {
+    let small = messages(8);
+    for members in [32, 128] {
+        let count = messages(members);
+        assert!(
+            count <= small + MORE_MESSAGES,
+            "{members}: {count} after {small}"
+        );
+    }
+}
+
+#[test]
+fn reads_of_the_index_do_not_grow_with_the_fleet() {
+    for members in [370, 740, 1_480] {
+        let name = |host| (format!("h{host}"), format!("dc{}", host % CENTRES));
+        let rota = WatchRota::new((0..members).map(name));
+        assert_eq!(rota.watchers().len(), 2 * CENTRES);
+        let polls = (members - 2 * CENTRES) as f64 / rota.poll_period().as_secs_f64();
+        assert!(polls <= INDEX_READS, "{members}: {polls}");
+    }
+}
+
+#[test]
+fn fetches_of_a_sheet_from_the_service_do_not_grow_with_the_fleet() {
+    for members in SIZES {
+        let mut world = World::new(members, SEED);
+        world.loss = LOSS;
+        world.publish(true);
+        world.run(Duration::from_secs(5));
+        world.service_reads = 0;
+        world.publish(true);
+        world.run(Duration::from_secs(5));
+        assert!(world.behind(2).is_empty(), "{members}: not in force");
+        let reads = world.service_reads;
+        assert!(reads <= SHEET_FETCHES, "{members}: {reads}");
+    }
+}
+
+#[test]
+fn an_answer_names_as_many_entries_in_any_fleet() {
+    for members in SIZES {
+        let ranking = EntryRanking::new((0..members).map(|host| (format!("h{host}"), 1)));
+        let count = ranking.count_for(None, 1, 31_000);
+        assert_eq!(count, DEFAULT_ENTRIES);
+        assert_eq!(ranking.rank("farm", count).len(), count);
+    }
+}
+
+#[test]
+fn targets_that_one_host_owns_shrink_as_the_fleet_grows() {
+    let mut most = usize::MAX;
+    for members in SIZES {
+        let owner = TargetOwner::new((0..members).map(|host| format!("h{host}")).collect());
+        let mut owned = BTreeMap::<_, usize>::new();
+        for target in 0..600 {
+            *owned.entry(owner.owner(&format!("t{target}"))).or_default() += 1;
+        }
+        let largest = owned.into_values().max().unwrap_or_default();
+        assert!(largest < most, "{members}: {largest} after {most}");
+        most = largest;
+    }
+}
