Measure each target now and then, and let watchers read a sheet's parts first

One call in a hundred now goes to the first target drawn.

Pauses now differ by a quarter to either side, and a daemon that only polls leaves a later index for a second to its peers.

--- a/crates/entry/src/control/sheet_controller.rs
+++ b/crates/entry/src/control/sheet_controller.rs
@@ -132,6 +132,7 @@
             match read {
                 Ok(Some((text, next))) => {
                     revision = Some(next);
+                    self.wait_for_peers().await;
                     self.on_index(&text);
                 }
                 Ok(None) => {}
@@ -149,6 +150,14 @@
         }
     }
 
+    /// Gives peers time to hand on the sheet that the watchers have read.
+    async fn wait_for_peers(&self) {
+        if self.keeper.borrow().version() > 0 {
+            let delay = self.rota().read_delay(&self.state.settings.host);
+            actix_rt::time::sleep(delay).await;
+        }
+    }
+
     /// Ticks the keeper for ever.
     pub async fn tick(self: Rc<Self>) {
         loop {
@@ -183,13 +192,16 @@
     /// Pause before the next read; none for those that watch. The others differ in their pauses,
     /// so that daemons which start together do not go on reading together.
     fn index_pause(&self) -> Duration {
-        let entries = self.members.entries().into_iter();
-        let rota = WatchRota::new(entries.map(|row| (row.host, row.data_centre)));
         let host = &self.state.settings.host;
-        if rota.is_watcher(host) {
-            return Duration::ZERO;
+        match self.rota() {
+            rota if rota.is_watcher(host) => Duration::ZERO,
+            rota => rota.poll_pause(host),
         }
-        rota.poll_period() / 2 + rota.poll_phase(host)
+    }
+
+    fn rota(&self) -> WatchRota {
+        let entries = self.members.entries().into_iter();
+        WatchRota::new(entries.map(|row| (row.host, row.data_centre)))
     }
 
     fn on_index(self: &Rc<Self>, text: &str) {
--- a/crates/route/src/target_choice.rs
+++ b/crates/route/src/target_choice.rs
@@ -11,6 +11,9 @@
     },
 };
 
+/// Share of the calls that go to the first target drawn whatever it costs, so that one which was
+/// slow once is measured again.
+const EXPLORE_SHARE: f64 = 0.01;
 /// Targets that the copies of one request choose among: a request may crash no more than two.
 const COPY_CHOICES: usize = 2;
 
@@ -43,6 +46,9 @@
             Some(hash) => self.draw_alike(&open, hash),
             None => self.draw(&open, generator),
         };
+        if generator.random::<f64>() < EXPLORE_SHARE {
+            return drawn.first().copied();
+        }
         let best = drawn
             .into_iter()
             .min_by(|left, right| self.cost(*left).total_cmp(&self.cost(*right)))?;
--- a/crates/sheet/src/watch_rota.rs
+++ b/crates/sheet/src/watch_rota.rs
@@ -11,6 +11,9 @@
 /// Shortest time between two polls of one daemon.
 const POLL_PERIOD_MIN: Duration = Duration::from_secs(2);
 
+/// Time in which a sheet that the watchers have read reaches the other daemons.
+const READ_DELAY: Duration = Duration::from_secs(1);
+
 /// Says which daemons watch the configuration service, so that its load does not grow with the
 /// fleet. All daemons work it out alike from the live hosts; while their lists differ a few more
 /// or fewer watch, which does no harm.
@@ -31,7 +34,7 @@
     /// let watcher = rota.watchers()[0].clone();
     /// assert!(rota.is_watcher(&watcher));
     /// assert_eq!(rota.poll_period(), Duration::from_secs(3));
-    /// assert!(rota.poll_phase("h7") < rota.poll_period());
+    /// assert!(rota.poll_pause("h7") < rota.poll_period() * 5 / 4);
     /// ```
     pub fn new(live: impl IntoIterator<Item = (HostId, CentreId)>) -> Self {
         let mut centres: BTreeMap<CentreId, Vec<HostId>> = BTreeMap::new();
@@ -62,9 +65,20 @@
         period.max(POLL_PERIOD_MIN)
     }
 
-    /// Wait of a host before its first poll, which spreads the polls over the period.
-    pub fn poll_phase(&self, host: &str) -> Duration {
+    /// Time for which a host that has a sheet leaves a later index unread, so that peers can give
+    /// it the parts which the watchers have read.
+    pub fn read_delay(&self, host: &str) -> Duration {
+        match self.is_watcher(host) {
+            true => Duration::ZERO,
+            false => READ_DELAY,
+        }
+    }
+
+    /// Pause of a host between two of its polls, from three to five quarters of the period, so that
+    /// daemons which started together do not go on polling together.
+    pub fn poll_pause(&self, host: &str) -> Duration {
         let share = HostRank::new("poll").score(host) as f64 / u64::MAX as f64;
-        self.poll_period().mul_f64(share.min(0.999))
+        let period = self.poll_period();
+        period * 3 / 4 + period.mul_f64(share / 2.0)
     }
 }
--- a/crates/sheet/tests/common/world.rs
+++ b/crates/sheet/tests/common/world.rs
@@ -191,7 +191,7 @@
                 let period = if watches {
                     BEAT
                 } else {
-                    self.rota.poll_period()
+                    self.rota.poll_pause(&host)
                 };
                 self.put(node, period, Job::Poll);
             }
@@ -205,7 +205,12 @@
             Some(index) if !self.service_down => SheetEvent::IndexRead { index },
             _ => SheetEvent::ServiceFailed,
         };
-        let wait = self.delay();
+        let has_sheet = self.nodes[node].keeper.version() > 0;
+        let late = match has_sheet {
+            true => self.rota.read_delay(&name(node)),
+            false => Duration::ZERO,
+        };
+        let wait = self.delay() + late;
         self.put(node, wait, Job::Event(event));
     }
 
