--- a/crates/proofs/src/fleet_harness.rs
+++ b/crates/proofs/src/fleet_harness.rs
@@ -273,7 +273,7 @@
     }
 
     async fn start_entry(&mut self, entry: &EntryPlan) -> anyhow::Result<()> {
-        let platform = self.process(PLATFORM).address("service");
+        let platform = self.platform_address(entry).await?;
         let mut advertise = None;
         if entry.proxied {
             advertise = Some(self.processes.start_proxy(&entry.host).await?);
@@ -299,6 +299,17 @@
         Ok(())
     }
 
+    async fn platform_address(&mut self, entry: &EntryPlan) -> anyhow::Result<String> {
+        let platform = self.process(PLATFORM).address("service");
+        if !entry.platform_proxied {
+            return Ok(platform);
+        }
+        let name = format!("{}-{PLATFORM}", entry.host);
+        let address = self.processes.start_proxy(&name).await?;
+        self.aim_proxy(&name, &platform).await?;
+        Ok(address)
+    }
+
     async fn start_target(
         &mut self,
         target: &TargetPlan,
--- a/crates/proofs/src/fleet_plan.rs
+++ b/crates/proofs/src/fleet_plan.rs
@@ -20,6 +20,8 @@
     pub size: u32,
     /// Whether peers reach it through a proxy that is named `{host}-proxy`.
     pub proxied: bool,
+    /// Whether it reads the platform through a proxy that is named `{host}-platform-proxy`.
+    pub platform_proxied: bool,
     /// Addresses of peers that it may try while it can't read the host list.
     pub seeds: Vec<String>,
     /// Further tables of its settings file, in TOML.
@@ -89,6 +91,7 @@
             data_centre: CENTRES[number % CENTRES.len()].to_string(),
             size: 1,
             proxied: false,
+            platform_proxied: false,
             seeds: Vec::new(),
             settings: String::new(),
         });
@@ -204,6 +207,15 @@
         self
     }
 
+    /// Puts a proxy between every entry and the platform, so that one can be cut off from it by
+    /// a fault of the proxy `{host}-platform`.
+    pub fn platform_proxied(mut self) -> Self {
+        for entry in &mut self.entries {
+            entry.platform_proxied = true;
+        }
+        self
+    }
+
     /// Changes the target that was added under this name.
     ///
     /// # Panics
