Split the controllers' files, and end waiting requests with the process

The sheet's exchanges and the words for member events stand in files of their own; seeds are a setting of the peers only. A request that waits for its costliest stage ends at once when the process is stopped, as running ones do.

--- a/crates/entry/src/control/member_controller.rs
+++ b/crates/entry/src/control/member_controller.rs
@@ -1,9 +1,11 @@
 use {
-    crate::{control::ControlState, shared::wall_us},
-    base::{HostId, HostList},
+    crate::{
+        control::{ControlState, member_words::describe},
+        shared::wall_us,
+    },
+    base::HostList,
     member::{EntryRow, MemberAction, MemberEvent, MemberTable, MemberView},
     slog::{info, warn},
-    stamp::EventKind,
     std::{
         cell::RefCell,
         collections::BTreeSet,
@@ -310,45 +312,6 @@
     })
 }
 
-/// Kind, member and words of an event for the time line.
-fn describe(event: &MemberEvent) -> (EventKind, HostId, String) {
-    let none = String::new();
-    match event {
-        MemberEvent::Live { host, .. } => (EventKind::MemberLive, host.clone(), none),
-        MemberEvent::Suspect { host, .. } => (EventKind::MemberSuspect, host.clone(), none),
-        MemberEvent::Gone { host } => (EventKind::MemberGone, host.clone(), none),
-        MemberEvent::Leaving { host, .. } => (EventKind::MemberLeaving, host.clone(), none),
-        MemberEvent::SelfLeaving => (EventKind::Drain, none, String::from("told to leave")),
-        MemberEvent::SelfSuperseded { .. } => (
-            EventKind::Drain,
-            none,
-            String::from("a later process has this host's name"),
-        ),
-        MemberEvent::TargetLeaving { target, source } => (
-            EventKind::TargetLeaving,
-            none,
-            format!("{target} by {source:?}"),
-        ),
-        MemberEvent::TargetCleared { target } => (EventKind::TargetCleared, none, target.clone()),
-        MemberEvent::SheetSeen { host, version, .. } => (
-            EventKind::MemberLive,
-            host.clone(),
-            format!("has sheet {version}"),
-        ),
-        MemberEvent::ViewDoubted => (
-            EventKind::ViewDoubted,
-            none,
-            String::from("most are silent"),
-        ),
-        MemberEvent::ViewTrusted => (EventKind::MemberLive, none, String::from("most answer")),
-        MemberEvent::Paused { pause } => (
-            EventKind::ViewDoubted,
-            none,
-            format!("this process stood still for {pause:?}"),
-        ),
-    }
-}
-
 fn to_count(bytes: usize) -> i64 {
     i64::try_from(bytes).unwrap_or(i64::MAX)
 }
--- a/crates/entry/src/control/sheet_controller.rs
+++ b/crates/entry/src/control/sheet_controller.rs
@@ -1,13 +1,11 @@
 use {
     crate::control::{
-        ControlState, MemberController,
-        peer_frames::{ask_peer, sheet_frame},
-        platform_client::PlatformClient,
+        ControlState, MemberController, peer_frames::sheet_frame, platform_client::PlatformClient,
     },
     base::{HostId, SheetVersion},
     sheet::{
         FleetSheet, SheetAction, SheetBundle, SheetEvent, SheetIndex, SheetKeeper, SheetReport,
-        SheetSource, WatchRota,
+        WatchRota,
     },
     slog::{info, warn},
     stamp::EventKind,
@@ -46,9 +44,9 @@
 /// Runs the sheet's keeper: reads the service, asks peers, and puts sheets in force.
 pub struct SheetController {
     state: Rc<ControlState>,
-    members: Rc<MemberController>,
-    client: PlatformClient,
-    seal: FrameSeal,
+    pub(super) members: Rc<MemberController>,
+    pub(super) client: PlatformClient,
+    pub(super) seal: FrameSeal,
     keeper: RefCell<SheetKeeper>,
 }
 
@@ -214,7 +212,7 @@
         }
     }
 
-    fn handle(self: &Rc<Self>, event: SheetEvent) {
+    pub(super) fn handle(self: &Rc<Self>, event: SheetEvent) {
         let actions = self.keeper.borrow_mut().handle(event, Instant::now());
         for action in actions {
             self.perform(action);
@@ -240,75 +238,6 @@
         }
     }
 
-    async fn ask(self: Rc<Self>, host: HostId) {
-        let answer = self.exchange(&host, &PeerFrame::SheetAsk).await;
-        let event = match answer {
-            Some(PeerFrame::SheetHas {
-                version,
-                digest,
-                vouched,
-                marks,
-            }) => {
-                self.members.learn_targets(marks);
-                if vouched {
-                    self.handle(SheetEvent::PeerVouches { version });
-                }
-                SheetEvent::PeerHas {
-                    host,
-                    version,
-                    digest,
-                }
-            }
-            _ => SheetEvent::PeerFailed { host },
-        };
-        self.handle(event);
-    }
-
-    async fn fetch_parts(self: Rc<Self>, index: SheetIndex) {
-        let mut parts = Vec::new();
-        for part in &index.part {
-            match self.client.value(&part.key).await {
-                Some(text) => parts.push(text),
-                None => return self.handle(SheetEvent::ServiceFailed),
-            }
-        }
-        let bundle = SheetBundle { index, parts };
-        self.handle(SheetEvent::PartsFetched {
-            source: SheetSource::Service,
-            bundle,
-        });
-    }
-
-    async fn fetch_from_peer(self: Rc<Self>, host: HostId) {
-        let answer = self
-            .exchange(&host, &PeerFrame::SheetRequest { version: 1 })
-            .await;
-        let event = match answer {
-            Some(PeerFrame::SheetReply {
-                index_text,
-                parts,
-                marks,
-            }) => {
-                self.members.learn_targets(marks);
-                match toml::from_str(&index_text) {
-                    Ok(index) => SheetEvent::PartsFetched {
-                        source: SheetSource::Peer(host),
-                        bundle: SheetBundle { index, parts },
-                    },
-                    Err(_) => SheetEvent::PeerFailed { host },
-                }
-            }
-            _ => SheetEvent::PeerFailed { host },
-        };
-        self.handle(event);
-    }
-
-    async fn exchange(&self, host: &str, frame: &PeerFrame) -> Option<PeerFrame> {
-        let entries = self.members.entries();
-        let row = entries.into_iter().find(|row| row.host == host)?;
-        ask_peer(&row.peers, &self.seal, frame).await.ok()
-    }
-
     fn put_in_force(&self, sheet: &Arc<FleetSheet>) {
         let version = sheet.version();
         let digest = sheet.index.digest();
--- /dev/null
+++ b/crates/entry/src/control/sheet_fetch.rs
@@ -0,0 +1,79 @@
+use {
+    crate::control::{SheetController, peer_frames::ask_peer},
+    base::HostId,
+    sheet::{SheetBundle, SheetEvent, SheetIndex, SheetSource},
+    std::rc::Rc,
+    wire::PeerFrame,
+};
+
+/// Where sheets come from: the service's parts and the frames of peers.
+impl SheetController {
+    pub(super) async fn ask(self: Rc<Self>, host: HostId) {
+        let answer = self.exchange(&host, &PeerFrame::SheetAsk).await;
+        let event = match answer {
+            Some(PeerFrame::SheetHas {
+                version,
+                digest,
+                vouched,
+                marks,
+            }) => {
+                self.members.learn_targets(marks);
+                if vouched {
+                    self.handle(SheetEvent::PeerVouches { version });
+                }
+                SheetEvent::PeerHas {
+                    host,
+                    version,
+                    digest,
+                }
+            }
+            _ => SheetEvent::PeerFailed { host },
+        };
+        self.handle(event);
+    }
+
+    pub(super) async fn fetch_parts(self: Rc<Self>, index: SheetIndex) {
+        let mut parts = Vec::new();
+        for part in &index.part {
+            match self.client.value(&part.key).await {
+                Some(text) => parts.push(text),
+                None => return self.handle(SheetEvent::ServiceFailed),
+            }
+        }
+        let bundle = SheetBundle { index, parts };
+        self.handle(SheetEvent::PartsFetched {
+            source: SheetSource::Service,
+            bundle,
+        });
+    }
+
+    pub(super) async fn fetch_from_peer(self: Rc<Self>, host: HostId) {
+        let answer = self
+            .exchange(&host, &PeerFrame::SheetRequest { version: 1 })
+            .await;
+        let event = match answer {
+            Some(PeerFrame::SheetReply {
+                index_text,
+                parts,
+                marks,
+            }) => {
+                self.members.learn_targets(marks);
+                match toml::from_str(&index_text) {
+                    Ok(index) => SheetEvent::PartsFetched {
+                        source: SheetSource::Peer(host),
+                        bundle: SheetBundle { index, parts },
+                    },
+                    Err(_) => SheetEvent::PeerFailed { host },
+                }
+            }
+            _ => SheetEvent::PeerFailed { host },
+        };
+        self.handle(event);
+    }
+
+    async fn exchange(&self, host: &str, frame: &PeerFrame) -> Option<PeerFrame> {
+        let entries = self.members.entries();
+        let row = entries.into_iter().find(|row| row.host == host)?;
+        ask_peer(&row.peers, &self.seal, frame).await.ok()
+    }
+}
--- a/crates/entry/src/data/entry_core.rs
+++ b/crates/entry/src/data/entry_core.rs
@@ -5,7 +5,7 @@
             JoinDesk, pool_desk::PoolDesk, sheet_proof::SheetProof, stage_desk::StageDesk,
             target_client::TargetClient,
         },
-        shared::{ControlNote, EventRecorder, FleetView},
+        shared::{ControlNote, EntryLife, EventRecorder, FleetView},
     },
     base::Incarnation,
     once::{BookLimits, TicketBook, TicketMint},
@@ -143,6 +143,13 @@
         fleet
     }
 
+    /// Returns once the process ends before its requests do, and counts the one that waits here.
+    pub async fn stopped(&self) {
+        let mut view = self.view.clone();
+        let _ = view.wait_for(|view| view.life == EntryLife::Stopping).await;
+        self.cut.set(self.cut.get() + 1);
+    }
+
     /// Tells the controllers something.
     pub fn note(&self, note: ControlNote) {
         let _ = self.notes.send(note);
--- a/crates/entry/src/data/run_driver.rs
+++ b/crates/entry/src/data/run_driver.rs
@@ -1,13 +1,10 @@
 use {
-    crate::{
-        data::{
-            AnswerSink, EntryCore, RequestDraft, RunningSpend,
-            answer_sink::SinkStop,
-            entry_core::RunningPlace,
-            failure_answer::with_delay,
-            stage_call::{CallScope, StageCall},
-        },
-        shared::EntryLife,
+    crate::data::{
+        AnswerSink, EntryCore, RequestDraft, RunningSpend,
+        answer_sink::SinkStop,
+        entry_core::RunningPlace,
+        failure_answer::with_delay,
+        stage_call::{CallScope, StageCall},
     },
     actix_rt::task::JoinHandle,
     base::{AttemptNumber, FailureReport, RunVerdict, StageIndex},
@@ -151,7 +148,11 @@
         let deadline = self.scope.deadline.checked_sub(others);
         let deadline = deadline.unwrap_or(self.scope.deadline);
         let pool = &self.run.plan().stages[position].pool;
-        match self.scope.wait_place(pool, *cost, deadline).await {
+        let waited = tokio::select! {
+            waited = self.scope.wait_place(pool, *cost, deadline) => waited,
+            () = self.scope.core.stopped() => return RunEvent::Stopped,
+        };
+        match waited {
             Ok(place) => {
                 let stage = StageIndex::try_from(position).unwrap_or(StageIndex::MAX);
                 self.scope.reserved.replace(Some((stage, place)));
@@ -176,14 +177,10 @@
     async fn next_event(&mut self, sink: &AnswerSink) -> RunEvent {
         let watched = self.run.plan().is_idempotent();
         let core = &self.scope.core;
-        let mut view = core.view.clone();
         tokio::select! {
             biased;
             () = sink.gone(), if watched => RunEvent::CallerGone,
-            _ = view.wait_for(|view| view.life == EntryLife::Stopping) => {
-                core.cut.set(core.cut.get() + 1);
-                RunEvent::Stopped
-            }
+            () = core.stopped() => RunEvent::Stopped,
             event = self.inbox.recv() => event.unwrap_or(RunEvent::Tick),
             () = actix_rt::time::sleep_until(self.scope.deadline.into()) => RunEvent::Tick,
         }
--- a/crates/member/src/member_settings.rs
+++ b/crates/member/src/member_settings.rs
@@ -13,6 +13,7 @@
 #[serde(deny_unknown_fields, default)]
 pub struct MemberSettings {
     /// Addresses for peers, `ip:port`, to try while no member is known.
+    #[serde(skip)]
     pub seeds: Vec<String>,
     /// Time between heartbeats when there is no urgent news.
     #[serde(with = "humantime_serde")]
