--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,6 +9,7 @@
 mod dialect;
 mod filters;
 mod peer;
+mod place;
 mod relay_settings;
 mod run;
 mod settings_time;
--- a/crates/relay/src/run/call_slot.rs
+++ b/crates/relay/src/run/call_slot.rs
@@ -1,5 +1,5 @@
 use {
-    crate::shared::RelayCore,
+    crate::{place::RemotePlace, shared::RelayCore},
     plan::ServiceId,
     route::{PrefixKey, ServiceOutcome, ServicePick},
     std::{
@@ -17,6 +17,9 @@
     started: Instant,
     /// Whether the first event of the answer was recorded.
     has_first_event: bool,
+    /// Place that the owner of the engine's group has given the request; `None` if this entry has
+    /// chosen the target itself.
+    place: Option<RemotePlace>,
     /// Outcome that is recorded when the slot is dropped; cancelled until it is set.
     outcome: ServiceOutcome,
 }
@@ -28,6 +31,7 @@
         core: &Rc<RelayCore>,
         service: &str,
         pick: ServicePick,
+        place: Option<RemotePlace>,
         prefixes: &[(PrefixKey, u32)],
     ) -> Self {
         let now = Instant::now();
@@ -40,6 +44,7 @@
             pick,
             started: now,
             has_first_event: false,
+            place,
             outcome: ServiceOutcome::Cancelled,
         }
     }
@@ -63,6 +68,9 @@
     pub fn record_first_event(&mut self) {
         if !self.has_first_event {
             self.has_first_event = true;
+            if let Some(place) = &self.place {
+                place.record_first_event();
+            }
             let elapsed = self.started.elapsed();
             if let Some(pool) = self.core.pools.borrow_mut().get_mut(&self.service) {
                 pool.record_first_event(&self.pick, elapsed);
@@ -83,6 +91,9 @@
 
 impl Drop for CallSlot {
     fn drop(&mut self) {
+        if let Some(place) = &mut self.place {
+            place.set_outcome(self.outcome);
+        }
         let now = Instant::now();
         let elapsed = now.saturating_duration_since(self.started);
         if let Some(pool) = self.core.pools.borrow_mut().get_mut(&self.service) {
--- a/crates/relay/src/run/relay_run.rs
+++ b/crates/relay/src/run/relay_run.rs
@@ -3,6 +3,7 @@
         caller::RelayDraft,
         dialect::RelayRefusal,
         filters::stale_keys_refusal,
+        place::{PlaceQuestion, RemotePlace, ask_place, prompt_group},
         run::call_slot::CallSlot,
         shared::{RelayCore, RunningGuard},
         stage::StageRun,
@@ -59,7 +60,7 @@
         }
         let mut failed_run_count = 0;
         if self.draft.data_centre.is_none() {
-            self.draft.data_centre = self.pick(Instant::now()).map(|pick| pick.data_centre);
+            self.draft.data_centre = self.expected_centre();
         }
         loop {
             let core = &self.core;
@@ -92,12 +93,14 @@
 
     /// Chooses a target and takes a slot there. Refuses the request if no further target can be
     /// used or if the request has a key and the keys in force were not confirmed recently enough.
-    pub fn take_slot(&mut self) -> Result<(CallSlot, ServicePick), RelayRefusal> {
+    pub async fn take_slot(&mut self) -> Result<(CallSlot, ServicePick), RelayRefusal> {
+        let placed = self.ask_place().await;
         let now = Instant::now();
         if self.draft.organisation.is_some() && !self.core.keys_are_fresh() {
             return Err(self.with_verdict(stale_keys_refusal()));
         }
-        let Some(pick) = self.pick(now) else {
+        let placed = placed.or_else(|| self.pick(now).map(|pick| (pick, None)));
+        let Some((pick, place)) = placed else {
             let detail = format!(
                 "no further target of service {} can be used",
                 self.draft.service
@@ -110,11 +113,47 @@
             &self.core,
             &self.draft.service,
             pick.clone(),
+            place,
             &self.draft.prefixes,
         );
         Ok((slot, pick))
     }
 
+    /// Returns the data centre in which the request is expected to run.
+    fn expected_centre(&self) -> Option<String> {
+        let draft = &self.draft;
+        match prompt_group(&self.core, &draft.service, &draft.prefixes) {
+            Some(group) => Some(group.data_centre),
+            None => self.pick(Instant::now()).map(|pick| pick.data_centre),
+        }
+    }
+
+    /// Asks the owner of the prompt's group of engines for a target that this entry may call.
+    async fn ask_place(&self) -> Option<(ServicePick, Option<RemotePlace>)> {
+        let (core, draft) = (&self.core, &self.draft);
+        let group = prompt_group(core, &draft.service, &draft.prefixes)?;
+        let mut excluded = self.tried_targets.clone();
+        let accepts_calls = |target: &str| {
+            let pools = core.pools.borrow();
+            let pool = pools.get(&draft.service);
+            pool.is_some_and(|pool| pool.accepts_calls(target, Instant::now()))
+        };
+        let unusable = group.targets.iter().filter(|target| !accepts_calls(target));
+        excluded.extend(unusable.cloned());
+        let input_bytes = self.stages.as_ref();
+        let input_bytes = input_bytes.map(|stages| stages.result_bytes(draft));
+        let question = PlaceQuestion {
+            service: draft.service.clone(),
+            group: group.name,
+            prompt: draft.prefixes.clone(),
+            excluded,
+            data_centre: core.settings.borrow().data_centre.clone(),
+            inputs: input_bytes.unwrap_or_default(),
+        };
+        let (pick, place) = ask_place(core, question).await?;
+        accepts_calls(&pick.target).then_some((pick, place))
+    }
+
     /// Returns the target that is currently the best of those that were not tried yet.
     fn pick(&self, now: Instant) -> Option<ServicePick> {
         let own_centre = self.core.settings.borrow().data_centre.clone();
@@ -125,6 +164,7 @@
             tried: &self.tried_targets,
             data_centre: &own_centre,
             inputs: &input_bytes.unwrap_or_default(),
+            among: None,
         };
         let pools = self.core.pools.borrow();
         let mut random = self.core.random.borrow_mut();
--- a/crates/relay/src/run/run_request.rs
+++ b/crates/relay/src/run/run_request.rs
@@ -49,7 +49,7 @@
             Ok(result) => result?,
             Err(_) => return Err(run.deadline_refusal(false)),
         }
-        let (mut slot, pick) = run.take_slot()?;
+        let (mut slot, pick) = run.take_slot().await?;
         let target = pick.target.clone();
         let send_result = {
             let sending = async {
--- a/crates/relay/src/run/stream_pump.rs
+++ b/crates/relay/src/run/stream_pump.rs
@@ -199,7 +199,7 @@
             // Fails unless the stream may be resumed or no target has run the request.
             self.run.on_fault(&target, fault)?;
             self.run.run_stages().await?;
-            let (mut slot, pick) = self.run.take_slot()?;
+            let (mut slot, pick) = self.run.take_slot().await?;
             let last_id = self.splitter.last_id().map(String::from);
             let last_id = last_id.or_else(|| self.run.draft.head.last_event_id.clone());
             match send_once(&self.run, &mut slot, &pick, last_id.as_deref()).await {
--- a/crates/relay/src/shared/relay_core.rs
+++ b/crates/relay/src/shared/relay_core.rs
@@ -15,7 +15,7 @@
         CrashTracker, CrashTrackerSettings, FleetBudget, FleetBudgetSettings, TrackedCall,
         TrackedCallEnd, short_hash,
     },
-    route::{ServicePool, TargetNotice, TargetNotices, TargetWork},
+    route::{EngineGroups, ServicePool, TargetNotice, TargetNotices, TargetWork},
     slog::{Logger, info},
     std::{
         cell::{Cell, RefCell},
@@ -73,6 +73,8 @@
     /// Target pools of the services that run whole requests. The pools of services that make pieces
     /// are in `batch_service`.
     pub pools: RefCell<HashMap<ServiceId, ServicePool>>,
+    /// Groups of the engines of each service, all of whose requests one entry places.
+    pub engine_groups: RefCell<HashMap<ServiceId, EngineGroups>>,
     pub batch_service: BatchService,
     /// Records of this entry and of the others.
     pub hosts: RefCell<HostTable>,
@@ -124,6 +126,7 @@
             feed_lag: RefCell::default(),
             notices: RefCell::default(),
             pools: RefCell::default(),
+            engine_groups: RefCell::default(),
             hosts: RefCell::new(hosts),
             budget: RefCell::new(FleetBudget::new(budget, now)),
             crashes: RefCell::new(CrashTracker::new(tracker)),
@@ -207,7 +210,10 @@
     /// Updates the record that the next gossip round sends to other entries.
     pub fn refresh_own_record(&self, now: Instant) {
         let ready = self.is_ready();
-        let loads = self.own_loads();
+        let loads = match self.hosts.borrow().is_large_fleet() {
+            true => Vec::new(),
+            false => self.own_loads(),
+        };
         let pool_loads = self.batch_service.own_pool_loads(now);
         let mut recent = self.recent_crashes.borrow_mut();
         recent.retain(|(_, seen)| now.saturating_duration_since(*seen) < CRASH_RETENTION);
@@ -229,8 +235,10 @@
     pub fn apply_peer_records(&self, now: Instant) {
         let hosts = self.hosts.borrow();
         let mut work_by_target: HashMap<u64, TargetWork> = HashMap::new();
+        // In a large fleet a record reaches an entry too seldom to tell the load of now.
+        let has_loads = !hosts.is_large_fleet();
         for record in hosts.live_peers(now) {
-            for load in &record.loads {
+            for load in record.loads.iter().filter(|_| has_loads) {
                 let work = work_by_target.entry(load.target).or_default();
                 work.running += load.running;
                 work.unread_tokens += load.unread_tokens;
@@ -344,10 +352,14 @@
                     let rows = rows.filter(|(_, row)| !row.leaving).collect();
                     self.batch_service.set_targets(name, pieces, rows, now);
                 }
-                None => pools
-                    .entry(name.clone())
-                    .or_default()
-                    .set_targets(spec, rows),
+                None => {
+                    if spec.engine.is_some() {
+                        let groups = EngineGroups::new(name, rows.clone());
+                        self.engine_groups.borrow_mut().insert(name.clone(), groups);
+                    }
+                    let pool = pools.entry(name.clone()).or_default();
+                    pool.set_targets(spec, rows);
+                }
             }
         }
         drop(pools);
--- a/crates/relay/src/stage/batch_service.rs
+++ b/crates/relay/src/stage/batch_service.rs
@@ -2,7 +2,7 @@
     crate::{
         shared::RelayCore,
         stage::{
-            JobFrame, PoolWait,
+            JobFrame, PeerMessage, PoolWait,
             owner_link::OwnerLink,
             shard_owner::{JobPlace, is_owner},
             shard_state::{InputsReadHook, JobOutcome, JobWaiter, ShardState},
@@ -257,7 +257,9 @@
         }
         for (shard, results) in results_by_shard {
             match self.job_place(core, &shard, now) {
-                JobPlace::Peer(link) => link.send(JobFrame::Free { shard, results }),
+                JobPlace::Peer(link) => {
+                    link.send(PeerMessage::Job(JobFrame::Free { shard, results }));
+                }
                 JobPlace::Here | JobPlace::Unknown => self.free_own_results(&shard, results),
             }
         }
--- a/crates/relay/src/stage/mod.rs
+++ b/crates/relay/src/stage/mod.rs
@@ -14,8 +14,10 @@
     batch_service::BatchService,
     frame_io::{read_frames, write_frames},
     job_frame::JobFrame,
+    owner_link::OwnerLink,
     peer_message::PeerMessage,
     peer_server::serve_peers,
     pool_wait::{PoolWait, pool_wait, shard_wait},
+    shard_owner::{JobPlace, takes_jobs},
     stage_run::StageRun,
 };
--- a/crates/relay/src/stage/owner_link.rs
+++ b/crates/relay/src/stage/owner_link.rs
@@ -1,5 +1,6 @@
 use {
     crate::{
+        place::PlaceFrame,
         stage::{
             JobFrame, PeerMessage,
             frame_io::{read_frames, write_frames},
@@ -8,6 +9,7 @@
         target::configure_socket,
     },
     piece::{StageJob, StageResult},
+    route::ServicePick,
     slog::{Logger, info},
     std::{
         cell::{Cell, RefCell},
@@ -34,6 +36,8 @@
     host: String,
     outbox: mpsc::UnboundedSender<PeerMessage>,
     waiters: Waiters,
+    /// Waiters for places at engines, by the number of the place.
+    place_waiters: RefCell<HashMap<u64, oneshot::Sender<Option<ServicePick>>>>,
     next_number: Cell<u64>,
     is_closed: Cell<bool>,
 }
@@ -46,6 +50,7 @@
             host: host.to_string(),
             outbox,
             waiters: Waiters::default(),
+            place_waiters: RefCell::default(),
             next_number: Cell::new(0),
             is_closed: Cell::new(false),
         });
@@ -54,6 +59,7 @@
             let outcome = running_link.run(address, seal, inbox, &log).await;
             running_link.is_closed.set(true);
             running_link.waiters.borrow_mut().clear();
+            running_link.place_waiters.borrow_mut().clear();
             let reason = outcome
                 .err()
                 .map_or(String::from("closed"), |error| error.to_string());
@@ -73,9 +79,30 @@
     }
 
     /// Queues a message. It is dropped if the connection has ended.
-    pub fn send(&self, frame: JobFrame) {
+    pub fn send(&self, message: PeerMessage) {
         // A closed link is replaced when a message for its owner has to be sent again.
-        let _ = self.outbox.send(PeerMessage::Job(frame));
+        let _ = self.outbox.send(message);
+    }
+
+    /// Returns the number for a question for a place, and the receiver of its answer.
+    pub fn expect_place(&self) -> (u64, oneshot::Receiver<Option<ServicePick>>) {
+        let number = self.take_number();
+        let (sender, receiver) = oneshot::channel();
+        if !self.is_closed() {
+            self.place_waiters.borrow_mut().insert(number, sender);
+        }
+        (number, receiver)
+    }
+
+    /// Drops the waiter for an answer that did not come in time.
+    pub fn forget_place(&self, number: u64) {
+        self.place_waiters.borrow_mut().remove(&number);
+    }
+
+    fn take_number(&self) -> u64 {
+        let number = self.next_number.get();
+        self.next_number.set(number + 1);
+        number
     }
 
     /// Submits a job for a shard; `on_inputs_read` is called once its inputs have been fetched.
@@ -85,19 +112,18 @@
         job: StageJob,
         on_inputs_read: InputsReadHook,
     ) -> RemoteJob {
-        let number = self.next_number.get();
-        self.next_number.set(number + 1);
+        let number = self.take_number();
         let (outcome, receiver) = oneshot::channel();
         let waiter = JobWaiter {
             outcome,
             on_inputs_read,
         };
         self.waiters.borrow_mut().insert(number, waiter);
-        self.send(JobFrame::Submit {
+        self.send(PeerMessage::Job(JobFrame::Submit {
             number,
             shard: shard.to_string(),
             job,
-        });
+        }));
         RemoteJob {
             link: Rc::clone(self),
             number,
@@ -124,8 +150,16 @@
     }
 
     fn handle_answer(&self, message: PeerMessage) {
-        let PeerMessage::Job(frame) = message else {
-            return;
+        let frame = match message {
+            PeerMessage::Job(frame) => frame,
+            PeerMessage::Place(PlaceFrame::Placed { number, pick }) => {
+                if let Some(waiter) = self.place_waiters.borrow_mut().remove(&number) {
+                    // The request that asked may have ended in the meantime.
+                    let _ = waiter.send(pick);
+                }
+                return;
+            }
+            PeerMessage::Place(_) | PeerMessage::Feed(_) => return,
         };
         let (number, outcome) = match frame {
             JobFrame::Made { number, results } => (number, Ok(results)),
@@ -168,9 +202,9 @@
     fn drop(&mut self) {
         self.link.waiters.borrow_mut().remove(&self.number);
         if !self.is_done {
-            self.link.send(JobFrame::Cancel {
+            self.link.send(PeerMessage::Job(JobFrame::Cancel {
                 number: self.number,
-            });
+            }));
         }
     }
 }
--- a/crates/relay/src/stage/peer_message.rs
+++ b/crates/relay/src/stage/peer_message.rs
@@ -1,5 +1,5 @@
 use {
-    crate::{stage::JobFrame, state::FeedFrame},
+    crate::{place::PlaceFrame, stage::JobFrame, state::FeedFrame},
     serde::{Deserialize, Serialize},
 };
 
@@ -8,6 +8,8 @@
 pub enum PeerMessage {
     /// About a job for a shard that the other entry owns.
     Job(JobFrame),
+    /// About a place for a request at an engine.
+    Place(PlaceFrame),
     /// About the contents of the store.
     Feed(FeedFrame),
 }
--- a/crates/relay/src/stage/peer_server.rs
+++ b/crates/relay/src/stage/peer_server.rs
@@ -1,5 +1,6 @@
 use {
     crate::{
+        place::PlaceDesk,
         shared::RelayCore,
         stage::{
             JobFrame, PeerMessage,
@@ -73,11 +74,18 @@
 ) -> anyhow::Result<()> {
     let mut tasks = HashMap::new();
     let mut feed = None;
+    let mut place_desk = PlaceDesk::new(core);
     read_frames(reader, &core.batch_service.seal, |message| match message {
         PeerMessage::Job(frame) => {
             tasks.retain(|_, task: &mut PeerTask| !task.0.is_finished());
             handle_frame(core, frame, &outbox, &mut tasks);
         }
+        PeerMessage::Place(frame) => {
+            if let Some(answer) = place_desk.handle(frame) {
+                // The peer may be gone; its requests count as ended then.
+                let _ = outbox.send(PeerMessage::Place(answer));
+            }
+        }
         PeerMessage::Feed(FeedFrame::Follow { position }) => {
             let serving = serve_feed(Rc::clone(core), position, outbox.clone());
             feed.replace(PeerTask(actix_rt::spawn(serving)));
--- a/crates/relay/src/stage/shard_owner.rs
+++ b/crates/relay/src/stage/shard_owner.rs
@@ -38,7 +38,7 @@
 impl BatchService {
     /// Returns where a job of the shard runs: at the entry that owns it, or at its successor if the
     /// connection to the owner was lost a moment ago.
-    pub(super) fn job_place(&self, core: &RelayCore, shard: &str, now: Instant) -> JobPlace {
+    pub fn job_place(&self, core: &RelayCore, shard: &str, now: Instant) -> JobPlace {
         let hosts = core.hosts.borrow();
         let owners = shard_owners(&hosts, shard, now);
         if owners.is_empty() {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,6 +1,7 @@
 //! Routing: chooses the entries that a customer uses and the target that a call goes to.
 
 mod call_outcome;
+mod engine_groups;
 mod entry_ranking;
 mod outlier_rule;
 mod pool_settings;
@@ -19,6 +20,7 @@
 
 pub use {
     call_outcome::CallOutcome,
+    engine_groups::{EngineGroup, EngineGroups},
     entry_ranking::{DEFAULT_ENTRIES, EntryRanking},
     pool_settings::PoolSettings,
     prompt_part::{PrefixKey, PromptPart, prefix_keys},
--- a/crates/route/src/service_choice.rs
+++ b/crates/route/src/service_choice.rs
@@ -3,6 +3,7 @@
     base::StableHash,
     rand::Rng,
     std::{
+        collections::BTreeSet,
         net::SocketAddr,
         time::{Duration, Instant},
     },
@@ -37,6 +38,17 @@
 /// Upper bound of the random cost that spreads requests over targets of equal cost.
 const MAX_TIE_JITTER: Duration = Duration::from_millis(2);
 
+/// Cost of a target for each request that waits for a slot there.
+const QUEUED_REQUEST_COST: Duration = Duration::from_millis(60);
+
+/// Another target from which the cached part of a prompt can be fetched.
+#[derive(Clone, Copy)]
+struct FetchSource<'a> {
+    target: &'a ServiceTarget,
+    /// Shared tokens of the prompt that the source has not cached either.
+    missing_tokens: u32,
+}
+
 /// Work that a prompt would cause at one target.
 struct PromptWork {
     /// Prompt tokens to read.
@@ -58,17 +70,26 @@
         random: &mut impl Rng,
     ) -> Option<ServicePick> {
         let prefix_owner = self.prefix_owner(query.prefixes);
-        let source = prefix_owner.filter(|(_, owner)| !owner.is_backing_off(now));
-        let usable = self
-            .targets
-            .iter()
-            .filter(|(id, target)| target.accepts_calls(now) && !query.tried.contains(id));
+        let owner_source = prefix_owner.filter(|(_, owner)| !owner.is_backing_off(now));
+        let owner_source = owner_source.map(|(_, target)| FetchSource {
+            target,
+            missing_tokens: 0,
+        });
+        let usable = self.targets.iter().filter(|(id, target)| {
+            target.accepts_calls(now)
+                && !query.tried.contains(id)
+                && query.among.is_none_or(|among| among.contains(*id))
+        });
         let costs = usable.map(|(id, target)| {
-            let work = match prefix_owner {
-                Some((owner_id, _)) if owner_id == id => work_at_owner(target, query.prefixes, now),
-                _ => {
-                    self.work_elsewhere(target, source.map(|(_, owner)| owner), query.prefixes, now)
+            let work = match (query.among, prefix_owner) {
+                (Some(among), _) => {
+                    let source = self.cached_source(id, among, query.prefixes, now);
+                    self.work_elsewhere(target, source, query.prefixes, now)
+                }
+                (None, Some((owner_id, _))) if owner_id == id => {
+                    work_at_owner(target, query.prefixes, now)
                 }
+                (None, _) => self.work_elsewhere(target, owner_source, query.prefixes, now),
             };
             let cost = self.cost(target, &work, query, now);
             let jitter = MAX_TIE_JITTER.mul_f64(random.random::<f64>());
@@ -109,33 +130,58 @@
         times.min()
     }
 
+    /// Returns the target among those that this entry places all prompts at which has cached the
+    /// most of the prompt's shared part; `None` if none has any of it.
+    fn cached_source(
+        &self,
+        id: &str,
+        among: &BTreeSet<String>,
+        prefixes: &[(PrefixKey, u32)],
+        now: Instant,
+    ) -> Option<FetchSource<'_>> {
+        let others = among.iter().filter(|other| *other != id);
+        let others = others.filter_map(|other| self.targets.get(other));
+        let sources = others.filter(|target| !target.is_backing_off(now));
+        let sources = sources.map(|target| {
+            let unread_tokens = target.cache.unread_tokens(prefixes, now);
+            FetchSource {
+                target,
+                missing_tokens: unread_tokens - unshared_tokens(prefixes, unread_tokens),
+            }
+        });
+        sources.min_by_key(|source| source.missing_tokens)
+    }
+
     /// Returns the work for a prompt at a target that does not own its prefix. The shared prefix is
-    /// fetched from the owner if that costs less than reading it. The fetched tokens still count as
-    /// read in the cost, since the owner may have evicted them and the fetch takes time.
+    /// fetched from the source if that costs less than reading it. The fetched tokens still count as
+    /// read in the cost, since the source may have evicted them and the fetch takes time.
     fn work_elsewhere(
         &self,
         target: &ServiceTarget,
-        prefix_owner: Option<&ServiceTarget>,
+        source: Option<FetchSource<'_>>,
         prefixes: &[(PrefixKey, u32)],
         now: Instant,
     ) -> PromptWork {
         let unread_tokens = target.cache.unread_tokens(prefixes, now);
         let shared_tokens = unread_tokens - unshared_tokens(prefixes, unread_tokens);
-        let fetch_from = prefix_owner.and_then(|owner| {
+        let missing_tokens = source.map_or(0, |source| source.missing_tokens);
+        let fetched_tokens = shared_tokens.saturating_sub(missing_tokens);
+        let fetch_from = source.and_then(|source| {
             let token_time = self.engine?.fetch_time?;
-            let is_remote = owner.data_centre != target.data_centre;
+            let is_remote = source.target.data_centre != target.data_centre;
             let distance_factor = if is_remote {
                 CROSS_CENTRE_FETCH_FACTOR
             } else {
                 1
             };
-            let fetch_time = FETCH_SETUP_TIME + token_time * shared_tokens * distance_factor;
+            let fetch_time = FETCH_SETUP_TIME + token_time * fetched_tokens * distance_factor;
             let read_cost = target
-                .reading_time(shared_tokens)
+                .reading_time(fetched_tokens)
                 .mul_f64(READING_COST_FACTOR);
-            (shared_tokens >= MIN_FETCH_TOKENS && fetch_time < read_cost).then_some(owner.address)
+            let is_worth_it = fetched_tokens >= MIN_FETCH_TOKENS && fetch_time < read_cost;
+            is_worth_it.then_some(source.target.address)
         });
-        let read_tokens = fetch_from.map_or(unread_tokens, |_| unread_tokens - shared_tokens);
+        let read_tokens = fetch_from.map_or(unread_tokens, |_| unread_tokens - fetched_tokens);
         PromptWork {
             read_tokens,
             cost_tokens: unread_tokens,
@@ -157,7 +203,9 @@
                 let read_time = target.prompt_read_time(work.cost_tokens);
                 let extra_cost = target.reading_time(work.cost_tokens);
                 let extra_cost = extra_cost.mul_f64(READING_COST_FACTOR - 1.0);
-                read_time + extra_cost + RUNNING_REQUEST_COST * running
+                let queued = running.saturating_sub(target.slots);
+                let running_cost = RUNNING_REQUEST_COST * running + QUEUED_REQUEST_COST * queued;
+                read_time + extra_cost + running_cost
             }
             None => target.call_completion_time(),
         };
--- a/crates/route/src/service_pick.rs
+++ b/crates/route/src/service_pick.rs
@@ -1,10 +1,14 @@
 use {
     crate::PrefixKey,
-    std::{collections::BTreeMap, net::SocketAddr},
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+    },
 };
 
 /// How a call to a target ended, as far as it matters for later choices of a target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ServiceOutcome {
     /// The target answered successfully.
     Answered,
@@ -30,10 +34,13 @@
     pub data_centre: &'a str,
     /// Size of its inputs in bytes, by the data centre that stores them.
     pub inputs: &'a BTreeMap<String, u64>,
+    /// Targets to choose from if this entry places all prompts there, so that it knows exactly what
+    /// they run and have cached; `None` to choose from all targets by what is known of them.
+    pub among: Option<&'a BTreeSet<String>>,
 }
 
 /// Target chosen for a request.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServicePick {
     /// Id of the target.
     pub target: String,
--- a/crates/route/src/service_pool.rs
+++ b/crates/route/src/service_pool.rs
@@ -82,10 +82,10 @@
         self.targets.values().any(|target| !target.leaving)
     }
 
-    /// True if the target is listed and not leaving.
-    pub fn accepts_work(&self, target: &str) -> bool {
+    /// True if the target is listed, is not leaving and has not asked for a pause.
+    pub fn accepts_calls(&self, target: &str, now: Instant) -> bool {
         let target = self.targets.get(target);
-        target.is_some_and(|target| !target.leaving)
+        target.is_some_and(|target| target.accepts_calls(now))
     }
 
     /// Records that a request was sent to the picked target.
--- a/crates/route/tests/service_pool.rs
+++ b/crates/route/tests/service_pool.rs
@@ -59,6 +59,7 @@
         tried,
         data_centre: "a",
         inputs: &BTreeMap::new(),
+        among: None,
     };
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     pool.pick(query, Instant::now(), &mut random).unwrap()
--- a/crates/setup/src/lib.rs
+++ b/crates/setup/src/lib.rs
@@ -9,7 +9,10 @@
 mod start_error;
 
 pub use {
-    http_server::{HttpBody, HttpLimits, HttpReply, close_unread, json_reply, read_body, serve_http, text_reply},
+    http_server::{
+        HttpBody, HttpLimits, HttpReply, close_unread, json_reply, read_body, serve_http,
+        text_reply,
+    },
     log_setup::{LogLevel, LogOutput, open_log},
     metric_registry::MetricRegistry,
     process_probe::is_process_gone,
--- a/crates/stand/src/serve/target_core.rs
+++ b/crates/stand/src/serve/target_core.rs
@@ -142,7 +142,12 @@
     }
 
     async fn change_control(&self, mut request: Request) -> HttpReply {
-        let body = read_body(&mut request.take_payload(), MAX_CONTROL_BYTES, CONTROL_TIMEOUT).await;
+        let body = read_body(
+            &mut request.take_payload(),
+            MAX_CONTROL_BYTES,
+            CONTROL_TIMEOUT,
+        )
+        .await;
         let patched = self.control().patched(&body.unwrap_or_default());
         match patched {
             Ok(mut control) => {
