--- a/crates/relay/src/place/remote_place.rs
+++ b/crates/relay/src/place/remote_place.rs
@@ -50,16 +50,12 @@
     }
 }
 
-/// Returns the group of engines to which a prompt belongs; `None` if the service has no engines, and
-/// in a fleet so small that each entry knows the load of every engine by itself.
+/// Returns the group of engines to which a prompt belongs; `None` if the service has no engines.
 pub fn prompt_group(
     core: &RelayCore,
     service: &str,
     prompt: &[(PrefixKey, u32)],
 ) -> Option<EngineGroup> {
-    if !core.hosts.borrow().is_large_fleet() {
-        return None;
-    }
     // The last part is the request's own; what comes before is shared with other requests.
     let (_, shared) = prompt.split_last()?;
     let (key, _) = shared.last().or(prompt.last())?;
@@ -70,8 +66,9 @@
 /// Has the owner of a group choose an engine for a request. Returns no place if this entry owns the
 /// group itself, and nothing if no engine was chosen in time.
 ///
-/// In a large fleet an entry sends an engine a request so seldom that it knows nothing of its load
-/// and its cache. The owner of a group knows both, since it places all requests there.
+/// An entry by itself knows little of an engine's load and cache: what peers tell is some requests
+/// old, and in a large fleet it sends an engine a request only now and then. The owner of a group
+/// knows both, since it places all requests there.
 pub async fn ask_place(
     core: &RelayCore,
     question: PlaceQuestion,
