Tell refused callers times at which there is room, in order and by customer

Cause: each refused caller was told its own shortfall, so all that were refused in one burst came back in the same moment. Change: a line of return times for each customer, spaced by what a request needs at the slowest of its pools and by the number of live entries.

--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -7,6 +7,7 @@
 mod max_wait;
 mod queue_refusal;
 mod queue_settings;
+mod return_line;
 mod stage_estimate;
 mod waiting_call;
 
@@ -16,6 +17,7 @@
     fair_queue::FairQueue,
     queue_refusal::QueueRefusal,
     queue_settings::QueueSettings,
+    return_line::ReturnLine,
     stage_estimate::StageEstimate,
     waiting_call::{PoppedCall, QueuedCall, WaitingCall},
 };
--- a/crates/relay/src/filters/admission_filter.rs
+++ b/crates/relay/src/filters/admission_filter.rs
@@ -45,12 +45,37 @@
             return Ok(draft);
         }
         let detail = format!("expected to take {expected_late:?}, with {time_left:?} left");
-        let delay = expected_late.saturating_sub(time_left).max(MIN_RETRY_DELAY);
+        let shortfall = expected_late.saturating_sub(time_left).max(MIN_RETRY_DELAY);
+        let customer = draft.organisation.as_deref().unwrap_or_default();
+        let delay = core.return_line.borrow_mut().take_slot(
+            customer,
+            shortfall,
+            return_spacing(core, &draft, now),
+            now,
+        );
         let refusal = RelayRefusal::not_run(FailureReason::Overloaded, detail);
         Err(refusal.retry_after(delay))
     }
 }
 
+/// Returns the time in which there is room for one more request of this kind at this entry: the time
+/// that the slowest of its pools needs for the request's pieces, for each live entry.
+fn return_spacing(core: &RelayCore, draft: &RelayDraft, now: Instant) -> Duration {
+    let stages = draft.rule.stages.iter().zip(&draft.head.piece_counts);
+    let times = stages.map(|(rule, piece_count)| {
+        let spec = draft.plan.services.get(&rule.service);
+        let spec = spec.and_then(|spec| spec.pieces);
+        let piece_time = spec.map_or(Duration::ZERO, |spec| {
+            let batch = u32::try_from(spec.batch).unwrap_or(1).max(1);
+            spec.call_time / batch + spec.item_time
+        });
+        let target_count = core.batch_service.target_count(&rule.service);
+        piece_time * u32::from(*piece_count) / target_count.max(1)
+    });
+    let entry_count = u32::try_from(core.live_entry_count(now)).unwrap_or(1);
+    times.max().unwrap_or_default() * entry_count
+}
+
 /// Returns the time until all stages are expected to be done, that is the time of the slowest path
 /// through them. `select_wait` selects which of the waits at a pool counts.
 fn stages_time(
--- a/crates/relay/src/shared/relay_core.rs
+++ b/crates/relay/src/shared/relay_core.rs
@@ -8,6 +8,7 @@
         target::ConnectionPool,
     },
     board::{CrashReport, GossipSettings, HostRecord, HostTable, TargetLoad},
+    limit::ReturnLine,
     plan::{FleetPlan, ServiceId, StorePosition},
     rand::SeedableRng,
     rand_chacha::ChaCha8Rng,
@@ -78,6 +79,8 @@
     pub batch_service: BatchService,
     /// Records of this entry and of the others.
     pub hosts: RefCell<HostTable>,
+    /// When callers that were refused for lack of room may come back.
+    pub return_line: RefCell<ReturnLine>,
     /// Budget for repeated sends, shared with the other entries.
     pub budget: RefCell<FleetBudget>,
     pub crashes: RefCell<CrashTracker>,
@@ -128,6 +131,7 @@
             pools: RefCell::default(),
             engine_groups: RefCell::default(),
             hosts: RefCell::new(hosts),
+            return_line: RefCell::default(),
             budget: RefCell::new(FleetBudget::new(budget, now)),
             crashes: RefCell::new(CrashTracker::new(tracker)),
             random: RefCell::new(ChaCha8Rng::seed_from_u64(incarnation)),
--- a/crates/relay/src/stage/batch_service.rs
+++ b/crates/relay/src/stage/batch_service.rs
@@ -142,6 +142,16 @@
         Some(shard.name.clone())
     }
 
+    /// Returns the number of targets of a pool; 0 if the pool is unknown.
+    pub fn target_count(&self, pool: &str) -> u32 {
+        let shards = self.pool_shards.borrow();
+        let counts = shards
+            .get(pool)
+            .into_iter()
+            .flat_map(|shards| shards.shards().iter().map(|shard| shard.targets.len()));
+        u32::try_from(counts.sum::<usize>()).unwrap_or(u32::MAX)
+    }
+
     /// Returns the waits of the pool's shard that has the shortest timely wait; zero if the pool
     /// is unknown.
     pub fn min_wait(&self, pool: &str, wait: impl Fn(&str) -> PoolWait) -> PoolWait {
