--- a/crates/piece/src/pool_shards.rs
+++ b/crates/piece/src/pool_shards.rs
@@ -10,6 +10,10 @@
 /// Upper bound of the random time that is added to the wait of each shard when one is chosen.
 const MAX_WAIT_JITTER: Duration = Duration::from_millis(200);
 
+/// Wait that is accepted at a shard in the preferred data centre before one in another data centre
+/// is chosen; more than the jitter, so that an idle near shard is always preferred.
+const OTHER_CENTRE_COST: Duration = Duration::from_millis(300);
+
 /// A part of a pool: a group of its targets, sorted by data centre, whose calls one entry batches.
 #[derive(Debug)]
 pub struct PoolShard {
@@ -72,9 +76,12 @@
             .find(|shard| shard.targets.contains(target))
     }
 
-    /// Returns the shard with the shortest wait, among those with targets in the data centre
-    /// `centre` if there are any; `None` if the pool has no targets. `wait` returns the wait at the
-    /// shard with the given name.
+    /// Returns the shard with the shortest wait; `None` if the pool has no targets. `wait` returns the
+    /// wait at the shard with the given name.
+    ///
+    /// Shards with targets in the data centre `centre` are preferred while their wait is not much
+    /// longer. In a burst the inputs of many jobs are in few data centres; the shards there would
+    /// otherwise have a queue of a second while others are idle.
     ///
     /// The waits come from gossip, so they are some rounds old and the same on every entry. A
     /// random time is added to each, since otherwise all entries would choose the same shard.
@@ -88,12 +95,15 @@
         let is_near =
             |shard: &PoolShard| centre.is_none_or(|centre| shard.data_centres.contains(centre));
         let any_near = with_targets().any(is_near);
-        let candidates = with_targets().filter(|shard| !any_near || is_near(shard));
-        let jittered = candidates.map(|shard| {
+        let costs = with_targets().map(|shard| {
             let jitter = MAX_WAIT_JITTER.mul_f64(random.random::<f64>());
-            (wait(&shard.name) + jitter, shard)
+            let distance_cost = match is_near(shard) || !any_near {
+                true => Duration::ZERO,
+                false => OTHER_CENTRE_COST,
+            };
+            (wait(&shard.name) + jitter + distance_cost, shard)
         });
-        let (_, shard) = jittered.min_by_key(|(wait, _)| *wait)?;
+        let (_, shard) = costs.min_by_key(|(cost, _)| *cost)?;
         Some(shard)
     }
 }
