--- a/crates/piece/src/lib.rs
+++ b/crates/piece/src/lib.rs
@@ -2,6 +2,7 @@
 //! the pieces of many requests are batched into calls to targets.
 
 mod batch_action;
+mod batch_outcome;
 mod batch_queue;
 mod batch_scheduler;
 mod batch_target;
--- /dev/null
+++ b/crates/relay/src/shared/core_peers.rs
@@ -0,0 +1,105 @@
+use {
+    crate::shared::{RelayCore, RelayPhase, relay_core::CRASH_RETENTION},
+    board::{CrashReport, TargetLoad},
+    retry::{TrackedCall, TrackedCallEnd, short_hash},
+    route::{ServicePool, TargetWork},
+    std::{collections::HashMap, time::Instant},
+};
+
+/// Maximum number of crashes that are reported to other entries, the latest ones.
+const MAX_REPORTED_CRASHES: usize = 8;
+
+/// What this entry tells its peers and learns from them.
+impl RelayCore {
+    /// Updates the record that the next gossip round sends to other entries.
+    pub fn refresh_own_record(&self, now: Instant) {
+        let ready = self.is_ready();
+        let loads = match self.hosts.borrow().is_large_fleet() {
+            true => Vec::new(),
+            false => self.own_loads(),
+        };
+        let pool_loads = self.batch_service.own_pool_loads(now);
+        let mut recent = self.recent_crashes.borrow_mut();
+        recent.retain(|(_, seen)| now.saturating_duration_since(*seen) < CRASH_RETENTION);
+        let skipped_count = recent.len().saturating_sub(MAX_REPORTED_CRASHES);
+        let mut hosts = self.hosts.borrow_mut();
+        let own = hosts.own_record_mut();
+        own.ready = ready;
+        own.leaving = self.phase.get() == RelayPhase::Leaving;
+        own.plan_version = self.plan().map_or(0, |plan| plan.version);
+        own.loads = loads;
+        own.pools = pool_loads;
+        own.crashes = recent[skipped_count..]
+            .iter()
+            .map(|(report, _)| *report)
+            .collect();
+    }
+
+    /// Applies the loads and crashes that other entries reported.
+    pub fn apply_peer_records(&self, now: Instant) {
+        let hosts = self.hosts.borrow();
+        let mut work_by_target: HashMap<u64, TargetWork> = HashMap::new();
+        // In a large fleet a record reaches an entry too seldom to tell the load of now.
+        let has_loads = !hosts.is_large_fleet();
+        for record in hosts.live_peers(now) {
+            for load in record.loads.iter().filter(|_| has_loads) {
+                let work = work_by_target.entry(load.target).or_default();
+                work.running += load.running;
+                work.unread_tokens += load.unread_tokens;
+            }
+            for crash in &record.crashes {
+                self.merge_crash(crash, now);
+            }
+        }
+        for pool in self.pools.borrow_mut().values_mut() {
+            pool.set_peer_work(&work_by_target);
+        }
+        let latest_plan = hosts.latest_peer_plan(now);
+        let mut replica = self.replica.borrow_mut();
+        replica.on_peer_plan(latest_plan, now);
+        self.state.borrow_mut().evidence = replica.view().evidence;
+    }
+
+    /// Records that a target died while it ran a request, and reports it to the other entries.
+    pub fn record_crash(&self, fingerprint: retry::CrashFingerprint, target: &str, now: Instant) {
+        let call = TrackedCall {
+            fingerprint,
+            // Only whole requests are tracked; all count as stage 0.
+            stage: 0,
+            target,
+        };
+        self.crashes
+            .borrow_mut()
+            .finish_call(call, TrackedCallEnd::TargetDied, now);
+        let report = CrashReport {
+            request: fingerprint,
+            target: short_hash(target),
+        };
+        self.recent_crashes.borrow_mut().push((report, now));
+    }
+
+    fn merge_crash(&self, crash: &CrashReport, now: Instant) {
+        let record = retry::CrashRecord {
+            fingerprint: crash.request,
+            victims: vec![retry::TargetStrikes {
+                target: crash.target,
+                stage: 0,
+                strikes: 1,
+                cleared: 0,
+            }],
+            remaining: CRASH_RETENTION,
+        };
+        self.crashes.borrow_mut().merge(&record, now);
+    }
+
+    fn own_loads(&self) -> Vec<TargetLoad> {
+        let pools = self.pools.borrow();
+        let work = pools.values().flat_map(ServicePool::own_work);
+        work.map(|(target, work)| TargetLoad {
+            target,
+            running: work.running,
+            unread_tokens: work.unread_tokens,
+        })
+        .collect()
+    }
+}
--- /dev/null
+++ b/crates/relay/src/shared/core_targets.rs
@@ -0,0 +1,132 @@
+use {
+    crate::{
+        shared::{RelayCore, RelayPhase},
+        state::StateView,
+    },
+    plan::FleetPlan,
+    route::{EngineGroups, TargetNotice},
+    slog::info,
+    std::time::Instant,
+};
+
+/// The configuration and targets in force, and what targets say of themselves.
+impl RelayCore {
+    /// Puts the configuration and targets that were read from the store in force.
+    pub fn apply_state(&self, view: &StateView, now: Instant) {
+        let previous = self.state.replace(view.clone());
+        let Some(plan) = &view.plan else {
+            return;
+        };
+        let previous_version = previous.plan.as_ref().map_or(0, |plan| plan.version);
+        if plan.version > previous_version {
+            self.metrics
+                .plan_version
+                .set(i64::try_from(plan.version).unwrap_or(i64::MAX));
+            info!(self.log, "configuration in force";
+                "version" => plan.version, "before" => previous_version);
+        }
+        if previous.targets != view.targets {
+            self.log_target_changes(&previous, view);
+        }
+        if plan.version > previous_version || previous.targets != view.targets {
+            self.apply_targets(plan, view, now);
+        }
+        if self.phase.get() == RelayPhase::Starting {
+            self.phase.set(RelayPhase::Serving);
+            info!(self.log, "serving"; "targets" => view.targets.len());
+        }
+    }
+
+    /// Removes targets that did not register again in time after an outage of the store.
+    pub fn expire_targets(&self, now: Instant) {
+        let expired = self.replica.borrow_mut().remove_expired(now);
+        if expired {
+            self.apply_state(self.replica.borrow().view(), now);
+        }
+    }
+
+    /// Applies what a target said of itself in the head of an answer: that it is leaving, or that
+    /// it wants no calls for a while. This holds for all calls of this entry to that process.
+    pub fn record_notice(&self, target: &str, notice: TargetNotice, now: Instant) {
+        if notice == TargetNotice::default() {
+            return;
+        }
+        let state = self.state.borrow();
+        let started_ms = state.targets.get(target).map_or(0, |row| row.started_ms);
+        let is_news = self
+            .notices
+            .borrow_mut()
+            .record(target, started_ms, notice, now);
+        if is_news {
+            info!(self.log, "target gave notice"; "target" => target,
+                "leaving" => notice.leaving,
+                "pause_ms" => notice.pause.map(|pause| pause.as_millis() as u64));
+            self.metrics.target_notices.inc();
+        }
+        self.apply_notices(now);
+    }
+
+    /// Tells the pools and schedulers which targets are leaving or want no calls for a while.
+    fn apply_notices(&self, now: Instant) {
+        let notices = self.notices.borrow();
+        let mut pools = self.pools.borrow_mut();
+        for (target, standing) in notices.active(now) {
+            for pool in pools.values_mut() {
+                pool.apply_notice(target, standing);
+            }
+            self.batch_service.apply_notice(target, standing);
+        }
+    }
+
+    fn apply_targets(&self, plan: &FleetPlan, view: &StateView, now: Instant) {
+        let mut pools = self.pools.borrow_mut();
+        pools.retain(|service, _| plan.services.contains_key(service));
+        let has_pieces = |pool: &str| {
+            let spec = plan.services.get(pool);
+            spec.is_some_and(|spec| spec.pieces.is_some())
+        };
+        self.batch_service.retain_pools(has_pieces, now);
+        for (name, spec) in &plan.services {
+            let rows = view.targets.iter().filter(|(_, row)| row.service == *name);
+            match spec.pieces {
+                Some(pieces) => {
+                    let rows = rows.filter(|(_, row)| !row.leaving).collect();
+                    self.batch_service.set_targets(name, pieces, rows, now);
+                }
+                None => {
+                    if spec.engine.is_some() {
+                        let groups = EngineGroups::new(name, rows.clone());
+                        self.engine_groups.borrow_mut().insert(name.clone(), groups);
+                    }
+                    let pool = pools.entry(name.clone()).or_default();
+                    pool.set_targets(spec, rows);
+                }
+            }
+        }
+        drop(pools);
+        for (id, row) in &view.targets {
+            self.notices.borrow_mut().retain_process(id, row.started_ms);
+        }
+        self.apply_notices(now);
+    }
+
+    fn log_target_changes(&self, previous: &StateView, view: &StateView) {
+        for (id, row) in &view.targets {
+            match previous.targets.get(id) {
+                None => info!(self.log, "target listed"; "target" => id,
+                    "service" => &row.service, "address" => %row.address),
+                Some(previous_row) if previous_row.leaving != row.leaving => {
+                    info!(self.log, "target changed"; "target" => id, "leaving" => row.leaving);
+                }
+                Some(_) => {}
+            }
+        }
+        let gone_ids = previous
+            .targets
+            .keys()
+            .filter(|id| !view.targets.contains_key(*id));
+        for id in gone_ids {
+            info!(self.log, "target gone"; "target" => id);
+        }
+    }
+}
--- a/crates/relay/src/shared/mod.rs
+++ b/crates/relay/src/shared/mod.rs
@@ -1,4 +1,6 @@
 mod boot_clock;
+mod core_peers;
+mod core_targets;
 mod relay_core;
 mod relay_metrics;
 mod relay_phase;
--- a/crates/relay/src/stage/mod.rs
+++ b/crates/relay/src/stage/mod.rs
@@ -2,6 +2,7 @@
 mod batch_service;
 mod frame_io;
 mod job_frame;
+mod job_runner;
 mod owner_link;
 mod peer_message;
 mod peer_server;
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -5,6 +5,7 @@
 mod held_targets;
 mod peer_feed;
 mod state_view;
+mod store_contents;
 mod store_reader;
 mod store_replica;
 mod store_request;
--- /dev/null
+++ b/crates/relay/src/state/store_contents.rs
@@ -0,0 +1,169 @@
+use {
+    crate::{
+        dialect::{StoreChanges, StoreItem},
+        state::{AnswerOrigin, ChangeLog, StoreReplica, store_replica::ReadPhase},
+    },
+    plan::{BootTime, FleetPlan, PlanVersion, StoreEra, StorePosition, TargetRow},
+    std::{
+        collections::BTreeSet,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Targets that expired in the store during an outage are kept until this time after its end, so
+/// that they can register again.
+const RETURN_GRACE: Duration = Duration::from_millis(2_300);
+/// Time after the store has come back from an older copy within which its answers are no evidence
+/// that a configuration is the latest one, since the operator may not have written it again yet.
+const ERA_SETTLE_TIME: Duration = Duration::from_millis(2_500);
+
+/// How answers change the replica's view of the store.
+impl StoreReplica {
+    /// Applies changes unless later ones are known already, since the answers to a check and a
+    /// watch may arrive in either order.
+    pub(super) fn apply_changes(
+        &mut self,
+        changes: StoreChanges,
+        origin: AnswerOrigin,
+        now: Instant,
+    ) {
+        if !self.accept_era(origin.era, now) || !self.is_watching() {
+            return;
+        }
+        if origin.called_at.is_some() {
+            self.record_contact(now);
+        }
+        if changes.revision >= self.position.revision {
+            let from = self.position;
+            self.position.revision = changes.revision;
+            self.change_log
+                .record(from, self.position, changes.items.clone());
+            for item in changes.items {
+                if let StoreItem::Target(id, _) = &item {
+                    self.held_targets.release(id);
+                }
+                self.apply_item(item, now);
+            }
+        }
+        self.confirm(origin.called_at, now);
+    }
+
+    /// Returns true if an answer of this era may be applied: it is not older than the present one.
+    /// With a later era everything is read again.
+    pub(super) fn accept_era(&mut self, era: StoreEra, now: Instant) -> bool {
+        if era > self.position.era {
+            let is_first_read = self.position.revision == 0;
+            self.position = StorePosition { era, revision: 0 };
+            if is_first_read {
+                return true;
+            }
+            self.phase = ReadPhase::start();
+            self.next_at = now;
+            self.era_begun_at = Some(now);
+            // Targets write their state again, as after an outage.
+            self.store_returned_at = Some(now);
+            self.held_targets.begin_era(&self.view.targets, now);
+            self.change_log = ChangeLog::default();
+        }
+        era == self.position.era
+    }
+
+    /// Records that the configuration in force was the latest one at the given time.
+    pub(super) fn confirm(&mut self, confirmed_at: Option<BootTime>, now: Instant) {
+        let is_era_new = self
+            .era_begun_at
+            .is_some_and(|begun_at| now < begun_at + ERA_SETTLE_TIME);
+        let known_plan = self.known_plan();
+        if let Some(confirmed_at) = confirmed_at
+            && !is_era_new
+            && known_plan >= self.latest_peer_plan
+        {
+            self.view.evidence.confirm(confirmed_at);
+        }
+    }
+
+    /// Records that the store answered.
+    pub(super) fn record_contact(&mut self, now: Instant) {
+        if self.failed_call_count > 0 {
+            self.store_returned_at = Some(now);
+        }
+        self.failed_call_count = 0;
+    }
+
+    /// Applies all items of the store; targets that are not among them are gone.
+    pub(super) fn apply_full_read(
+        &mut self,
+        items: Vec<StoreItem>,
+        origin: AnswerOrigin,
+        now: Instant,
+    ) {
+        let mut listed = BTreeSet::new();
+        for item in items {
+            match item {
+                StoreItem::Target(id, row) => {
+                    listed.insert(id.clone());
+                    let row = self.held_targets.listed(&id, row);
+                    self.apply_target(id, row);
+                }
+                item => self.apply_item(item, now),
+            }
+        }
+        let known_ids = self.view.targets.keys();
+        let gone: Vec<String> = known_ids
+            .filter(|id| !listed.contains(*id))
+            .cloned()
+            .collect();
+        for id in gone {
+            self.on_target_gone(id, now);
+        }
+        self.change_log = ChangeLog::default();
+        self.confirm(origin.called_at, now);
+    }
+
+    fn apply_item(&mut self, item: StoreItem, now: Instant) {
+        match item {
+            StoreItem::Plan(plan) => self.apply_plan(plan),
+            StoreItem::Target(id, row) => self.apply_target(id, row),
+            StoreItem::TargetGone(id) => self.on_target_gone(id, now),
+            StoreItem::Unreadable(key, text) => self.unreadable.push((key, text)),
+            StoreItem::Other => {}
+        }
+    }
+
+    fn apply_plan(&mut self, plan: Arc<FleetPlan>) {
+        if plan.version > self.known_plan() {
+            self.view.plan = Some(plan);
+        }
+    }
+
+    /// Returns the version of the configuration in force, 0 if there is none.
+    pub(super) fn known_plan(&self) -> PlanVersion {
+        self.view.plan.as_ref().map_or(0, |plan| plan.version)
+    }
+
+    fn apply_target(&mut self, id: String, row: TargetRow) {
+        self.missing_until.remove(&id);
+        self.view.targets.insert(id, row);
+    }
+
+    /// Removes a target that is no longer listed, or keeps it for a time if an outage of the store
+    /// has just ended, during which the target could not renew its item.
+    fn on_target_gone(&mut self, id: String, now: Instant) {
+        let grace_end = self
+            .store_returned_at
+            .map(|store_returned_at| store_returned_at + RETURN_GRACE);
+        match grace_end.filter(|until| *until > now) {
+            Some(until) if self.view.targets.contains_key(&id) => {
+                self.missing_until.entry(id).or_insert(until);
+            }
+            _ => self.remove_target(&id, now),
+        }
+    }
+
+    pub(super) fn remove_target(&mut self, id: &str, now: Instant) {
+        if let Some(row) = self.view.targets.remove(id) {
+            self.held_targets.record_departure(id, &row, now);
+        }
+    }
+}
--- a/crates/relay/src/state/store_replica.rs
+++ b/crates/relay/src/state/store_replica.rs
@@ -5,10 +5,9 @@
             AnswerOrigin, StateView, StoreRequest, change_log::ChangeLog, held_targets::HeldTargets,
         },
     },
-    plan::{BootTime, FleetPlan, PlanEvidence, PlanVersion, StoreEra, StorePosition, TargetRow},
+    plan::{BootTime, PlanEvidence, PlanVersion, StoreEra, StorePosition},
     std::{
-        collections::{BTreeMap, BTreeSet},
-        sync::Arc,
+        collections::BTreeMap,
         time::{Duration, Instant},
     },
 };
@@ -29,19 +28,13 @@
 const MIN_BACKOFF: Duration = Duration::from_millis(250);
 /// Longest delay before the next call after several failed in a row.
 const MAX_BACKOFF: Duration = Duration::from_millis(1_000);
-/// Targets that expired in the store during an outage are kept until this time after its end, so
-/// that they can register again.
-const RETURN_GRACE: Duration = Duration::from_millis(2_300);
-/// Time after the store has come back from an older copy within which its answers are no evidence
-/// that a configuration is the latest one, since the operator may not have written it again yet.
-const ERA_SETTLE_TIME: Duration = Duration::from_millis(2_500);
 /// Time after the start of the process or of an era within which its evidence is withdrawn if a peer
 /// has a later configuration.
 const NEWCOMER_TIME: Duration = Duration::from_millis(6_000);
 
 /// How the store is read at present.
 #[derive(Debug)]
-enum ReadPhase {
+pub(super) enum ReadPhase {
     /// All items are read, page by page.
     Reading {
         /// Items of the pages read so far.
@@ -66,32 +59,32 @@
 /// the new era has stated it.
 #[derive(Debug)]
 pub struct StoreReplica {
-    view: StateView,
-    phase: ReadPhase,
+    pub(super) view: StateView,
+    pub(super) phase: ReadPhase,
     /// Position up to which all changes are known.
-    position: StorePosition,
+    pub(super) position: StorePosition,
     /// Time at which the process started.
-    started_at: Instant,
+    pub(super) started_at: Instant,
     /// Time at which this entry learnt that the store had lost its latest changes; `None` if it
     /// never did.
-    era_begun_at: Option<Instant>,
+    pub(super) era_begun_at: Option<Instant>,
     /// Targets that an older copy of the store must not bring back.
-    held_targets: HeldTargets,
+    pub(super) held_targets: HeldTargets,
     /// Latest changes, which are passed on to peers.
-    change_log: ChangeLog,
+    pub(super) change_log: ChangeLog,
     /// Number of calls that failed in a row.
-    failed_call_count: u32,
+    pub(super) failed_call_count: u32,
     /// Time of the next request.
-    next_at: Instant,
+    pub(super) next_at: Instant,
     /// Time of the store's first answer after the latest outage; `None` if there was no outage.
-    store_returned_at: Option<Instant>,
+    pub(super) store_returned_at: Option<Instant>,
     /// Ids of the targets that are kept although the store no longer lists them, each with the time
     /// until which it is kept.
-    missing_until: BTreeMap<String, Instant>,
+    pub(super) missing_until: BTreeMap<String, Instant>,
     /// Keys of items that could not be parsed, with the reason.
-    unreadable: Vec<(String, String)>,
+    pub(super) unreadable: Vec<(String, String)>,
     /// Latest version of the configuration that a live peer has in force; 0 if none is known.
-    latest_peer_plan: PlanVersion,
+    pub(super) latest_peer_plan: PlanVersion,
 }
 
 /// How the position that a peer knows compares with the one that this entry knows.
@@ -348,148 +341,11 @@
         }
         !expired.is_empty()
     }
-
-    /// Applies changes unless later ones are known already, since the answers to a check and a
-    /// watch may arrive in either order.
-    fn apply_changes(&mut self, changes: StoreChanges, origin: AnswerOrigin, now: Instant) {
-        if !self.accept_era(origin.era, now) || !self.is_watching() {
-            return;
-        }
-        if origin.called_at.is_some() {
-            self.record_contact(now);
-        }
-        if changes.revision >= self.position.revision {
-            let from = self.position;
-            self.position.revision = changes.revision;
-            self.change_log
-                .record(from, self.position, changes.items.clone());
-            for item in changes.items {
-                if let StoreItem::Target(id, _) = &item {
-                    self.held_targets.release(id);
-                }
-                self.apply_item(item, now);
-            }
-        }
-        self.confirm(origin.called_at, now);
-    }
-
-    /// Returns true if an answer of this era may be applied: it is not older than the present one.
-    /// With a later era everything is read again.
-    fn accept_era(&mut self, era: StoreEra, now: Instant) -> bool {
-        if era > self.position.era {
-            let is_first_read = self.position.revision == 0;
-            self.position = StorePosition { era, revision: 0 };
-            if is_first_read {
-                return true;
-            }
-            self.phase = ReadPhase::start();
-            self.next_at = now;
-            self.era_begun_at = Some(now);
-            // Targets write their state again, as after an outage.
-            self.store_returned_at = Some(now);
-            self.held_targets.begin_era(&self.view.targets, now);
-            self.change_log = ChangeLog::default();
-        }
-        era == self.position.era
-    }
-
-    /// Records that the configuration in force was the latest one at the given time.
-    fn confirm(&mut self, confirmed_at: Option<BootTime>, now: Instant) {
-        let is_era_new = self
-            .era_begun_at
-            .is_some_and(|begun_at| now < begun_at + ERA_SETTLE_TIME);
-        let known_plan = self.known_plan();
-        if let Some(confirmed_at) = confirmed_at
-            && !is_era_new
-            && known_plan >= self.latest_peer_plan
-        {
-            self.view.evidence.confirm(confirmed_at);
-        }
-    }
-
-    /// Records that the store answered.
-    fn record_contact(&mut self, now: Instant) {
-        if self.failed_call_count > 0 {
-            self.store_returned_at = Some(now);
-        }
-        self.failed_call_count = 0;
-    }
-
-    /// Applies all items of the store; targets that are not among them are gone.
-    fn apply_full_read(&mut self, items: Vec<StoreItem>, origin: AnswerOrigin, now: Instant) {
-        let mut listed = BTreeSet::new();
-        for item in items {
-            match item {
-                StoreItem::Target(id, row) => {
-                    listed.insert(id.clone());
-                    let row = self.held_targets.listed(&id, row);
-                    self.apply_target(id, row);
-                }
-                item => self.apply_item(item, now),
-            }
-        }
-        let known_ids = self.view.targets.keys();
-        let gone: Vec<String> = known_ids
-            .filter(|id| !listed.contains(*id))
-            .cloned()
-            .collect();
-        for id in gone {
-            self.on_target_gone(id, now);
-        }
-        self.change_log = ChangeLog::default();
-        self.confirm(origin.called_at, now);
-    }
-
-    fn apply_item(&mut self, item: StoreItem, now: Instant) {
-        match item {
-            StoreItem::Plan(plan) => self.apply_plan(plan),
-            StoreItem::Target(id, row) => self.apply_target(id, row),
-            StoreItem::TargetGone(id) => self.on_target_gone(id, now),
-            StoreItem::Unreadable(key, text) => self.unreadable.push((key, text)),
-            StoreItem::Other => {}
-        }
-    }
-
-    fn apply_plan(&mut self, plan: Arc<FleetPlan>) {
-        if plan.version > self.known_plan() {
-            self.view.plan = Some(plan);
-        }
-    }
-
-    /// Returns the version of the configuration in force, 0 if there is none.
-    fn known_plan(&self) -> PlanVersion {
-        self.view.plan.as_ref().map_or(0, |plan| plan.version)
-    }
-
-    fn apply_target(&mut self, id: String, row: TargetRow) {
-        self.missing_until.remove(&id);
-        self.view.targets.insert(id, row);
-    }
-
-    /// Removes a target that is no longer listed, or keeps it for a time if an outage of the store
-    /// has just ended, during which the target could not renew its item.
-    fn on_target_gone(&mut self, id: String, now: Instant) {
-        let grace_end = self
-            .store_returned_at
-            .map(|store_returned_at| store_returned_at + RETURN_GRACE);
-        match grace_end.filter(|until| *until > now) {
-            Some(until) if self.view.targets.contains_key(&id) => {
-                self.missing_until.entry(id).or_insert(until);
-            }
-            _ => self.remove_target(&id, now),
-        }
-    }
-
-    fn remove_target(&mut self, id: &str, now: Instant) {
-        if let Some(row) = self.view.targets.remove(id) {
-            self.held_targets.record_departure(id, &row, now);
-        }
-    }
 }
 
 impl ReadPhase {
     /// Returns the phase in which the first page is read.
-    fn start() -> Self {
+    pub(super) fn start() -> Self {
         Self::Reading {
             items: Vec::new(),
             after: None,
--- a/crates/relay/src/target/connection_pool.rs
+++ b/crates/relay/src/target/connection_pool.rs
@@ -1,7 +1,10 @@
 use {
     crate::{
         dialect::{HeaderList, WireCall},
-        target::{CallFault, CallReply, configure_socket},
+        target::{
+            CallFault, CallReply, configure_socket,
+            hop_headers::{end_to_end_headers, is_hop_header, keep_alive_timeout},
+        },
     },
     actix_rt::task::JoinHandle,
     bytes::Bytes,
@@ -10,7 +13,7 @@
         Request, Response,
         body::Incoming,
         client::conn::http1::{self, SendRequest},
-        header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderMap},
+        header::{CONTENT_LENGTH, HOST},
     },
     hyper_util::rt::TokioIo,
     slog::{Logger, debug},
@@ -37,18 +40,6 @@
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Maximum number of idle connections to one address.
 const MAX_IDLE_CONNECTIONS: usize = 64;
-/// Hop-by-hop headers, which concern only one connection and are not passed on.
-const HOP_HEADERS: [&str; 9] = [
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
 
 /// An open connection; closed when dropped.
 pub struct PooledConnection {
@@ -294,39 +285,3 @@
     let request = builder.body(Full::new(call.body));
     request.map_err(|error| CallFault::NotSent(error.to_string()))
 }
-
-/// Returns the headers without the hop-by-hop ones. `keep-alive` stays, since the pool needs it.
-fn end_to_end_headers(headers: &HeaderMap) -> HeaderList {
-    let connection_values = headers.get_all(CONNECTION).iter();
-    let named_hop_headers: Vec<String> = connection_values
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
-    let kept = headers.iter().filter(|(name, _)| {
-        let name = name.as_str();
-        name == "keep-alive"
-            || (!is_hop_header(name) && !named_hop_headers.iter().any(|hop| hop == name))
-    });
-    kept.map(|(name, value)| (name.as_str().to_string(), value.as_bytes().to_vec()))
-        .collect()
-}
-
-/// Returns true for hop-by-hop headers, which concern only one connection; the name is in lower
-/// case.
-pub fn is_hop_header(name: &str) -> bool {
-    HOP_HEADERS.contains(&name)
-}
-
-/// Returns the idle time-out that the other side states in its `keep-alive` header.
-pub fn keep_alive_timeout(headers: &HeaderList) -> Option<Duration> {
-    let value = crate::dialect::header_value(headers, "keep-alive")?;
-    let words = value.split(',');
-    let mut timeout_values = words.filter_map(|word| word.trim().strip_prefix("timeout="));
-    timeout_values
-        .next()?
-        .trim()
-        .parse()
-        .ok()
-        .map(Duration::from_secs)
-}
--- a/crates/relay/src/target/mod.rs
+++ b/crates/relay/src/target/mod.rs
@@ -1,11 +1,13 @@
 mod call_reply;
 mod connection_pool;
 mod event_splitter;
+mod hop_headers;
 mod socket_setup;
 
 pub use {
     call_reply::{CallFault, CallReply},
-    connection_pool::{ConnectionPool, is_hop_header, keep_alive_timeout},
+    connection_pool::ConnectionPool,
     event_splitter::EventSplitter,
+    hop_headers::{is_hop_header, keep_alive_timeout},
     socket_setup::configure_socket,
 };
