--- a/crates/relay/src/state/store_replica.rs
+++ b/crates/relay/src/state/store_replica.rs
@@ -15,11 +15,6 @@
 /// Longest time for which a watch waits for changes. A broken connection is noticed earlier, by the
 /// short checks that refresh the evidence.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
-/// Longest time for which the first watch of a process waits, since the process may follow a peer
-/// once it has heard of the others.
-const FIRST_WATCH_WAIT: Duration = Duration::from_secs(1);
-/// Time after the start of the process within which a watch counts as the first one.
-const FIRST_WATCH_TIME: Duration = Duration::from_secs(3);
 /// Longest time for which a check waits for changes.
 const CHECK_WAIT: Duration = Duration::from_millis(1);
 /// Delay between an answer to a watch and the next watch.
@@ -129,10 +124,7 @@
             },
             ReadPhase::Watching => StoreRequest::Watch {
                 revision: self.position.revision,
-                wait: match self.next_at < self.started_at + FIRST_WATCH_TIME {
-                    true => FIRST_WATCH_WAIT,
-                    false => WATCH_WAIT,
-                },
+                wait: WATCH_WAIT,
             },
         };
         (request, self.next_at)
