Keep targets that expired in an outage at followers too; watch and check the store as before

Traced: (1) a watch of 20 s and checkers that ask each other let an entry hear of the store's return only with the next change, so that a target that had left was kept 2.3 s from then on, beyond the bound for draining; (2) a process that did not watch until it had settled missed a drain in its first second; (3) the stand-in of the store answered a watch that was waiting when its silence began, with which the first test had lived only because a watch ended within 5 s. Reading the code for (1) showed that followers, which seldom call the store, dropped all targets at once that had expired in an outage. A feed tells how long ago the store returned.

--- a/crates/board/src/evidence_refresher.rs
+++ b/crates/board/src/evidence_refresher.rs
@@ -129,8 +129,8 @@
         let peer = peer.and_then(|host| hosts.peer_address(host));
         RefreshDecision {
             check_store: is_fallback_due || (is_checker && is_check_due),
-            // The checkers ask each other too, so that one check of the store serves them all.
-            ask_peer: peer,
+            // A checker whose own reads of the store do not succeed asks another checker as well.
+            ask_peer: peer.filter(|_| !is_checker || is_fallback_due),
         }
     }
 }
--- a/crates/relay/src/state/feed_frame.rs
+++ b/crates/relay/src/state/feed_frame.rs
@@ -2,6 +2,7 @@
     crate::dialect::StoreItem,
     plan::StorePosition,
     serde::{Deserialize, Serialize},
+    std::time::Duration,
 };
 
 /// A message of the feed by which an entry that watches the store passes its contents on to the
@@ -21,6 +22,8 @@
         to: StorePosition,
         /// The changes.
         items: Vec<StoreItem>,
+        /// Time since the sender had the store's first answer after an outage, if there was one.
+        returned_ago: Option<Duration>,
     },
     /// The whole contents of the store, for a follower that lacks changes which are no longer kept.
     Snapshot {
@@ -28,6 +31,8 @@
         position: StorePosition,
         /// The configuration and all targets.
         items: Vec<StoreItem>,
+        /// Time since the sender had the store's first answer after an outage, if there was one.
+        returned_ago: Option<Duration>,
     },
     /// Nothing has changed; shows that the connection is alive.
     Alive,
--- a/crates/relay/src/state/feed_server.rs
+++ b/crates/relay/src/state/feed_server.rs
@@ -6,7 +6,10 @@
         state::{FeedFrame, StoreReplica},
     },
     plan::StorePosition,
-    std::{rc::Rc, time::Duration},
+    std::{
+        rc::Rc,
+        time::{Duration, Instant},
+    },
     tokio::sync::mpsc,
 };
 
@@ -51,15 +54,18 @@
         true => replica.change_log().changes_after(position),
         false => None,
     };
+    let returned_ago = replica.returned_ago(Instant::now());
     let frame = match changes {
         Some(items) => FeedFrame::Changes {
             from: position,
             to: known,
             items,
+            returned_ago,
         },
         None => FeedFrame::Snapshot {
             position: known,
             items: all_items(replica),
+            returned_ago,
         },
     };
     Some((frame, known))
--- a/crates/relay/src/state/peer_feed.rs
+++ b/crates/relay/src/state/peer_feed.rs
@@ -3,7 +3,7 @@
         dialect::StoreChanges,
         shared::RelayCore,
         stage::{PeerMessage, read_frames, write_frames},
-        state::{FeedFrame, feed_server::ALIVE_INTERVAL, store_reader::publish_view},
+        state::{FeedFrame, StoreReplica, feed_server::ALIVE_INTERVAL, store_reader::publish_view},
         target::configure_socket,
     },
     board::store_checkers,
@@ -107,20 +107,35 @@
 
 fn apply_frame(core: &RelayCore, frame: FeedFrame) {
     let now = Instant::now();
+    let mut replica = core.replica.borrow_mut();
     match frame {
-        FeedFrame::Changes { from, to, items } => {
-            let changes = StoreChanges {
-                items,
-                revision: to.revision,
-            };
-            let mut replica = core.replica.borrow_mut();
+        FeedFrame::Changes {
+            from,
+            to,
+            items,
+            returned_ago,
+        } => {
+            let revision = to.revision;
+            let changes = StoreChanges { items, revision };
+            record_return(&mut replica, returned_ago, now);
             replica.on_peer_changes(from, changes, to.era, now);
         }
-        FeedFrame::Snapshot { position, items } => {
-            let mut replica = core.replica.borrow_mut();
+        FeedFrame::Snapshot {
+            position,
+            items,
+            returned_ago,
+        } => {
+            record_return(&mut replica, returned_ago, now);
             replica.on_peer_snapshot(position, items, now);
         }
         FeedFrame::Follow { .. } | FeedFrame::Alive => return,
     }
+    drop(replica);
     publish_view(core, now);
 }
+
+fn record_return(replica: &mut StoreReplica, returned_ago: Option<Duration>, now: Instant) {
+    if let Some(returned_ago) = returned_ago {
+        replica.on_peer_return(returned_ago, now);
+    }
+}
--- a/crates/relay/src/state/store_reader.rs
+++ b/crates/relay/src/state/store_reader.rs
@@ -22,8 +22,6 @@
 /// Time within which the store must answer a check, in addition to the time for which the check
 /// waits for changes. It is short because the next check follows soon.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(600);
-/// Interval of checks whether this process has heard of the other hosts.
-const SETTLE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Longest answer of the store, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 /// Delay before the next check after one that failed, at an entry that checks for others.
@@ -43,12 +41,12 @@
 /// store itself or from a peer that watches it.
 pub async fn read_store(core: Rc<RelayCore>) {
     loop {
-        let is_watching = core.replica.borrow().is_watching();
-        if is_watching {
-            wait_until_settled(&core).await;
-            if let Some(source) = feed_source(&core, Instant::now()) {
-                follow_peer(&core, &source).await;
-            }
+        let source = match core.replica.borrow().is_watching() {
+            true => feed_source(&core, Instant::now()),
+            false => None,
+        };
+        if let Some(source) = source {
+            follow_peer(&core, &source).await;
         }
         let (request, send_at) = core.replica.borrow().next_request();
         actix_rt::time::sleep_until(send_at.into()).await;
@@ -68,14 +66,6 @@
     }
 }
 
-/// Waits until this process has heard of the other hosts, so that it knows whether to follow one of
-/// them. Otherwise all processes of a fleet that starts would watch the store at the same time.
-async fn wait_until_settled(core: &RelayCore) {
-    while !core.hosts.borrow().own_record().settled {
-        actix_rt::time::sleep(SETTLE_CHECK_INTERVAL).await;
-    }
-}
-
 /// Checks the store for changes whenever a check is requested.
 pub async fn check_store(core: Rc<RelayCore>) {
     loop {
--- a/crates/relay/src/state/store_replica.rs
+++ b/crates/relay/src/state/store_replica.rs
@@ -14,7 +14,12 @@
 
 /// Longest time for which a watch waits for changes. A broken connection is noticed earlier, by the
 /// short checks that refresh the evidence.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
+const WATCH_WAIT: Duration = Duration::from_millis(5_000);
+/// Longest time for which the first watch of a process waits, since the process may follow a peer
+/// once it has heard of the others.
+const FIRST_WATCH_WAIT: Duration = Duration::from_secs(1);
+/// Time after the start of the process within which a watch counts as the first one.
+const FIRST_WATCH_TIME: Duration = Duration::from_secs(3);
 /// Longest time for which a check waits for changes.
 const CHECK_WAIT: Duration = Duration::from_millis(1);
 /// Delay between an answer to a watch and the next watch.
@@ -124,7 +129,10 @@
             },
             ReadPhase::Watching => StoreRequest::Watch {
                 revision: self.position.revision,
-                wait: WATCH_WAIT,
+                wait: match self.next_at < self.started_at + FIRST_WATCH_TIME {
+                    true => FIRST_WATCH_WAIT,
+                    false => WATCH_WAIT,
+                },
             },
         };
         (request, self.next_at)
@@ -219,6 +227,19 @@
         self.position > known_position
     }
 
+    /// Returns the time since the store's first answer after its latest outage; `None` if there was
+    /// no outage.
+    pub fn returned_ago(&self, now: Instant) -> Option<Duration> {
+        self.store_returned_at
+            .map(|returned_at| now.saturating_duration_since(returned_at))
+    }
+
+    /// Records that a peer had the store's first answer after an outage some time ago, so that
+    /// targets which expired in the outage are kept here as well until they can register again.
+    pub fn on_peer_return(&mut self, returned_ago: Duration, now: Instant) {
+        self.store_returned_at = self.store_returned_at.max(now.checked_sub(returned_ago));
+    }
+
     /// Applies changes that a peer passed on. They begin after the position `from`; they are
     /// ignored if this entry lacks changes before it.
     pub fn on_peer_changes(
--- a/crates/relay/tests/store_eras.rs
+++ b/crates/relay/tests/store_eras.rs
@@ -173,3 +173,20 @@
     assert!(follower.view().targets.contains_key("t3"));
     assert!(feeder.change_log().changes_after(position(0, 9)).is_none());
 }
+
+/// A follower calls the store seldom, so it learns from its peer that an outage has just ended.
+#[test]
+fn followers_keep_targets_that_expired_in_an_outage_as_the_peer_does() {
+    let now = Instant::now();
+    let mut follower = replica_after_read(now);
+    let from = follower.position();
+    let gone = |id: &str| StoreItem::TargetGone(id.to_string());
+    follower.on_peer_return(secs(1), now + secs(9));
+    follower.on_peer_changes(from, changes(vec![gone("t1")], 11), 0, now + secs(9));
+    assert!(follower.view().targets.contains_key("t1"));
+    follower.remove_expired(now + secs(11));
+    assert!(!follower.view().targets.contains_key("t1"));
+    let from = follower.position();
+    follower.on_peer_changes(from, changes(vec![gone("t2")], 12), 0, now + secs(20));
+    assert!(!follower.view().targets.contains_key("t2"));
+}
