Hold requests with a part of a prompt under which engines crashed

Callers saw: all nine engines ended again and again, and with each the requests beside the crashing one. Cause: crashes were counted by the fingerprint of the whole request, and no two of these requests are alike; what crashes an engine is one part of the prompt. The class: a limit on harm counted by the identity of the request in place of what does the harm. A loss while a stream was being resumed was not checked for a crash at all.

Now a crash is blamed on the shared parts of the requests that the engine had not begun to answer, and an answer clears its parts. Two crashes make a part suspect at all entries at once, and one request at a time tries it, by a permit of the entry that owns the part. This works since the parts that sound requests share are answered on all the time, and only the crashing one never is.

--- a/crates/board/src/host_record.rs
+++ b/crates/board/src/host_record.rs
@@ -1,6 +1,7 @@
 use {
     crate::{EvidenceAnswer, EvidenceRequest},
     base::StableHash,
+    retry::{PartNews, PartProof},
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, time::Duration},
 };
@@ -126,6 +127,13 @@
     EvidenceRequest(EvidenceRequest),
     /// The answer to an evidence request.
     EvidenceAnswer(EvidenceAnswer),
+    /// What the sender knows of parts of prompts that crash targets.
+    PartNews(PartNews),
+    /// The sender's proofs that parts which the recipient blamed for a crash are sound; the
+    /// recipient passes them on.
+    PartProofs(Vec<PartProof>),
+    /// Asks for the recipient's news of parts, unless they have this digest.
+    PartRequest(u64),
 }
 
 /// Message that a host sends in a gossip round.
--- a/crates/relay/src/caller/relay_draft.rs
+++ b/crates/relay/src/caller/relay_draft.rs
@@ -3,7 +3,7 @@
     base::FailureReason,
     bytes::Bytes,
     plan::{FleetPlan, RouteRule, ServiceId},
-    retry::CrashFingerprint,
+    retry::{CrashFingerprint, PartKey, part_keys},
     route::{PrefixKey, prefix_keys},
     std::{
         sync::Arc,
@@ -31,6 +31,8 @@
     /// Keys of the prompt's prefixes, shortest first, each with the number of tokens in its last
     /// part.
     pub prefixes: Vec<(PrefixKey, u32)>,
+    /// Parts of the prompt that it may share with other requests.
+    pub parts: Vec<PartKey>,
     /// Time at which the head of the request had arrived.
     pub arrived: Instant,
     /// Data centre in which the request is expected to run after its stages. It is chosen before
@@ -71,6 +73,7 @@
             data_centre: None,
             priority: rule.priority.min(LOWEST_PRIORITY),
             prefixes: prefix_keys(&head.prompt),
+            parts: part_keys(head.prompt.iter().map(|part| part.id.as_str())),
             arrived,
             goal_at: arrived + rule.latency_goal.min(timeout),
             first_event_deadline: arrived + rule.first_event_limit.unwrap_or(timeout).min(timeout),
--- a/crates/relay/src/filters/crash_filter.rs
+++ b/crates/relay/src/filters/crash_filter.rs
@@ -3,6 +3,7 @@
         caller::RelayDraft,
         dialect::RelayRefusal,
         filters::{FilterResult, RequestFilter},
+        run::held_refusal,
         shared::RelayCore,
     },
     base::FailureReason,
@@ -10,11 +11,15 @@
     std::time::Instant,
 };
 
-/// Refuses requests that have crashed too many targets.
+/// Refuses requests that have crashed too many targets, and those with a part under which targets
+/// crashed.
 pub struct CrashFilter;
 
 impl RequestFilter for CrashFilter {
     fn apply(&self, core: &RelayCore, draft: RelayDraft) -> FilterResult {
+        if let Some(refusal) = held_refusal(core, &draft) {
+            return Err(refusal);
+        }
         let crashes = core.crashes.borrow();
         if crashes.is_empty() {
             return Ok(draft);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,6 +9,7 @@
 mod dialect;
 mod filters;
 mod peer;
+mod permit;
 mod place;
 mod relay_settings;
 mod run;
--- a/crates/relay/src/peer/gossip_loop.rs
+++ b/crates/relay/src/peer/gossip_loop.rs
@@ -1,5 +1,8 @@
 use {
     crate::{
+        peer::part_gossip::{
+            PartGossip, handle_news, handle_request, live_peer_addresses, part_request,
+        },
         shared::{RelayCore, boot_time},
         state::PeerPosition,
     },
@@ -27,6 +30,7 @@
     let mut next_round = Instant::now();
     let random_seed = core.hosts.borrow().own_record().incarnation;
     let mut refresher = EvidenceRefresher::new(core.evidence_limit(), random_seed);
+    let mut part_gossip = PartGossip::default();
     let mut bytes = vec![0; MAX_DATAGRAM_BYTES + 1];
     loop {
         tokio::select! {
@@ -34,10 +38,19 @@
                 send_round(&core, &socket, &seal).await;
                 next_round = Instant::now() + core.hosts.borrow().round_interval();
                 refresh_evidence(&core, &mut refresher, &socket, &seal).await;
+                let part_news = part_gossip.on_round(&core, Instant::now());
+                broadcast(&core, &socket, &seal, &part_news).await;
+                if let Some((address, request)) = part_request(&core) {
+                    send(&core, &socket, &seal, &request, address).await;
+                }
+            }
+            () = core.part_news.notified() => {
+                let part_news = part_gossip.on_news(&core);
+                broadcast(&core, &socket, &seal, &part_news).await;
             }
             received = socket.recv_from(&mut bytes) => match received {
                 Ok((byte_count, sender)) => {
-                    if let Some(reply) = handle_datagram(&core, &seal, &bytes[..byte_count]) {
+                    for reply in handle_datagram(&core, &seal, &bytes[..byte_count]) {
                         send(&core, &socket, &seal, &reply, sender).await;
                     }
                 }
@@ -90,6 +103,23 @@
     }
 }
 
+/// Sends the datagrams to all live peers.
+async fn broadcast(
+    core: &RelayCore,
+    socket: &UdpSocket,
+    seal: &DatagramSeal,
+    datagrams: &[GossipDatagram],
+) {
+    if datagrams.is_empty() {
+        return;
+    }
+    for address in live_peer_addresses(core) {
+        for datagram in datagrams {
+            send(core, socket, seal, datagram, address).await;
+        }
+    }
+}
+
 async fn send(
     core: &RelayCore,
     socket: &UdpSocket,
@@ -146,15 +176,20 @@
     }
 }
 
-/// Handles a datagram of another entry and returns the reply to it, if there is one.
-fn handle_datagram(core: &RelayCore, seal: &DatagramSeal, bytes: &[u8]) -> Option<GossipDatagram> {
+/// Handles a datagram of another entry and returns the replies to it.
+fn handle_datagram(core: &RelayCore, seal: &DatagramSeal, bytes: &[u8]) -> Vec<GossipDatagram> {
     match seal.open::<GossipDatagram>(bytes) {
         Ok(GossipDatagram::Round(message)) => handle_round(core, message),
-        Ok(GossipDatagram::EvidenceRequest(request)) => return evidence_answer(core, request),
+        Ok(GossipDatagram::EvidenceRequest(request)) => {
+            return evidence_answer(core, request).into_iter().collect();
+        }
         Ok(GossipDatagram::EvidenceAnswer(answer)) => handle_evidence_answer(core, answer),
+        Ok(GossipDatagram::PartNews(news)) => return handle_news(core, &news),
+        Ok(GossipDatagram::PartProofs(proofs)) => core.merge_part_proofs(proofs),
+        Ok(GossipDatagram::PartRequest(digest)) => return handle_request(core, digest),
         Err(reason) => debug!(core.log, "datagram dropped"; "reason" => %reason),
     }
-    None
+    Vec::new()
 }
 
 fn handle_round(core: &RelayCore, message: GossipMessage) {
--- /dev/null
+++ b/crates/relay/src/peer/part_gossip.rs
@@ -0,0 +1,83 @@
+use {
+    crate::shared::RelayCore,
+    board::GossipDatagram,
+    rand::seq::IteratorRandom,
+    retry::{CRASH_LIFETIME, PartNews},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+};
+
+/// Maximum number of crashes or proofs in one datagram; so many fit in one.
+const MAX_RECORDS: usize = 8;
+/// Number of rounds in which news are told again, since datagrams may be lost.
+const REPEAT_ROUNDS: u32 = 2;
+/// Maximum age of what is told as news; it covers the rounds in which they are told again.
+const NEWS_AGE: Duration = Duration::from_secs(2);
+
+/// When this entry tells its peers of parts of prompts that crash targets.
+///
+/// News go to all live peers at once, since each moment may cost another target. A peer that missed
+/// them, or has just started, finds out by comparing digests.
+#[derive(Default)]
+pub struct PartGossip {
+    /// Number of rounds in which the news will be told again.
+    repeats_left: u32,
+}
+
+impl PartGossip {
+    /// Returns the datagrams for all peers when there are news.
+    pub fn on_news(&mut self, core: &RelayCore) -> Vec<GossipDatagram> {
+        self.repeats_left = REPEAT_ROUNDS;
+        news_datagrams(core, NEWS_AGE)
+    }
+
+    /// Returns the datagrams for all peers in a gossip round.
+    pub fn on_round(&mut self, core: &RelayCore, now: Instant) -> Vec<GossipDatagram> {
+        core.parts.borrow_mut().remove_expired(now);
+        if self.repeats_left == 0 {
+            return Vec::new();
+        }
+        self.repeats_left -= 1;
+        news_datagrams(core, NEWS_AGE)
+    }
+}
+
+/// Returns the addresses of all live peers.
+pub fn live_peer_addresses(core: &RelayCore) -> Vec<SocketAddr> {
+    let hosts = core.hosts.borrow();
+    let peers = hosts.live_peers(Instant::now());
+    peers.map(|record| record.peers).collect()
+}
+
+/// Returns the address of a random live peer and the request for news that this entry lacks.
+pub fn part_request(core: &RelayCore) -> Option<(SocketAddr, GossipDatagram)> {
+    let peers = live_peer_addresses(core).into_iter();
+    let peer = peers.choose(&mut *core.random.borrow_mut())?;
+    let digest = core.parts.borrow().digest();
+    Some((peer, GossipDatagram::PartRequest(digest)))
+}
+
+/// Returns the answers to a peer's news of parts.
+pub fn handle_news(core: &RelayCore, news: &PartNews) -> Vec<GossipDatagram> {
+    let proofs = core.merge_part_news(news);
+    let messages = proofs.chunks(MAX_RECORDS);
+    messages
+        .map(|proofs| GossipDatagram::PartProofs(proofs.to_vec()))
+        .collect()
+}
+
+/// Returns the answers to a peer that asks for news and has those with this digest.
+pub fn handle_request(core: &RelayCore, digest: u64) -> Vec<GossipDatagram> {
+    match core.parts.borrow().digest() == digest {
+        true => Vec::new(),
+        false => news_datagrams(core, CRASH_LIFETIME),
+    }
+}
+
+fn news_datagrams(core: &RelayCore, max_age: Duration) -> Vec<GossipDatagram> {
+    let news = core.parts.borrow().news(max_age, Instant::now());
+    let messages = news.split(MAX_RECORDS).into_iter();
+    messages.map(GossipDatagram::PartNews).collect()
+}
--- /dev/null
+++ b/crates/relay/src/permit/permit_frame.rs
@@ -0,0 +1,46 @@
+use {
+    crate::shared::part_name,
+    retry::PartKey,
+    serde::{Deserialize, Serialize},
+};
+
+/// What a permit allows. Of each subject one entry gives out the permits for the whole fleet.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PermitSubject {
+    /// To send a request with these parts, of which some are suspect, as a trial.
+    Trial {
+        /// The suspect part by which the owner is chosen.
+        part: PartKey,
+        /// All shared parts of the request's prompt.
+        parts: Vec<PartKey>,
+    },
+}
+
+impl PermitSubject {
+    /// Returns the name by which the owner of the subject is chosen.
+    pub fn owner_key(&self) -> String {
+        match self {
+            Self::Trial { part, .. } => format!("part/{}", part_name(*part)),
+        }
+    }
+}
+
+/// A message between an entry that needs a permit and the entry that owns its subject. The numbers
+/// are chosen by the asking entry and unique within a connection.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PermitFrame {
+    /// Asks for a permit; sent to the owner.
+    Ask {
+        /// Number of the question.
+        number: u64,
+        /// What the permit is for.
+        subject: PermitSubject,
+    },
+    /// Answers a question; sent by the owner.
+    Answer {
+        /// Number of the question.
+        number: u64,
+        /// True if the permit is granted.
+        is_granted: bool,
+    },
+}
--- a/crates/relay/src/run/call_slot.rs
+++ b/crates/relay/src/run/call_slot.rs
@@ -1,5 +1,5 @@
 use {
-    crate::{place::RemotePlace, shared::RelayCore},
+    crate::{place::RemotePlace, run::crash_watch::CrashWatch, shared::RelayCore},
     plan::ServiceId,
     route::{PrefixKey, ServiceOutcome, ServicePick},
     std::{
@@ -20,6 +20,8 @@
     /// Place that the owner of the engine's group has given the request; `None` if this entry has
     /// chosen the target itself.
     place: Option<RemotePlace>,
+    /// Watches whether the target crashes.
+    pub watch: CrashWatch,
     /// Outcome that is recorded when the slot is dropped; cancelled until it is set.
     outcome: ServiceOutcome,
 }
@@ -33,6 +35,7 @@
         pick: ServicePick,
         place: Option<RemotePlace>,
         prefixes: &[(PrefixKey, u32)],
+        watch: CrashWatch,
     ) -> Self {
         let now = Instant::now();
         if let Some(pool) = core.pools.borrow_mut().get_mut(service) {
@@ -45,6 +48,7 @@
             started: now,
             has_first_event: false,
             place,
+            watch,
             outcome: ServiceOutcome::Cancelled,
         }
     }
@@ -64,8 +68,9 @@
         self.pick.fetch_from.is_some()
     }
 
-    /// Records the first event of the answer; later calls do nothing.
-    pub fn record_first_event(&mut self) {
+    /// Records that events of the answer, or its head if it is not streamed, have arrived.
+    pub fn record_event(&mut self) {
+        self.watch.record_event(Instant::now());
         if !self.has_first_event {
             self.has_first_event = true;
             if let Some(place) = &self.place {
@@ -78,11 +83,6 @@
         }
     }
 
-    /// Returns true if an event of the answer has arrived.
-    pub fn has_events(&self) -> bool {
-        self.has_first_event
-    }
-
     /// Sets the outcome that is recorded when the slot is dropped.
     pub fn set_outcome(&mut self, outcome: ServiceOutcome) {
         self.outcome = outcome;
--- a/crates/relay/src/run/mod.rs
+++ b/crates/relay/src/run/mod.rs
@@ -1,7 +1,9 @@
 mod call_slot;
+mod crash_watch;
+mod part_gate;
 mod relay_run;
 mod run_request;
 mod send_once;
 mod stream_pump;
 
-pub use run_request::run_request;
+pub use {part_gate::held_refusal, run_request::run_request};
--- a/crates/relay/src/run/relay_run.rs
+++ b/crates/relay/src/run/relay_run.rs
@@ -4,7 +4,7 @@
         dialect::RelayRefusal,
         filters::stale_keys_refusal,
         place::{PlaceQuestion, RemotePlace, ask_place, prompt_group},
-        run::call_slot::CallSlot,
+        run::{call_slot::CallSlot, crash_watch::CrashWatch, part_gate::pass_part_gate},
         shared::{RelayCore, RunningGuard},
         stage::StageRun,
     },
@@ -94,6 +94,8 @@
     /// Chooses a target and takes a slot there. Refuses the request if no further target can be
     /// used or if the request has a key and the keys in force were not confirmed recently enough.
     pub async fn take_slot(&mut self) -> Result<(CallSlot, ServicePick), RelayRefusal> {
+        let gate = pass_part_gate(&self.core, &self.draft).await;
+        let is_trial = gate.map_err(|refusal| self.with_verdict(refusal))?;
         let placed = self.ask_place().await;
         let now = Instant::now();
         if self.draft.organisation.is_some() && !self.core.keys_are_fresh() {
@@ -109,12 +111,15 @@
             let delay = self.time_to_usable(now).max(RETRY_DELAY);
             return Err(self.with_verdict(refusal.retry_after(delay)));
         };
+        let parts = self.draft.parts.clone();
+        let watch = CrashWatch::new(&self.core, &pick, parts, is_trial);
         let slot = CallSlot::take(
             &self.core,
             &self.draft.service,
             pick.clone(),
             place,
             &self.draft.prefixes,
+            watch,
         );
         Ok((slot, pick))
     }
--- a/crates/relay/src/run/run_request.rs
+++ b/crates/relay/src/run/run_request.rs
@@ -14,9 +14,9 @@
     actix_http::body::BoxBody,
     retry::{SendFault, TrackedCall, TrackedCallEnd},
     route::ServiceOutcome,
-    setup::{HttpReply, is_process_gone},
+    setup::HttpReply,
     slog::info,
-    std::{net::SocketAddr, rc::Rc, time::Instant},
+    std::{rc::Rc, time::Instant},
 };
 
 /// Longest answer that is not streamed, in bytes.
@@ -62,7 +62,6 @@
             Ok(Ok(reply)) => reply,
             Ok(Err(fault)) => {
                 drop(slot);
-                detect_target_crash(&run, &target, pick.address, fault);
                 run.on_fault(&target, fault)?;
                 continue;
             }
@@ -80,10 +79,7 @@
                 Ok(()) => continue,
                 Err(_) => return Ok(reply),
             },
-            Err(fault) => {
-                detect_target_crash(&run, &target, pick.address, fault);
-                run.on_fault(&target, fault)?;
-            }
+            Err(fault) => run.on_fault(&target, fault)?,
         }
     }
 }
@@ -95,13 +91,14 @@
     mut slot: CallSlot,
     mut reply: CallReply,
 ) -> Result<Result<SendOutcome, SendFault>, RelayRefusal> {
-    slot.record_first_event();
+    slot.record_event();
     let due = run.draft.deadline;
     let read_result = tokio::time::timeout_at(due.into(), reply.read_body(MAX_ANSWER_BYTES)).await;
     let body = match read_result {
         Ok(Ok(body)) if !is_cut_short(run, &reply, &body) => body,
         Ok(_) => {
             slot.set_outcome(fault_outcome(SendFault::Garbled));
+            slot.watch.check_crash(&run.draft);
             return Ok(Err(SendFault::Garbled));
         }
         Err(_) => {
@@ -110,6 +107,9 @@
         }
     };
     let has_failed = reply.status >= 500;
+    if !has_failed {
+        slot.watch.record_survival();
+    }
     slot.set_outcome(match has_failed {
         true => ServiceOutcome::Failed,
         false => ServiceOutcome::Answered,
@@ -156,25 +156,6 @@
     );
 }
 
-/// Checks whether a target that lost a call has crashed. If it has, the crash tracker counts that
-/// against the request.
-pub fn detect_target_crash(run: &RelayRun, target: &str, address: SocketAddr, fault: SendFault) {
-    if fault != SendFault::Lost {
-        return;
-    }
-    let (core, target) = (Rc::clone(&run.core), target.to_string());
-    let fingerprint = run.draft.fingerprint();
-    let request = run.draft.head.request_id.clone();
-    actix_rt::spawn(async move {
-        if !is_process_gone(address).await {
-            return;
-        }
-        info!(core.log, "target died under a request";
-            "request" => request, "target" => &target);
-        core.record_crash(fingerprint, &target, Instant::now());
-    });
-}
-
 /// Tells the crash tracker that a target completed a request.
 pub fn record_completion(run: &RelayRun, target: &str) {
     let mut crashes = run.core.crashes.borrow_mut();
--- a/crates/relay/src/run/send_once.rs
+++ b/crates/relay/src/run/send_once.rs
@@ -63,6 +63,9 @@
         Err(_) => SendFault::Lost,
     };
     slot.set_outcome(fault_outcome(fault));
+    if fault == SendFault::Lost {
+        slot.watch.check_crash(draft);
+    }
     info!(core.log, "send failed";
         "request" => &draft.head.request_id, "target" => &pick.target,
         "fault" => ?fault, "ms" => slot.elapsed().as_millis() as u64);
--- a/crates/relay/src/run/stream_pump.rs
+++ b/crates/relay/src/run/stream_pump.rs
@@ -5,7 +5,7 @@
         run::{
             call_slot::CallSlot,
             relay_run::RelayRun,
-            run_request::{detect_target_crash, log_answer, record_completion},
+            run_request::{log_answer, record_completion},
             send_once::{fault_outcome, send_once},
         },
         target::{CallReply, EventSplitter},
@@ -86,7 +86,7 @@
             match self.read_events().await {
                 StreamRead::Broken => self.resume().await?,
                 read => {
-                    self.slot.record_first_event();
+                    self.record_read(&read);
                     self.run.free_inputs();
                     return Ok(read);
                 }
@@ -109,7 +109,10 @@
                         return self.on_caller_left();
                     }
                     match unless_stopped(&sender, due, self.read_before_stall()).await {
-                        Ok(read) => read,
+                        Ok(read) => {
+                            self.record_read(&read);
+                            read
+                        }
                         Err(stop) => return self.on_stop(stop, &sender).await,
                     }
                 }
@@ -125,7 +128,7 @@
                     }
                     match unless_stopped(&sender, due, self.read_events()).await {
                         Ok(read) => {
-                            self.slot.record_first_event();
+                            self.record_read(&read);
                             self.run.free_inputs();
                             read
                         }
@@ -181,13 +184,6 @@
         }
     }
 
-    /// Returns true if a stream whose connection has ended normally was cut all the same: it ended
-    /// within an event, or before the first one with nothing but the connection to mark the end.
-    fn is_cut_short(&self) -> bool {
-        let is_empty = !self.slot.has_events();
-        self.splitter.has_partial_event() || (is_empty && self.reply.ends_with_connection)
-    }
-
     /// Sends the request to another target, which resumes the stream after the last complete event.
     async fn resume(&mut self) -> Result<(), RelayRefusal> {
         let mut fault = SendFault::Lost;
@@ -199,9 +195,7 @@
         info!(self.run.core.log, "stream broken";
             "request" => &self.run.draft.head.request_id, "target" => &target,
             "last_event" => self.splitter.last_id());
-        if let Some(address) = self.target_address(&target) {
-            detect_target_crash(&self.run, &target, address, fault);
-        }
+        self.slot.watch.check_crash(&self.run.draft);
         loop {
             // Fails unless the stream may be resumed or no target has run the request.
             self.run.on_fault(&target, fault)?;
@@ -228,9 +222,23 @@
         }
     }
 
-    fn target_address(&self, target: &str) -> Option<std::net::SocketAddr> {
-        let state = self.run.core.state.borrow();
-        state.targets.get(target).map(|row| row.address)
+    /// Returns true if a stream whose connection has ended normally was cut all the same: it ended
+    /// within an event, or before the first one with nothing but the connection to mark the end.
+    fn is_cut_short(&self) -> bool {
+        let is_empty = !self.slot.watch.has_events();
+        self.splitter.has_partial_event() || (is_empty && self.reply.ends_with_connection)
+    }
+
+    /// Records at the target what was read from it.
+    fn record_read(&mut self, read: &StreamRead) {
+        match read {
+            StreamRead::Events(_) => self.slot.record_event(),
+            StreamRead::End => {
+                let watch = &mut self.slot.watch;
+                watch.record_end(self.reply.ends_with_connection);
+            }
+            StreamRead::Broken => {}
+        }
     }
 
     fn on_complete(mut self) {
--- a/crates/relay/src/shared/core_targets.rs
+++ b/crates/relay/src/shared/core_targets.rs
@@ -37,6 +37,16 @@
         }
     }
 
+    /// Returns true if the target is leaving, by the list of targets or by its own notice.
+    pub fn is_leaving(&self, target: &str) -> bool {
+        let state = self.state.borrow();
+        let row = state.targets.get(target);
+        let is_listed_leaving = row.is_some_and(|row| row.leaving);
+        let notices = self.notices.borrow();
+        let mut active = notices.active(Instant::now());
+        is_listed_leaving || active.any(|(id, standing)| id == target && standing.leaving)
+    }
+
     /// Removes targets that did not register again in time after an outage of the store.
     pub fn expire_targets(&self, now: Instant) {
         let expired = self.replica.borrow_mut().remove_expired(now);
--- a/crates/relay/src/shared/mod.rs
+++ b/crates/relay/src/shared/mod.rs
@@ -1,4 +1,5 @@
 mod boot_clock;
+mod core_parts;
 mod core_peers;
 mod core_targets;
 mod relay_core;
@@ -8,6 +9,7 @@
 
 pub use {
     boot_clock::boot_time,
+    core_parts::part_name,
     relay_core::{DialectSet, RelayCore},
     relay_metrics::RelayMetrics,
     relay_phase::RelayPhase,
--- a/crates/relay/src/shared/relay_core.rs
+++ b/crates/relay/src/shared/relay_core.rs
@@ -12,7 +12,10 @@
     plan::{FleetPlan, ServiceId, StorePosition},
     rand::SeedableRng,
     rand_chacha::ChaCha8Rng,
-    retry::{CrashTracker, CrashTrackerSettings, FleetBudget, FleetBudgetSettings},
+    retry::{
+        CrashTracker, CrashTrackerSettings, FleetBudget, FleetBudgetSettings, PartTracker,
+        TrialDesk,
+    },
     route::{EngineGroups, ServicePool, TargetNotices},
     slog::Logger,
     std::{
@@ -79,6 +82,12 @@
     /// Budget for repeated sends, shared with the other entries.
     pub budget: RefCell<FleetBudget>,
     pub crashes: RefCell<CrashTracker>,
+    /// Parts of prompts that crash targets.
+    pub parts: RefCell<PartTracker>,
+    /// Trials of suspect parts that this entry has granted to requests of any entry.
+    pub trials: RefCell<TrialDesk>,
+    /// Wakes the task that tells the other entries of parts.
+    pub part_news: Notify,
     pub random: RefCell<ChaCha8Rng>,
     pub phase: Cell<RelayPhase>,
     /// Number of requests whose answer has not been passed on whole.
@@ -129,6 +138,9 @@
             return_line: RefCell::default(),
             budget: RefCell::new(FleetBudget::new(budget, now)),
             crashes: RefCell::new(CrashTracker::new(tracker)),
+            parts: RefCell::default(),
+            trials: RefCell::new(TrialDesk::new(now)),
+            part_news: Notify::new(),
             random: RefCell::new(ChaCha8Rng::seed_from_u64(incarnation)),
             phase: Cell::new(RelayPhase::Starting),
             running_requests: Cell::new(0),
--- a/crates/relay/src/shared/relay_metrics.rs
+++ b/crates/relay/src/shared/relay_metrics.rs
@@ -32,6 +32,12 @@
     pub repeats: Counter,
     /// Answers in which a target said that it is leaving or wants no calls for a while.
     pub target_notices: Counter,
+    /// Crashes of targets that were blamed on parts of prompts, at this entry.
+    pub part_crashes: Counter,
+    /// Parts of prompts that have become suspect.
+    pub suspect_parts: Counter,
+    /// Requests that were sent to try suspect parts.
+    pub part_trials: Counter,
     /// Connections opened to targets and the store, failed attempts included.
     pub dials: Gauge,
     /// Version of the configuration in force.
@@ -55,6 +61,9 @@
             store_calls: Counter::default(),
             repeats: Counter::default(),
             target_notices: Counter::default(),
+            part_crashes: Counter::default(),
+            suspect_parts: Counter::default(),
+            part_trials: Counter::default(),
             dials: Gauge::default(),
             plan_version: Gauge::default(),
             registry: Registry::default(),
@@ -89,6 +98,21 @@
             "Notices of targets: leaving, or no calls for a while",
             metrics.target_notices.clone(),
         );
+        registry.register(
+            "part_crashes",
+            "Crashes blamed on parts of prompts",
+            metrics.part_crashes.clone(),
+        );
+        registry.register(
+            "suspect_parts",
+            "Parts of prompts that became suspect",
+            metrics.suspect_parts.clone(),
+        );
+        registry.register(
+            "part_trials",
+            "Requests sent to try suspect parts",
+            metrics.part_trials.clone(),
+        );
         registry.register("dials", "Connections made", metrics.dials.clone());
         registry.register(
             "plan_version",
--- a/crates/relay/src/stage/mod.rs
+++ b/crates/relay/src/stage/mod.rs
@@ -1,3 +1,4 @@
+mod answer_waiters;
 mod batch_calls;
 mod batch_service;
 mod frame_io;
--- a/crates/relay/src/stage/owner_link.rs
+++ b/crates/relay/src/stage/owner_link.rs
@@ -1,8 +1,10 @@
 use {
     crate::{
+        permit::PermitFrame,
         place::PlaceFrame,
         stage::{
             JobFrame, PeerMessage,
+            answer_waiters::AnswerWaiters,
             frame_io::{read_frames, write_frames},
             shard_state::{InputsReadHook, JobOutcome, JobWaiter},
         },
@@ -36,8 +38,10 @@
     host: String,
     outbox: mpsc::UnboundedSender<PeerMessage>,
     waiters: Waiters,
-    /// Waiters for places at engines, by the number of the place.
-    place_waiters: RefCell<HashMap<u64, oneshot::Sender<Option<ServicePick>>>>,
+    /// Waiters for places at engines.
+    place_waiters: AnswerWaiters<Option<ServicePick>>,
+    /// Waiters for permits.
+    permit_waiters: AnswerWaiters<bool>,
     next_number: Cell<u64>,
     is_closed: Cell<bool>,
 }
@@ -50,7 +54,8 @@
             host: host.to_string(),
             outbox,
             waiters: Waiters::default(),
-            place_waiters: RefCell::default(),
+            place_waiters: AnswerWaiters::default(),
+            permit_waiters: AnswerWaiters::default(),
             next_number: Cell::new(0),
             is_closed: Cell::new(false),
         });
@@ -59,7 +64,8 @@
             let outcome = running_link.run(address, seal, inbox, &log).await;
             running_link.is_closed.set(true);
             running_link.waiters.borrow_mut().clear();
-            running_link.place_waiters.borrow_mut().clear();
+            running_link.place_waiters.clear();
+            running_link.permit_waiters.clear();
             let reason = outcome
                 .err()
                 .map_or(String::from("closed"), |error| error.to_string());
@@ -86,17 +92,34 @@
 
     /// Returns the number for a question for a place, and the receiver of its answer.
     pub fn expect_place(&self) -> (u64, oneshot::Receiver<Option<ServicePick>>) {
-        let number = self.take_number();
-        let (sender, receiver) = oneshot::channel();
-        if !self.is_closed() {
-            self.place_waiters.borrow_mut().insert(number, sender);
-        }
-        (number, receiver)
+        self.expect_answer(&self.place_waiters)
     }
 
-    /// Drops the waiter for an answer that did not come in time.
+    /// Drops the waiter for a place that did not come in time.
     pub fn forget_place(&self, number: u64) {
-        self.place_waiters.borrow_mut().remove(&number);
+        self.place_waiters.forget(number);
+    }
+
+    /// Returns the number for a question for a permit, and the receiver of its answer.
+    pub fn expect_permit(&self) -> (u64, oneshot::Receiver<bool>) {
+        self.expect_answer(&self.permit_waiters)
+    }
+
+    /// Drops the waiter for a permit that did not come in time.
+    pub fn forget_permit(&self, number: u64) {
+        self.permit_waiters.forget(number);
+    }
+
+    fn expect_answer<Answer>(
+        &self,
+        waiters: &AnswerWaiters<Answer>,
+    ) -> (u64, oneshot::Receiver<Answer>) {
+        let number = self.take_number();
+        let receiver = waiters.expect(number);
+        if self.is_closed() {
+            waiters.forget(number);
+        }
+        (number, receiver)
     }
 
     fn take_number(&self) -> u64 {
@@ -153,13 +176,12 @@
         let frame = match message {
             PeerMessage::Job(frame) => frame,
             PeerMessage::Place(PlaceFrame::Placed { number, pick }) => {
-                if let Some(waiter) = self.place_waiters.borrow_mut().remove(&number) {
-                    // The request that asked may have ended in the meantime.
-                    let _ = waiter.send(pick);
-                }
-                return;
+                return self.place_waiters.resolve(number, pick);
+            }
+            PeerMessage::Permit(PermitFrame::Answer { number, is_granted }) => {
+                return self.permit_waiters.resolve(number, is_granted);
             }
-            PeerMessage::Place(_) | PeerMessage::Feed(_) => return,
+            PeerMessage::Place(_) | PeerMessage::Permit(_) | PeerMessage::Feed(_) => return,
         };
         let (number, outcome) = match frame {
             JobFrame::Made { number, results } => (number, Ok(results)),
--- a/crates/relay/src/stage/peer_message.rs
+++ b/crates/relay/src/stage/peer_message.rs
@@ -1,5 +1,5 @@
 use {
-    crate::{place::PlaceFrame, stage::JobFrame, state::FeedFrame},
+    crate::{permit::PermitFrame, place::PlaceFrame, stage::JobFrame, state::FeedFrame},
     serde::{Deserialize, Serialize},
 };
 
@@ -12,4 +12,6 @@
     Place(PlaceFrame),
     /// About the contents of the store.
     Feed(FeedFrame),
+    /// About a permit that one entry gives out for the whole fleet.
+    Permit(PermitFrame),
 }
--- a/crates/relay/src/stage/peer_server.rs
+++ b/crates/relay/src/stage/peer_server.rs
@@ -1,5 +1,6 @@
 use {
     crate::{
+        permit::{PermitFrame, grant_permit},
         place::PlaceDesk,
         shared::RelayCore,
         stage::{
@@ -90,7 +91,15 @@
             let serving = serve_feed(Rc::clone(core), position, outbox.clone());
             feed.replace(PeerTask(actix_rt::spawn(serving)));
         }
-        PeerMessage::Feed(_) => {}
+        PeerMessage::Permit(PermitFrame::Ask { number, subject }) => {
+            let is_granted = grant_permit(core, &subject, Instant::now());
+            // The peer may be gone, and the permit with it.
+            let _ = outbox.send(PeerMessage::Permit(PermitFrame::Answer {
+                number,
+                is_granted,
+            }));
+        }
+        PeerMessage::Feed(_) | PeerMessage::Permit(_) => {}
     })
     .await
 }
--- a/crates/retry/src/lib.rs
+++ b/crates/retry/src/lib.rs
@@ -6,6 +6,7 @@
 mod crash_tracker;
 mod fleet_budget;
 mod hedge_policy;
+mod parts;
 mod retry_budget;
 mod running_calls;
 
@@ -17,5 +18,9 @@
     crash_tracker::{CrashTracker, CrashTrackerSettings, CrashVerdict, RunPermit, TrackedCallEnd},
     fleet_budget::{FleetBudget, FleetBudgetSettings},
     hedge_policy::{HedgeCandidate, HedgePolicy},
+    parts::{
+        CRASH_LIFETIME, CrashKey, PartChange, PartCrash, PartKey, PartNews, PartProof, PartTracker,
+        PartVerdict, TrialDesk, crash_key, part_keys,
+    },
     retry_budget::{RetryBudget, RetryBudgetSettings},
 };
--- /dev/null
+++ b/crates/retry/src/parts/mod.rs
@@ -0,0 +1,11 @@
+mod part_blame;
+mod part_evidence;
+mod part_proofs;
+mod part_tracker;
+mod trial_desk;
+
+pub use {
+    part_evidence::{CrashKey, PartCrash, PartKey, PartNews, PartProof, crash_key, part_keys},
+    part_tracker::{CRASH_LIFETIME, PartChange, PartTracker, PartVerdict},
+    trial_desk::TrialDesk,
+};
--- /dev/null
+++ b/crates/retry/src/parts/part_evidence.rs
@@ -0,0 +1,104 @@
+use {
+    base::StableHash,
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+};
+
+/// Maximum number of parts of one prompt that can be blamed for a crash.
+const MAX_PARTS: usize = 8;
+
+/// Hash of the id of one part of a prompt, the same on every entry.
+pub type PartKey = u64;
+
+/// Hash of the process of a target, which ends once.
+pub type CrashKey = u64;
+
+/// The end of a target's process under requests whose answers had not begun. One of their parts, or
+/// none, made it crash.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartCrash {
+    /// The process that ended.
+    pub crash: CrashKey,
+    /// Parts of these requests that were not known to be sound.
+    pub parts: Vec<PartKey>,
+    /// True if one of the requests was a trial of a suspect part.
+    pub is_trial: bool,
+    /// Time since the crash.
+    pub age: Duration,
+}
+
+/// A part on which a target has written an answer without crashing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartProof {
+    /// The part.
+    pub part: PartKey,
+    /// Time since the answer.
+    pub age: Duration,
+}
+
+/// What entries tell each other about the parts of prompts.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartNews {
+    /// Crashes.
+    pub crashes: Vec<PartCrash>,
+    /// Parts that are sound although a crash is blamed on them.
+    pub proofs: Vec<PartProof>,
+}
+
+impl PartNews {
+    /// Returns true if there is nothing to tell.
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.proofs.is_empty()
+    }
+
+    /// Splits the news into messages of at most `max_records` crashes and proofs each.
+    ///
+    /// ```
+    /// use retry::{PartNews, PartProof};
+    ///
+    /// let proof = PartProof { part: 1, age: std::time::Duration::ZERO };
+    /// let news = PartNews { crashes: Vec::new(), proofs: vec![proof; 3] };
+    /// assert_eq!(news.split(2).len(), 2);
+    /// ```
+    pub fn split(self, max_records: usize) -> Vec<Self> {
+        let of_crashes = self.crashes.chunks(max_records).map(|crashes| Self {
+            crashes: crashes.to_vec(),
+            proofs: Vec::new(),
+        });
+        let of_proofs = self.proofs.chunks(max_records).map(|proofs| Self {
+            crashes: Vec::new(),
+            proofs: proofs.to_vec(),
+        });
+        of_crashes.chain(of_proofs).collect()
+    }
+}
+
+/// Returns the keys of the parts of a prompt that other prompts may share, without duplicates. The
+/// last part is left out, since it belongs to the request itself. Of a very long prompt only the last
+/// shared parts are returned, since the first ones are shared most.
+///
+/// ```
+/// assert_eq!(retry::part_keys(["system", "farm", "own"]).len(), 2);
+/// assert!(retry::part_keys(["own"]).is_empty());
+/// ```
+pub fn part_keys<'a>(ids: impl IntoIterator<Item = &'a str>) -> Vec<PartKey> {
+    let hash = |id: &str| StableHash::new().with_text(id).finish();
+    let mut parts: Vec<PartKey> = ids.into_iter().map(hash).collect();
+    parts.pop();
+    let skipped_count = parts.len().saturating_sub(MAX_PARTS);
+    parts.drain(..skipped_count);
+    parts.sort_unstable();
+    parts.dedup();
+    parts
+}
+
+/// Returns the key of the process of the target with this id that started at this time, in
+/// milliseconds since the Unix epoch or 0 if unknown.
+///
+/// ```
+/// assert_ne!(retry::crash_key("t1", 1), retry::crash_key("t1", 2));
+/// ```
+pub fn crash_key(target: &str, started_ms: u64) -> CrashKey {
+    let hash = StableHash::new().with_text(target);
+    hash.with_number(started_ms).finish()
+}
