Keep the limits that targets name over all entries together

Callers saw nothing; targets in need got several times what they had said they could take. Cause: the limit was not read, and nothing kept a bound for the whole fleet: each entry decided by itself how much it sent. The class: a bound that holds for the fleet, kept by each of its parts.

Now the owner of a target gives out its calls one by one, as permits, and whoever gets none sends the target nothing for a while, chooses another, or refuses with a time to come back.

One trial taken back: spreading callers that are turned away over eight intervals kept them off for up to 44 s after the limit had ended.

--- a/crates/board/src/host_record.rs
+++ b/crates/board/src/host_record.rs
@@ -1,6 +1,7 @@
 use {
     crate::{EvidenceAnswer, EvidenceRequest},
     base::StableHash,
+    limit::LimitNotice,
     retry::{PartNews, PartProof},
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, time::Duration},
@@ -134,6 +135,8 @@
     PartProofs(Vec<PartProof>),
     /// Asks for the recipient's news of parts, unless they have this digest.
     PartRequest(u64),
+    /// What targets told the sender of their limits a moment ago.
+    LimitNews(Vec<LimitNotice>),
 }
 
 /// Message that a host sends in a gossip round.
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -9,6 +9,7 @@
 mod queue_settings;
 mod return_line;
 mod stage_estimate;
+mod target;
 mod waiting_call;
 
 pub use {
@@ -19,5 +20,6 @@
     queue_settings::QueueSettings,
     return_line::ReturnLine,
     stage_estimate::StageEstimate,
+    target::{LimitDesk, LimitNotice, LimitWord, TargetLimits, call_interval},
     waiting_call::{PoppedCall, QueuedCall, WaitingCall},
 };
--- a/crates/piece/src/batch_scheduler.rs
+++ b/crates/piece/src/batch_scheduler.rs
@@ -90,6 +90,14 @@
         }
     }
 
+    /// Sends a target nothing until this time, or as usual again if there is none; ignores targets
+    /// of other shards.
+    pub fn hold_target(&mut self, target: &str, until: Option<Instant>) {
+        if let Some(target) = self.targets.get_mut(target) {
+            target.held_until = until;
+        }
+    }
+
     /// Sets whether another entry may still be calling the same targets.
     ///
     /// A call may then be queued at its target, so its inputs count as read only when it ends.
--- a/crates/piece/src/batch_target.rs
+++ b/crates/piece/src/batch_target.rs
@@ -46,6 +46,8 @@
     pub leaving: bool,
     /// Time until which the target wants no calls.
     paused_until: Option<Instant>,
+    /// Time until which other entries use all calls that the target takes.
+    pub held_until: Option<Instant>,
     /// Start time of the target's process in milliseconds since the Unix epoch; 0 if unknown.
     pub started_ms: u64,
     consecutive_failures: u32,
@@ -58,6 +60,7 @@
             data_centre: row.data_centre.clone(),
             leaving: row.leaving,
             paused_until: None,
+            held_until: None,
             started_ms: row.started_ms,
             running_calls: 0,
             busy_until: now,
@@ -81,15 +84,15 @@
         !self.leaving && is_past(self.backoff_until) && !self.is_paused(now)
     }
 
-    /// True while the target wants no calls at all.
+    /// True while the target takes no calls at all.
     pub fn is_paused(&self, now: Instant) -> bool {
-        self.paused_until.is_some_and(|until| until > now)
+        self.paused_until().is_some_and(|until| until > now)
     }
 
-    /// Returns the time until which the target wants no calls, which may have passed; `None` if it
-    /// never asked for a pause.
+    /// Returns the time until which the target takes no calls of this entry, which may have passed;
+    /// `None` if it always did.
     pub fn paused_until(&self) -> Option<Instant> {
-        self.paused_until
+        self.paused_until.max(self.held_until)
     }
 
     /// Sets whether the target is leaving, and until when it wants no calls.
--- a/crates/relay/src/peer/gossip_loop.rs
+++ b/crates/relay/src/peer/gossip_loop.rs
@@ -1,7 +1,10 @@
 use {
     crate::{
-        peer::part_gossip::{
-            PartGossip, handle_news, handle_request, live_peer_addresses, part_request,
+        peer::{
+            limit_gossip::LimitGossip,
+            part_gossip::{
+                PartGossip, handle_news, handle_request, live_peer_addresses, part_request,
+            },
         },
         shared::{RelayCore, boot_time},
         state::PeerPosition,
@@ -31,6 +34,7 @@
     let random_seed = core.hosts.borrow().own_record().incarnation;
     let mut refresher = EvidenceRefresher::new(core.evidence_limit(), random_seed);
     let mut part_gossip = PartGossip::default();
+    let mut limit_gossip = LimitGossip::default();
     let mut bytes = vec![0; MAX_DATAGRAM_BYTES + 1];
     loop {
         tokio::select! {
@@ -40,6 +44,8 @@
                 refresh_evidence(&core, &mut refresher, &socket, &seal).await;
                 let part_news = part_gossip.on_round(&core, Instant::now());
                 broadcast(&core, &socket, &seal, &part_news).await;
+                let limit_news = limit_gossip.on_round(&core, Instant::now());
+                broadcast(&core, &socket, &seal, &limit_news).await;
                 if let Some((address, request)) = part_request(&core) {
                     send(&core, &socket, &seal, &request, address).await;
                 }
@@ -48,6 +54,10 @@
                 let part_news = part_gossip.on_news(&core);
                 broadcast(&core, &socket, &seal, &part_news).await;
             }
+            () = core.limit_news.notified() => {
+                let limit_news = limit_gossip.on_news(&core);
+                broadcast(&core, &socket, &seal, &limit_news).await;
+            }
             received = socket.recv_from(&mut bytes) => match received {
                 Ok((byte_count, sender)) => {
                     for reply in handle_datagram(&core, &seal, &bytes[..byte_count]) {
@@ -186,6 +196,7 @@
         Ok(GossipDatagram::EvidenceAnswer(answer)) => handle_evidence_answer(core, answer),
         Ok(GossipDatagram::PartNews(news)) => return handle_news(core, &news),
         Ok(GossipDatagram::PartProofs(proofs)) => core.merge_part_proofs(proofs),
+        Ok(GossipDatagram::LimitNews(notices)) => core.merge_limits(&notices),
         Ok(GossipDatagram::PartRequest(digest)) => return handle_request(core, digest),
         Err(reason) => debug!(core.log, "datagram dropped"; "reason" => %reason),
     }
--- a/crates/relay/src/peer/part_gossip.rs
+++ b/crates/relay/src/peer/part_gossip.rs
@@ -1,5 +1,5 @@
 use {
-    crate::shared::RelayCore,
+    crate::{peer::NewsRepeat, shared::RelayCore},
     board::GossipDatagram,
     rand::seq::IteratorRandom,
     retry::{CRASH_LIFETIME, PartNews},
@@ -11,10 +11,6 @@
 
 /// Maximum number of crashes or proofs in one datagram; so many fit in one.
 const MAX_RECORDS: usize = 8;
-/// Number of rounds in which news are told again, since datagrams may be lost.
-const REPEAT_ROUNDS: u32 = 2;
-/// Maximum age of what is told as news; it covers the rounds in which they are told again.
-const NEWS_AGE: Duration = Duration::from_secs(2);
 
 /// When this entry tells its peers of parts of prompts that crash targets.
 ///
@@ -22,25 +18,23 @@
 /// them, or has just started, finds out by comparing digests.
 #[derive(Default)]
 pub struct PartGossip {
-    /// Number of rounds in which the news will be told again.
-    repeats_left: u32,
+    repeat: NewsRepeat,
 }
 
 impl PartGossip {
     /// Returns the datagrams for all peers when there are news.
     pub fn on_news(&mut self, core: &RelayCore) -> Vec<GossipDatagram> {
-        self.repeats_left = REPEAT_ROUNDS;
-        news_datagrams(core, NEWS_AGE)
+        self.repeat.start();
+        news_datagrams(core, NewsRepeat::MAX_AGE)
     }
 
     /// Returns the datagrams for all peers in a gossip round.
     pub fn on_round(&mut self, core: &RelayCore, now: Instant) -> Vec<GossipDatagram> {
         core.parts.borrow_mut().remove_expired(now);
-        if self.repeats_left == 0 {
-            return Vec::new();
+        match self.repeat.is_due() {
+            true => news_datagrams(core, NewsRepeat::MAX_AGE),
+            false => Vec::new(),
         }
-        self.repeats_left -= 1;
-        news_datagrams(core, NEWS_AGE)
     }
 }
 
--- a/crates/relay/src/permit/mod.rs
+++ b/crates/relay/src/permit/mod.rs
@@ -1,9 +1,11 @@
 mod ask_permit;
+mod pass_limit;
 mod permit_desk;
 mod permit_frame;
 
 pub use {
     ask_permit::ask_permit,
+    pass_limit::pass_limit,
     permit_desk::grant_permit,
-    permit_frame::{PermitFrame, PermitSubject},
+    permit_frame::{PermitAnswer, PermitFrame, PermitSubject},
 };
--- a/crates/relay/src/permit/permit_frame.rs
+++ b/crates/relay/src/permit/permit_frame.rs
@@ -1,7 +1,9 @@
 use {
     crate::shared::part_name,
+    limit::LimitNotice,
     retry::PartKey,
     serde::{Deserialize, Serialize},
+    std::time::Duration,
 };
 
 /// What a permit allows. Of each subject one entry gives out the permits for the whole fleet.
@@ -14,6 +16,11 @@
         /// All shared parts of the request's prompt.
         parts: Vec<PartKey>,
     },
+    /// To send one call to a limited target.
+    Call {
+        /// What the target said last of its limit, as far as the asking entry knows.
+        notice: LimitNotice,
+    },
 }
 
 impl PermitSubject {
@@ -21,10 +28,23 @@
     pub fn owner_key(&self) -> String {
         match self {
             Self::Trial { part, .. } => format!("part/{}", part_name(*part)),
+            Self::Call { notice } => format!("target/{}", notice.target),
         }
     }
 }
 
+/// The answer to a question for a permit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PermitAnswer {
+    /// The permit is granted, for use at once.
+    Granted,
+    /// There is none now.
+    Denied {
+        /// Time after which to ask again.
+        retry_in: Duration,
+    },
+}
+
 /// A message between an entry that needs a permit and the entry that owns its subject. The numbers
 /// are chosen by the asking entry and unique within a connection.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -40,7 +60,7 @@
     Answer {
         /// Number of the question.
         number: u64,
-        /// True if the permit is granted.
-        is_granted: bool,
+        /// The answer.
+        answer: PermitAnswer,
     },
 }
--- a/crates/relay/src/run/part_gate.rs
+++ b/crates/relay/src/run/part_gate.rs
@@ -2,7 +2,7 @@
     crate::{
         caller::RelayDraft,
         dialect::RelayRefusal,
-        permit::{PermitSubject, ask_permit},
+        permit::{PermitAnswer, PermitSubject, ask_permit},
         shared::{RelayCore, part_name},
     },
     base::FailureReason,
@@ -11,9 +11,6 @@
     std::time::{Duration, Instant},
 };
 
-/// Time after which a caller should retry while another request tries the same part.
-const TRIAL_RETRY_DELAY: Duration = Duration::from_secs(1);
-
 /// Returns the refusal of a request that has a suspect part and may not try it now.
 pub fn held_refusal(core: &RelayCore, draft: &RelayDraft) -> Option<RelayRefusal> {
     match core.parts.borrow().verdict(&draft.parts, Instant::now()) {
@@ -41,8 +38,8 @@
         part,
         parts: draft.parts.clone(),
     };
-    if !ask_permit(core, subject).await {
-        return Err(suspect_refusal(draft, part, TRIAL_RETRY_DELAY));
+    if let PermitAnswer::Denied { retry_in } = ask_permit(core, subject).await {
+        return Err(suspect_refusal(draft, part, retry_in));
     }
     core.metrics.part_trials.inc();
     info!(core.log, "request tries a suspect prompt part";
--- a/crates/relay/src/run/relay_run.rs
+++ b/crates/relay/src/run/relay_run.rs
@@ -3,6 +3,7 @@
         caller::RelayDraft,
         dialect::RelayRefusal,
         filters::stale_keys_refusal,
+        permit::pass_limit,
         place::{PlaceQuestion, RemotePlace, ask_place, prompt_group},
         run::{call_slot::CallSlot, crash_watch::CrashWatch, part_gate::pass_part_gate},
         shared::{RelayCore, RunningGuard},
@@ -25,6 +26,9 @@
 /// Maximum number of times that the stages are run again because a target lost results.
 const MAX_STAGE_RERUNS: u32 = 1;
 
+/// Maximum number of targets that are chosen for a send if their limits leave it no call.
+const MAX_LIMITED_CHOICES: usize = 6;
+
 /// A request that passed the filters, with its stages and its sends to targets.
 pub struct RelayRun {
     pub core: Rc<RelayCore>,
@@ -96,21 +100,7 @@
     pub async fn take_slot(&mut self) -> Result<(CallSlot, ServicePick), RelayRefusal> {
         let gate = pass_part_gate(&self.core, &self.draft).await;
         let is_trial = gate.map_err(|refusal| self.with_verdict(refusal))?;
-        let placed = self.ask_place().await;
-        let now = Instant::now();
-        if self.draft.organisation.is_some() && !self.core.keys_are_fresh() {
-            return Err(self.with_verdict(stale_keys_refusal()));
-        }
-        let placed = placed.or_else(|| self.pick(now).map(|pick| (pick, None)));
-        let Some((pick, place)) = placed else {
-            let detail = format!(
-                "no further target of service {} can be used",
-                self.draft.service
-            );
-            let refusal = RelayRefusal::not_run(FailureReason::NoTarget, detail);
-            let delay = self.time_to_usable(now).max(RETRY_DELAY);
-            return Err(self.with_verdict(refusal.retry_after(delay)));
-        };
+        let (pick, place) = self.choose_target().await?;
         let parts = self.draft.parts.clone();
         let watch = CrashWatch::new(&self.core, &pick, parts, is_trial);
         let slot = CallSlot::take(
@@ -124,6 +114,35 @@
         Ok((slot, pick))
     }
 
+    /// Chooses a target that takes a call now.
+    async fn choose_target(&self) -> Result<(ServicePick, Option<RemotePlace>), RelayRefusal> {
+        for _ in 0..MAX_LIMITED_CHOICES {
+            let placed = self.ask_place().await;
+            self.check_keys()?;
+            let now = Instant::now();
+            let placed = placed.or_else(|| self.pick(now).map(|pick| (pick, None)));
+            let Some((pick, place)) = placed else { break };
+            // A target that is turned away is not chosen again for a while.
+            if pass_limit(&self.core, &pick.target).await {
+                self.check_keys()?;
+                return Ok((pick, place));
+            }
+        }
+        let service = &self.draft.service;
+        let detail = format!("no further target of service {service} can be used");
+        let refusal = RelayRefusal::not_run(FailureReason::NoTarget, detail);
+        let delay = self.time_to_usable(Instant::now()).max(RETRY_DELAY);
+        Err(self.with_verdict(refusal.retry_after(delay)))
+    }
+
+    /// Refuses a request with a key if the keys in force were not confirmed recently enough.
+    fn check_keys(&self) -> Result<(), RelayRefusal> {
+        match self.draft.organisation.is_none() || self.core.keys_are_fresh() {
+            true => Ok(()),
+            false => Err(self.with_verdict(stale_keys_refusal())),
+        }
+    }
+
     /// Returns the data centre in which the request is expected to run.
     fn expected_centre(&self) -> Option<String> {
         let draft = &self.draft;
--- a/crates/relay/src/run/send_once.rs
+++ b/crates/relay/src/run/send_once.rs
@@ -41,6 +41,7 @@
     core.budget
         .borrow_mut()
         .on_request(&draft.service, Instant::now());
+    let called_at = Instant::now();
     let result = core.connections.call(pick.address, call).await;
     let fault = match result {
         Ok(mut reply) => {
@@ -51,6 +52,9 @@
             );
             reply.set_idle_timeout(reply_head.keep_alive);
             core.record_notice(&pick.target, reply_head.notice, Instant::now());
+            if reply_head.outcome != ReplyOutcome::Misdirected {
+                core.record_limit(&pick.target, reply_head.limit, called_at);
+            }
             match reply_head.outcome {
                 ReplyOutcome::Ran => return Ok(reply),
                 ReplyOutcome::NotRun => SendFault::Refused,
--- a/crates/relay/src/shared/core_parts.rs
+++ b/crates/relay/src/shared/core_parts.rs
@@ -9,9 +9,7 @@
 impl RelayCore {
     /// Returns the key of the process that a target has now.
     pub fn crash_key(&self, target: &str) -> CrashKey {
-        let state = self.state.borrow();
-        let started_ms = state.targets.get(target).map_or(0, |row| row.started_ms);
-        crash_key(target, started_ms)
+        crash_key(target, self.started_ms(target))
     }
 
     /// Records that a target's process ended under a request with these parts before it began to
--- a/crates/relay/src/shared/core_targets.rs
+++ b/crates/relay/src/shared/core_targets.rs
@@ -37,6 +37,13 @@
         }
     }
 
+    /// Returns the start time of the process that is listed under the target's id, in milliseconds
+    /// since the Unix epoch; 0 if unknown.
+    pub fn started_ms(&self, target: &str) -> u64 {
+        let state = self.state.borrow();
+        state.targets.get(target).map_or(0, |row| row.started_ms)
+    }
+
     /// Returns true if the target is leaving, by the list of targets or by its own notice.
     pub fn is_leaving(&self, target: &str) -> bool {
         let state = self.state.borrow();
@@ -61,8 +68,7 @@
         if notice == TargetNotice::default() {
             return;
         }
-        let state = self.state.borrow();
-        let started_ms = state.targets.get(target).map_or(0, |row| row.started_ms);
+        let started_ms = self.started_ms(target);
         let is_news = self
             .notices
             .borrow_mut()
--- a/crates/relay/src/shared/relay_core.rs
+++ b/crates/relay/src/shared/relay_core.rs
@@ -8,7 +8,7 @@
         target::ConnectionPool,
     },
     board::{CrashReport, GossipSettings, HostRecord, HostTable},
-    limit::ReturnLine,
+    limit::{LimitDesk, ReturnLine, TargetLimits},
     plan::{FleetPlan, ServiceId, StorePosition},
     rand::SeedableRng,
     rand_chacha::ChaCha8Rng,
@@ -69,6 +69,12 @@
     pub feed_lag: RefCell<FeedLag>,
     /// What targets said of themselves in their answers.
     pub notices: RefCell<TargetNotices>,
+    /// Limits that targets named in their answers.
+    pub limits: RefCell<TargetLimits>,
+    /// Calls to limited targets that this entry gives out to all entries.
+    pub limit_desk: RefCell<LimitDesk>,
+    /// Wakes the task that tells the other entries of limits.
+    pub limit_news: Notify,
     /// Target pools of the services that run whole requests. The pools of services that make pieces
     /// are in `batch_service`.
     pub pools: RefCell<HashMap<ServiceId, ServicePool>>,
@@ -132,6 +138,9 @@
             position_changed: watch::Sender::new(StorePosition::default()),
             feed_lag: RefCell::default(),
             notices: RefCell::default(),
+            limits: RefCell::default(),
+            limit_desk: RefCell::default(),
+            limit_news: Notify::new(),
             pools: RefCell::default(),
             engine_groups: RefCell::default(),
             hosts: RefCell::new(hosts),
--- a/crates/relay/src/shared/relay_metrics.rs
+++ b/crates/relay/src/shared/relay_metrics.rs
@@ -38,6 +38,10 @@
     pub suspect_parts: Counter,
     /// Requests that were sent to try suspect parts.
     pub part_trials: Counter,
+    /// Answers in which a target named a new limit, or none any more.
+    pub target_limits: Counter,
+    /// Calls to limited targets that were turned away and went elsewhere or were refused.
+    pub limited_calls: Counter,
     /// Connections opened to targets and the store, failed attempts included.
     pub dials: Gauge,
     /// Version of the configuration in force.
@@ -64,6 +68,8 @@
             part_crashes: Counter::default(),
             suspect_parts: Counter::default(),
             part_trials: Counter::default(),
+            target_limits: Counter::default(),
+            limited_calls: Counter::default(),
             dials: Gauge::default(),
             plan_version: Gauge::default(),
             registry: Registry::default(),
@@ -113,6 +119,16 @@
             "Requests sent to try suspect parts",
             metrics.part_trials.clone(),
         );
+        registry.register(
+            "target_limits",
+            "Limits of targets that are new, changed or ended",
+            metrics.target_limits.clone(),
+        );
+        registry.register(
+            "limited_calls",
+            "Calls turned away by a target's limit",
+            metrics.limited_calls.clone(),
+        );
         registry.register("dials", "Connections made", metrics.dials.clone());
         registry.register(
             "plan_version",
--- a/crates/relay/src/stage/batch_calls.rs
+++ b/crates/relay/src/stage/batch_calls.rs
@@ -1,5 +1,5 @@
 use {
-    crate::{shared::RelayCore, stage::BatchService, target::CallFault},
+    crate::{permit::pass_limit, shared::RelayCore, stage::BatchService, target::CallFault},
     piece::{CallId, PieceOutcome, PieceWork},
     slog::{debug, info},
     std::{
@@ -15,6 +15,9 @@
 /// Time within which a target must answer that it has freed results.
 const FREE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Status of an answer by another process than the one that was called.
+const MISDIRECTED_STATUS: u16 = 421;
+
 /// Calls to targets that make pieces.
 impl BatchService {
     /// Sends a call for a batch of pieces to a target in the background, and passes its outcome to
@@ -73,8 +76,13 @@
         let Some(address) = self.addresses.borrow().get(&target).copied() else {
             return;
         };
+        // The results expire by themselves; what the target still takes is for pieces.
+        if core.target_limit(&target).is_some() {
+            return;
+        }
         let (core, shard) = (Rc::clone(core), shard.to_string());
         actix_rt::spawn(async move {
+            let called_at = Instant::now();
             let call = core.dialects.target.write_free(&results);
             let answer = core
                 .connections
@@ -84,6 +92,8 @@
                 Ok((status, headers, _)) => {
                     let notice = core.dialects.target.read_notice(status, &headers);
                     core.record_notice(&target, notice, Instant::now());
+                    let limit = core.dialects.target.read_limit(&headers);
+                    core.record_limit(&target, limit, called_at);
                     if let Some(state) =
                         core.batch_service.shard_states.borrow_mut().get_mut(&shard)
                     {
@@ -118,6 +128,10 @@
 ) -> Result<Vec<PieceOutcome>, PieceCallFault> {
     let address = core.batch_service.addresses.borrow().get(target).copied();
     let address = address.ok_or(PieceCallFault::Unsent)?;
+    if !pass_limit(core, target).await {
+        return Err(PieceCallFault::Unsent);
+    }
+    let called_at = Instant::now();
     let call = core.dialects.target.write_pieces(target, work);
     core.metrics.piece_calls.inc();
     core.metrics.pieces.inc_by(work.len() as u64);
@@ -131,6 +145,10 @@
     })?;
     let notice = core.dialects.target.read_notice(status, &headers);
     core.record_notice(target, notice, Instant::now());
+    if status != MISDIRECTED_STATUS {
+        let limit = core.dialects.target.read_limit(&headers);
+        core.record_limit(target, limit, called_at);
+    }
     if status != 200 {
         return Err(PieceCallFault::Refused);
     }
--- a/crates/relay/src/stage/batch_service.rs
+++ b/crates/relay/src/stage/batch_service.rs
@@ -102,6 +102,14 @@
         self.wake.notify_one();
     }
 
+    /// Sends a target nothing until this time, or as usual again if there is none.
+    pub fn hold_target(&self, target: &str, until: Option<Instant>) {
+        for state in self.shard_states.borrow_mut().values_mut() {
+            state.scheduler.hold_target(target, until);
+        }
+        self.wake.notify_one();
+    }
+
     /// Closes the pools for which `is_wanted` returns false.
     pub fn retain_pools(&self, is_wanted: impl Fn(&str) -> bool, now: Instant) {
         self.pool_shards
--- a/crates/relay/src/stage/owner_link.rs
+++ b/crates/relay/src/stage/owner_link.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        permit::PermitFrame,
+        permit::{PermitAnswer, PermitFrame},
         place::PlaceFrame,
         stage::{
             JobFrame, PeerMessage,
@@ -41,7 +41,7 @@
     /// Waiters for places at engines.
     place_waiters: AnswerWaiters<Option<ServicePick>>,
     /// Waiters for permits.
-    permit_waiters: AnswerWaiters<bool>,
+    permit_waiters: AnswerWaiters<PermitAnswer>,
     next_number: Cell<u64>,
     is_closed: Cell<bool>,
 }
@@ -101,7 +101,7 @@
     }
 
     /// Returns the number for a question for a permit, and the receiver of its answer.
-    pub fn expect_permit(&self) -> (u64, oneshot::Receiver<bool>) {
+    pub fn expect_permit(&self) -> (u64, oneshot::Receiver<PermitAnswer>) {
         self.expect_answer(&self.permit_waiters)
     }
 
@@ -178,8 +178,8 @@
             PeerMessage::Place(PlaceFrame::Placed { number, pick }) => {
                 return self.place_waiters.resolve(number, pick);
             }
-            PeerMessage::Permit(PermitFrame::Answer { number, is_granted }) => {
-                return self.permit_waiters.resolve(number, is_granted);
+            PeerMessage::Permit(PermitFrame::Answer { number, answer }) => {
+                return self.permit_waiters.resolve(number, answer);
             }
             PeerMessage::Place(_) | PeerMessage::Permit(_) | PeerMessage::Feed(_) => return,
         };
--- a/crates/relay/src/stage/peer_server.rs
+++ b/crates/relay/src/stage/peer_server.rs
@@ -92,12 +92,9 @@
             feed.replace(PeerTask(actix_rt::spawn(serving)));
         }
         PeerMessage::Permit(PermitFrame::Ask { number, subject }) => {
-            let is_granted = grant_permit(core, &subject, Instant::now());
+            let answer = grant_permit(core, &subject, Instant::now());
             // The peer may be gone, and the permit with it.
-            let _ = outbox.send(PeerMessage::Permit(PermitFrame::Answer {
-                number,
-                is_granted,
-            }));
+            let _ = outbox.send(PeerMessage::Permit(PermitFrame::Answer { number, answer }));
         }
         PeerMessage::Feed(_) | PeerMessage::Permit(_) => {}
     })
--- a/crates/route/src/service_pool.rs
+++ b/crates/route/src/service_pool.rs
@@ -60,6 +60,14 @@
         }
     }
 
+    /// Sends a target nothing until this time, or as usual again if there is none; ignores targets
+    /// of other services.
+    pub fn hold_target(&mut self, target: &str, until: Option<Instant>) {
+        if let Some(target) = self.targets.get_mut(target) {
+            target.held_until = until;
+        }
+    }
+
     /// Sets the work that the targets do for other entries, keyed by [`id_hash`] of the target.
     pub fn set_peer_work(&mut self, work: &HashMap<u64, TargetWork>) {
         for (id, target) in &mut self.targets {
--- a/crates/route/src/service_target.rs
+++ b/crates/route/src/service_target.rs
@@ -46,6 +46,8 @@
     pub leaving: bool,
     /// Time until which the target wants no calls.
     paused_until: Option<Instant>,
+    /// Time until which other entries use all calls that the target takes.
+    pub held_until: Option<Instant>,
     /// Start time of the target's process in milliseconds since the Unix epoch; 0 if unknown.
     pub started_ms: u64,
     /// Work that the target does for this entry.
@@ -71,6 +73,7 @@
             slots: row.slots.max(1),
             leaving: row.leaving,
             paused_until: None,
+            held_until: None,
             started_ms: row.started_ms,
             own_work: TargetWork::default(),
             peer_work: TargetWork::default(),
@@ -92,6 +95,7 @@
             self.consecutive_losses = 0;
             self.backoff_until = None;
             self.paused_until = None;
+            self.held_until = None;
         }
         self.address = row.address;
         self.data_centre.clone_from(&row.data_centre);
@@ -106,14 +110,14 @@
         self.paused_until = standing.paused_until;
     }
 
-    /// True if the target may be called: it is not leaving and has not asked for a pause.
+    /// True if the target may be called: it is not leaving, and takes calls of this entry now.
     pub fn accepts_calls(&self, now: Instant) -> bool {
         !self.leaving && self.pause_left(now).is_zero()
     }
 
-    /// Returns the time for which the target wants no calls.
+    /// Returns the time for which the target takes no calls of this entry.
     pub fn pause_left(&self, now: Instant) -> Duration {
-        let until = self.paused_until.unwrap_or(now);
+        let until = self.paused_until.max(self.held_until).unwrap_or(now);
         until.saturating_duration_since(now)
     }
 
