--- a/crates/relay/src/shared/relay_metrics.rs
+++ b/crates/relay/src/shared/relay_metrics.rs
@@ -85,50 +85,50 @@
             "Whole answer",
             metrics.whole_answer.clone(),
         );
-        registry.register(
-            "piece_calls",
-            "Calls for pieces",
-            metrics.piece_calls.clone(),
-        );
-        registry.register("pieces", "Pieces asked for", metrics.pieces.clone());
-        let failed = metrics.piece_calls_failed.clone();
-        registry.register("piece_calls_failed", "Failed calls for pieces", failed);
-        registry.register(
-            "store_calls",
-            "Calls to the store",
-            metrics.store_calls.clone(),
-        );
-        registry.register("repeats", "Requests sent again", metrics.repeats.clone());
-        registry.register(
-            "target_notices",
-            "Notices of targets: leaving, or no calls for a while",
-            metrics.target_notices.clone(),
-        );
-        registry.register(
-            "part_crashes",
-            "Crashes blamed on parts of prompts",
-            metrics.part_crashes.clone(),
-        );
-        registry.register(
-            "suspect_parts",
-            "Parts of prompts that became suspect",
-            metrics.suspect_parts.clone(),
-        );
-        registry.register(
-            "part_trials",
-            "Requests sent to try suspect parts",
-            metrics.part_trials.clone(),
-        );
-        registry.register(
-            "target_limits",
-            "Limits of targets that are new, changed or ended",
-            metrics.target_limits.clone(),
-        );
-        registry.register(
-            "limited_calls",
-            "Calls turned away by a target's limit",
-            metrics.limited_calls.clone(),
-        );
+        let counters = [
+            ("piece_calls", "Calls for pieces", &metrics.piece_calls),
+            ("pieces", "Pieces asked for", &metrics.pieces),
+            (
+                "piece_calls_failed",
+                "Failed calls for pieces",
+                &metrics.piece_calls_failed,
+            ),
+            ("store_calls", "Calls to the store", &metrics.store_calls),
+            ("repeats", "Requests sent again", &metrics.repeats),
+            (
+                "target_notices",
+                "Notices of targets: leaving, or no calls for a while",
+                &metrics.target_notices,
+            ),
+            (
+                "part_crashes",
+                "Crashes blamed on parts of prompts",
+                &metrics.part_crashes,
+            ),
+            (
+                "suspect_parts",
+                "Parts of prompts that became suspect",
+                &metrics.suspect_parts,
+            ),
+            (
+                "part_trials",
+                "Requests sent to try suspect parts",
+                &metrics.part_trials,
+            ),
+            (
+                "target_limits",
+                "Limits of targets that are new, changed or ended",
+                &metrics.target_limits,
+            ),
+            (
+                "limited_calls",
+                "Calls turned away by a target's limit",
+                &metrics.limited_calls,
+            ),
+        ];
+        for (name, help, counter) in counters {
+            registry.register(name, help, counter.clone());
+        }
         registry.register("dials", "Connections made", metrics.dials.clone());
         registry.register(
             "plan_version",
