Split the batch scheduler and the crash tracker

Change: the targets of a shard, and the settings and verdicts of the tracker, stand in files of their own; no logic is touched. Measured: piece, retry and platform tests pass.

--- a/crates/piece/src/lib.rs
+++ b/crates/piece/src/lib.rs
@@ -6,6 +6,7 @@
 mod batch_queue;
 mod batch_scheduler;
 mod batch_target;
+mod batch_targets;
 mod pending_job;
 mod pool_shards;
 mod stage_graph;
--- a/crates/retry/src/crash_tracker.rs
+++ b/crates/retry/src/crash_tracker.rs
@@ -1,10 +1,10 @@
 use {
     crate::{
-        CrashFingerprint, CrashRecord, TargetStrikes, TrackedCall, crash_entry::CrashEntry,
+        CrashFingerprint, CrashRecord, CrashTrackerSettings, CrashVerdict, RunPermit,
+        TargetStrikes, TrackedCall, TrackedCallEnd, crash_entry::CrashEntry,
         crash_record::short_hash, running_calls::RunningCalls,
     },
     base::StageIndex,
-    serde::{Deserialize, Serialize},
     std::{
         cmp::Reverse,
         collections::BTreeMap,
@@ -19,76 +19,6 @@
 /// strikes would never expire.
 const MERGE_TOLERANCE: Duration = Duration::from_secs(2);
 
-/// Limits of a [`CrashTracker`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct CrashTrackerSettings {
-    /// Time after which a strike expires.
-    #[serde(with = "humantime_serde")]
-    pub lifetime: Duration,
-    /// Maximum number of requests in the tracker; beyond it, the request whose strikes expire first
-    /// is evicted.
-    pub records: usize,
-    /// Time for which calls of a request are held back after a peer reported a new strike, so that
-    /// only that peer retries the request.
-    pub peer_hold: Duration,
-    /// Time for which calls of a request are held back after a strike on this entry, so that the
-    /// entries can exchange their strikes before the request runs again.
-    pub own_hold: Duration,
-}
-
-impl Default for CrashTrackerSettings {
-    fn default() -> Self {
-        Self {
-            lifetime: Duration::from_secs(600),
-            records: 4_096,
-            peer_hold: Duration::from_secs(2),
-            own_hold: Duration::ZERO,
-        }
-    }
-}
-
-/// Whether a request is known to crash targets.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CrashVerdict {
-    /// The request has no open strike.
-    Clear,
-    /// The request may have crashed a target. It runs on one target at a time, and only where no
-    /// other suspect runs.
-    Suspect,
-    /// The request has crashed too many targets and may not run.
-    Refused,
-}
-
-/// Whether a call may start on its target now.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum RunPermit {
-    /// The call may start and is registered as running.
-    Granted,
-    /// The call may not start on this target, where another suspect runs; another target may be
-    /// free.
-    Elsewhere,
-    /// The call may not start now, because the request is already running on this entry or a peer,
-    /// and the outcome of that run decides whether it may run again. The caller should ask again
-    /// shortly.
-    Later,
-    /// The request may not run on any target.
-    Refused,
-}
-
-/// How a call that was permitted to start ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum TrackedCallEnd {
-    /// The target gave a complete answer.
-    Whole,
-    /// The target's process died while it ran the request. The proof is that the target refuses a
-    /// new connection. A call whose connection was merely lost ends as `Other`; otherwise a network
-    /// fault would count as a crash.
-    TargetDied,
-    /// Any other end, for instance a cancelled call.
-    Other,
-}
-
 /// Tracks which requests were running when targets died. A request gets a strike for each such
 /// death and is refused after the second, on every entry.
 ///
--- a/crates/retry/src/lib.rs
+++ b/crates/retry/src/lib.rs
@@ -3,7 +3,9 @@
 mod attempt_tracker;
 mod crash_entry;
 mod crash_record;
+mod crash_settings;
 mod crash_tracker;
+mod crash_verdict;
 mod fleet_budget;
 mod hedge_policy;
 mod parts;
@@ -15,7 +17,9 @@
     crash_record::{
         CrashFingerprint, CrashRecord, TargetStrikes, TrackedCall, fingerprint, short_hash,
     },
-    crash_tracker::{CrashTracker, CrashTrackerSettings, CrashVerdict, RunPermit, TrackedCallEnd},
+    crash_settings::CrashTrackerSettings,
+    crash_tracker::CrashTracker,
+    crash_verdict::{CrashVerdict, RunPermit, TrackedCallEnd},
     fleet_budget::{FleetBudget, FleetBudgetSettings},
     hedge_policy::{HedgeCandidate, HedgePolicy},
     parts::{
