Split the news of crashes by their parts

Cause, found by reading: a message was bounded by its number of crashes, but a crash under which many requests with unproven parts are lost has many of them; such a datagram is too long to be sent, and the news would be lost. Parts of one prompt beyond the eighth were not tracked. Now a crash with many parts goes out in several records, which the recipient joins.

Measured: news_of_a_crash_with_many_parts_arrive_in_small_messages passes with 100 parts; not run on the code before, whose split takes other arguments.

--- a/crates/relay/src/peer/limit_gossip.rs
+++ b/crates/relay/src/peer/limit_gossip.rs
@@ -4,7 +4,7 @@
     std::time::Instant,
 };
 
-/// Maximum number of limits in one datagram; so many fit in one.
+/// Maximum number of limits in one datagram; so many fit in one, with ids of 100 bytes.
 const MAX_RECORDS: usize = 8;
 
 /// When this entry tells its peers of limits that targets named.
--- a/crates/relay/src/peer/part_gossip.rs
+++ b/crates/relay/src/peer/part_gossip.rs
@@ -9,9 +9,6 @@
     },
 };
 
-/// Maximum number of crashes or proofs in one datagram; so many fit in one.
-const MAX_RECORDS: usize = 8;
-
 /// When this entry tells its peers of parts of prompts that crash targets.
 ///
 /// News go to all live peers at once, since each moment may cost another target. A peer that missed
@@ -55,10 +52,13 @@
 
 /// Returns the answers to a peer's news of parts.
 pub fn handle_news(core: &RelayCore, news: &PartNews) -> Vec<GossipDatagram> {
-    let proofs = core.merge_part_news(news);
-    let messages = proofs.chunks(MAX_RECORDS);
+    let answer = PartNews {
+        crashes: Vec::new(),
+        proofs: core.merge_part_news(news),
+    };
+    let messages = answer.split().into_iter();
     messages
-        .map(|proofs| GossipDatagram::PartProofs(proofs.to_vec()))
+        .map(|message| GossipDatagram::PartProofs(message.proofs))
         .collect()
 }
 
@@ -72,6 +72,6 @@
 
 fn news_datagrams(core: &RelayCore, max_age: Duration) -> Vec<GossipDatagram> {
     let news = core.parts.borrow().news(max_age, Instant::now());
-    let messages = news.split(MAX_RECORDS).into_iter();
+    let messages = news.split().into_iter();
     messages.map(GossipDatagram::PartNews).collect()
 }
--- a/crates/relay/src/run/relay_run.rs
+++ b/crates/relay/src/run/relay_run.rs
@@ -95,8 +95,8 @@
         self.stages = None;
     }
 
-    /// Chooses a target and takes a slot there. Refuses the request if no further target can be
-    /// used or if the request has a key and the keys in force were not confirmed recently enough.
+    /// Chooses a target and takes a slot there. Refuses the request if a part of its prompt is
+    /// suspect, or as [`Self::choose_target`] does.
     pub async fn take_slot(&mut self) -> Result<(CallSlot, ServicePick), RelayRefusal> {
         let gate = pass_part_gate(&self.core, &self.draft).await;
         let is_trial = gate.map_err(|refusal| self.with_verdict(refusal))?;
@@ -114,7 +114,8 @@
         Ok((slot, pick))
     }
 
-    /// Chooses a target that takes a call now.
+    /// Chooses a target that takes a call now. Refuses the request if there is none, or if it has a
+    /// key and the keys in force were not confirmed recently enough.
     async fn choose_target(&self) -> Result<(ServicePick, Option<RemotePlace>), RelayRefusal> {
         for _ in 0..MAX_LIMITED_CHOICES {
             let placed = self.ask_place().await;
--- a/crates/retry/src/parts/part_evidence.rs
+++ b/crates/retry/src/parts/part_evidence.rs
@@ -4,8 +4,14 @@
     std::time::Duration,
 };
 
-/// Maximum number of parts of one prompt that can be blamed for a crash.
-const MAX_PARTS: usize = 8;
+/// Maximum number of parts of one prompt that are tracked.
+const MAX_PARTS: usize = 64;
+/// Maximum number of crashes in one message.
+const MAX_CRASHES: usize = 8;
+/// Maximum number of parts of each crash in a message.
+const MAX_CRASH_PARTS: usize = 8;
+/// Maximum number of proofs in one message.
+const MAX_PROOFS: usize = 32;
 
 /// Hash of the id of one part of a prompt, the same on every entry.
 pub type PartKey = u64;
@@ -51,21 +57,22 @@
         self.crashes.is_empty() && self.proofs.is_empty()
     }
 
-    /// Splits the news into messages of at most `max_records` crashes and proofs each.
+    /// Splits the news into messages that each fit in a datagram.
     ///
     /// ```
     /// use retry::{PartNews, PartProof};
     ///
     /// let proof = PartProof { part: 1, age: std::time::Duration::ZERO };
-    /// let news = PartNews { crashes: Vec::new(), proofs: vec![proof; 3] };
-    /// assert_eq!(news.split(2).len(), 2);
+    /// let news = PartNews { crashes: Vec::new(), proofs: vec![proof; 40] };
+    /// assert!(news.split().len() > 1);
     /// ```
-    pub fn split(self, max_records: usize) -> Vec<Self> {
-        let of_crashes = self.crashes.chunks(max_records).map(|crashes| Self {
+    pub fn split(self) -> Vec<Self> {
+        let crashes: Vec<PartCrash> = self.crashes.into_iter().flat_map(split_crash).collect();
+        let of_crashes = crashes.chunks(MAX_CRASHES).map(|crashes| Self {
             crashes: crashes.to_vec(),
             proofs: Vec::new(),
         });
-        let of_proofs = self.proofs.chunks(max_records).map(|proofs| Self {
+        let of_proofs = self.proofs.chunks(MAX_PROOFS).map(|proofs| Self {
             crashes: Vec::new(),
             proofs: proofs.to_vec(),
         });
@@ -73,6 +80,16 @@
     }
 }
 
+/// Splits a crash with many parts into several with few, which the recipient joins again.
+fn split_crash(crash: PartCrash) -> Vec<PartCrash> {
+    let parts = crash.parts.chunks(MAX_CRASH_PARTS);
+    let crashes = parts.map(|parts| PartCrash {
+        parts: parts.to_vec(),
+        ..crash
+    });
+    crashes.collect()
+}
+
 /// Returns the keys of the parts of a prompt that other prompts may share, without duplicates. The
 /// last part is left out, since it belongs to the request itself. Of a very long prompt only the last
 /// shared parts are returned, since the first ones are shared most.
--- a/crates/retry/tests/part_tracker.rs
+++ b/crates/retry/tests/part_tracker.rs
@@ -297,3 +297,19 @@
         }
     }
 }
+
+/// Many requests with parts of their own are lost with one target.
+#[test]
+fn news_of_a_crash_with_many_parts_arrive_in_small_messages() {
+    let now = Instant::now();
+    let (mut tracker, mut peer) = (PartTracker::default(), PartTracker::default());
+    let parts: Vec<PartKey> = (0..100).collect();
+    tracker.record_crash(1, &parts, false, now);
+    tracker.record_crash(2, &parts, true, now);
+    for message in tracker.news(CRASH_LIFETIME, now).split() {
+        let part_count: usize = message.crashes.iter().map(|crash| crash.parts.len()).sum();
+        assert!(part_count <= 64);
+        peer.merge(&message, now);
+    }
+    assert_eq!(peer.digest(), tracker.digest());
+}
