--- a/crates/retry/tests/part_tracker.rs
+++ b/crates/retry/tests/part_tracker.rs
@@ -313,3 +313,17 @@
     }
     assert_eq!(peer.digest(), tracker.digest());
 }
+
+/// Answers to many prompts with different parts within the time for which each one counts.
+#[test]
+fn many_answers_take_time_in_proportion() {
+    let start = Instant::now();
+    let mut tracker = PartTracker::default();
+    let mut now = start;
+    for part in 0..200_000_u64 {
+        now += Duration::from_micros(50);
+        tracker.record_answer(&[part], now);
+    }
+    assert!(start.elapsed() < Duration::from_secs(5));
+    assert!(is_clear(&tracker, &[7], now));
+}
