Refuse what limits leave no call before its stages are run

Callers saw refusals late, after pieces had been made for nothing. Cause: admission counted a limited target as free until a call to it was turned away. Load pattern: all targets of a service name limits, and several times what they take comes in, with stages. Now an entry lets as many requests pass as there are targets that take calls, and a request whose stages are done waits for the next call for up to half of its time.

--- a/crates/relay/src/caller/relay_draft.rs
+++ b/crates/relay/src/caller/relay_draft.rs
@@ -1,5 +1,8 @@
 use {
-    crate::dialect::{CallerHead, RelayRefusal},
+    crate::{
+        dialect::{CallerHead, RelayRefusal},
+        shared::LimitedPlace,
+    },
     base::FailureReason,
     bytes::Bytes,
     plan::{FleetPlan, RouteRule, ServiceId},
@@ -33,6 +36,9 @@
     pub prefixes: Vec<(PrefixKey, u32)>,
     /// Parts of the prompt that it may share with other requests.
     pub parts: Vec<PartKey>,
+    /// Place in the line for targets that are all limited, until the request is sent; `None` if they
+    /// are not.
+    pub limited_place: Option<LimitedPlace>,
     /// Time at which the head of the request had arrived.
     pub arrived: Instant,
     /// Data centre in which the request is expected to run after its stages. It is chosen before
@@ -74,6 +80,7 @@
             priority: rule.priority.min(LOWEST_PRIORITY),
             prefixes: prefix_keys(&head.prompt),
             parts: part_keys(head.prompt.iter().map(|part| part.id.as_str())),
+            limited_place: None,
             arrived,
             goal_at: arrived + rule.latency_goal.min(timeout),
             first_event_deadline: arrived + rule.first_event_limit.unwrap_or(timeout).min(timeout),
--- a/crates/relay/src/filters/filter_chain.rs
+++ b/crates/relay/src/filters/filter_chain.rs
@@ -3,6 +3,7 @@
     dialect::RelayRefusal,
     filters::{
         admission_filter::AdmissionFilter, crash_filter::CrashFilter, key_filter::KeyFilter,
+        limit_filter::LimitFilter,
     },
     shared::RelayCore,
 };
@@ -29,6 +30,7 @@
                 Box::new(KeyFilter),
                 Box::new(CrashFilter),
                 Box::new(AdmissionFilter),
+                Box::new(LimitFilter),
             ],
         }
     }
--- a/crates/relay/src/run/relay_run.rs
+++ b/crates/relay/src/run/relay_run.rs
@@ -26,6 +26,10 @@
 /// Maximum number of times that the stages are run again because a target lost results.
 const MAX_STAGE_RERUNS: u32 = 1;
 
+/// Share of the time left until the first event is due for which a request may wait for a limited
+/// target; the rest is for the answer.
+const MAX_WAIT_SHARE: f64 = 0.5;
+
 /// Maximum number of targets that are chosen for a send if their limits leave it no call.
 const MAX_LIMITED_CHOICES: usize = 6;
 
@@ -101,6 +105,7 @@
         let gate = pass_part_gate(&self.core, &self.draft).await;
         let is_trial = gate.map_err(|refusal| self.with_verdict(refusal))?;
         let (pick, place) = self.choose_target().await?;
+        self.draft.limited_place = None;
         let parts = self.draft.parts.clone();
         let watch = CrashWatch::new(&self.core, &pick, parts, is_trial);
         let slot = CallSlot::take(
@@ -122,7 +127,13 @@
             self.check_keys()?;
             let now = Instant::now();
             let placed = placed.or_else(|| self.pick(now).map(|pick| (pick, None)));
-            let Some((pick, place)) = placed else { break };
+            let Some((pick, place)) = placed else {
+                match self.limit_wait(now) {
+                    Some(wait) => actix_rt::time::sleep(wait).await,
+                    None => break,
+                }
+                continue;
+            };
             // A target that is turned away is not chosen again for a while.
             if pass_limit(&self.core, &pick.target).await {
                 self.check_keys()?;
@@ -136,6 +147,18 @@
         Err(self.with_verdict(refusal.retry_after(delay)))
     }
 
+    /// Returns the time for which a request whose stages are done waits for a target that is limited;
+    /// `None` if it should be refused. Its pieces would have been made in vain.
+    fn limit_wait(&self, now: Instant) -> Option<Duration> {
+        let pools = self.core.pools.borrow();
+        let wait = pools.get(&self.draft.service)?.time_to_held(now)?;
+        let max_wait = self
+            .draft
+            .first_event_time_left(now)
+            .mul_f64(MAX_WAIT_SHARE);
+        (self.draft.has_stages() && wait <= max_wait).then_some(wait)
+    }
+
     /// Refuses a request with a key if the keys in force were not confirmed recently enough.
     fn check_keys(&self) -> Result<(), RelayRefusal> {
         match self.draft.organisation.is_none() || self.core.keys_are_fresh() {
--- a/crates/relay/src/shared/core_limits.rs
+++ b/crates/relay/src/shared/core_limits.rs
@@ -1,8 +1,8 @@
 use {
-    crate::shared::RelayCore,
+    crate::shared::{LimitedPlace, RelayCore},
     limit::{LimitNotice, LimitWord},
     slog::{info, warn},
-    std::time::Instant,
+    std::time::{Duration, Instant},
 };
 
 /// The limits that targets named, and the calls that they leave to this entry.
@@ -52,6 +52,25 @@
         notice.filter(|notice| notice.interval.is_some())
     }
 
+    /// Returns the intervals between calls of the targets of a service that take calls now; `None`
+    /// if one of them names no limit.
+    pub fn service_limits(&self, service: &str, now: Instant) -> Option<Vec<Duration>> {
+        let pools = self.pools.borrow();
+        let targets = pools.get(service)?.accepting_targets(now);
+        let limits = self.limits.borrow();
+        targets
+            .map(|(target, started_ms)| limits.interval(target, started_ms))
+            .collect()
+    }
+
+    /// Takes a place for a request to a service whose targets that take calls now number
+    /// `target_count` and are all limited; `None` if there are requests for all of them.
+    pub fn take_limited_place(&self, service: &str, target_count: usize) -> Option<LimitedPlace> {
+        let mut places = self.limited_places.borrow_mut();
+        let count = places.entry(service.to_string()).or_default();
+        LimitedPlace::take(count, target_count)
+    }
+
     /// Sends the target nothing until this time, or as usual again if there is none.
     pub fn hold_target(&self, target: &str, until: Option<Instant>) {
         for pool in self.pools.borrow_mut().values_mut() {
--- a/crates/relay/src/shared/mod.rs
+++ b/crates/relay/src/shared/mod.rs
@@ -3,6 +3,7 @@
 mod core_parts;
 mod core_peers;
 mod core_targets;
+mod limited_place;
 mod relay_core;
 mod relay_metrics;
 mod relay_phase;
@@ -11,6 +12,7 @@
 pub use {
     boot_clock::boot_time,
     core_parts::part_name,
+    limited_place::LimitedPlace,
     relay_core::{DialectSet, RelayCore},
     relay_metrics::RelayMetrics,
     relay_phase::RelayPhase,
--- a/crates/relay/src/shared/relay_core.rs
+++ b/crates/relay/src/shared/relay_core.rs
@@ -73,6 +73,9 @@
     pub limits: RefCell<TargetLimits>,
     /// Calls to limited targets that this entry gives out to all entries.
     pub limit_desk: RefCell<LimitDesk>,
+    /// Numbers of requests that are admitted for a service all of whose targets are limited, and
+    /// not sent yet.
+    pub limited_places: RefCell<HashMap<ServiceId, Rc<Cell<usize>>>>,
     /// Wakes the task that tells the other entries of limits.
     pub limit_news: Notify,
     /// Target pools of the services that run whole requests. The pools of services that make pieces
@@ -140,6 +143,7 @@
             notices: RefCell::default(),
             limits: RefCell::default(),
             limit_desk: RefCell::default(),
+            limited_places: RefCell::default(),
             limit_news: Notify::new(),
             pools: RefCell::default(),
             engine_groups: RefCell::default(),
--- a/crates/route/src/service_pool.rs
+++ b/crates/route/src/service_pool.rs
@@ -96,6 +96,20 @@
         target.is_some_and(|target| target.accepts_calls(now))
     }
 
+    /// Returns the time until the first target that is only held takes calls again; `None` if none
+    /// is, since all others are leaving or want no calls.
+    pub fn time_to_held(&self, now: Instant) -> Option<Duration> {
+        let held = self.targets.values();
+        held.filter_map(|target| target.hold_left(now)).min()
+    }
+
+    /// Returns the ids and start times of the targets that take calls now.
+    pub fn accepting_targets(&self, now: Instant) -> impl Iterator<Item = (&str, u64)> {
+        let accepting = self.targets.iter();
+        let accepting = accepting.filter(move |(_, target)| target.accepts_calls(now));
+        accepting.map(|(id, target)| (id.as_str(), target.started_ms))
+    }
+
     /// Records that a request was sent to the picked target.
     pub fn record_start(
         &mut self,
--- a/crates/route/src/service_target.rs
+++ b/crates/route/src/service_target.rs
@@ -121,6 +121,13 @@
         until.saturating_duration_since(now)
     }
 
+    /// Returns the time for which the target is held, if nothing else keeps calls from it.
+    pub fn hold_left(&self, now: Instant) -> Option<Duration> {
+        let wants_calls = !self.leaving && self.paused_until.is_none_or(|until| until <= now);
+        let held_until = self.held_until.filter(|_| wants_calls)?;
+        Some(held_until.saturating_duration_since(now))
+    }
+
     /// True while the target is in backoff after a loss or a refusal.
     pub fn is_backing_off(&self, now: Instant) -> bool {
         self.backoff_until.is_some_and(|until| until > now)
