--- a/crates/relay/src/run/mod.rs
+++ b/crates/relay/src/run/mod.rs
@@ -5,5 +5,6 @@
 mod run_request;
 mod send_once;
 mod stream_pump;
+mod target_choice;
 
 pub use {part_gate::held_refusal, run_request::run_request};
