Forget trials of a part that crashed before it was answered

Cause, found by reading: the time to the next trial counted crashes that an answer since had shown to be another's. A part suspected anew was held for up to ten minutes in place of a second. Now only crashes that are still blamed on the part count.

Measured: trials_that_crashed_before_an_answer_are_forgotten failed before (held for 599 s).

--- a/crates/retry/src/parts/part_blame.rs
+++ b/crates/retry/src/parts/part_blame.rs
@@ -62,7 +62,11 @@
         let found = counts.iter().filter(|(_, count)| **count == max_count);
         let found: Vec<PartKey> = found.map(|(part, _)| *part).collect();
         unexplained.retain(|parts| !found.iter().any(|part| parts.contains(part)));
-        suspects.extend(found.into_iter().map(|part| (part, suspicion(part, rows))));
+        suspects.extend(
+            found
+                .into_iter()
+                .map(|part| (part, suspicion(part, rows, proofs))),
+        );
     }
 }
 
@@ -80,11 +84,9 @@
     counts
 }
 
-fn suspicion(part: PartKey, rows: &BTreeMap<CrashKey, CrashRow>) -> Suspicion {
-    let crashes: Vec<&CrashRow> = rows
-        .values()
-        .filter(|row| row.parts.contains(&part))
-        .collect();
+fn suspicion(part: PartKey, rows: &BTreeMap<CrashKey, CrashRow>, proofs: &PartProofs) -> Suspicion {
+    let blames_part = |row: &&CrashRow| blamed_parts(row, proofs).any(|blamed| blamed == part);
+    let crashes: Vec<&CrashRow> = rows.values().filter(blames_part).collect();
     let failed_trials = crashes.iter().filter(|row| row.is_trial).count();
     let delay = TRIAL_DELAYS[failed_trials.min(TRIAL_DELAYS.len() - 1)];
     let last_at = crashes.iter().map(|row| row.at).max();
--- a/crates/retry/tests/part_tracker.rs
+++ b/crates/retry/tests/part_tracker.rs
@@ -95,6 +95,25 @@
     assert!(is_clear(&tracker, &[BAD], later));
 }
 
+/// What counted against the part before an answer does not delay its trials afterwards.
+#[test]
+fn trials_that_crashed_before_an_answer_are_forgotten() {
+    let now = Instant::now();
+    let mut tracker = PartTracker::default();
+    for crash in 0..4 {
+        tracker.record_crash(crash, &[BAD], true, now);
+    }
+    tracker.record_answer(&[BAD], now + Duration::from_secs(1));
+    let later = now + Duration::from_secs(60);
+    tracker.record_crash(10, &[BAD], false, later);
+    tracker.record_crash(11, &[BAD], false, later);
+    let trial = PartVerdict::Trial { parts: vec![BAD] };
+    assert_eq!(
+        tracker.verdict(&[BAD], later + Duration::from_secs(1)),
+        trial
+    );
+}
+
 /// A part may be sound for one version of the targets and crash the next.
 #[test]
 fn a_part_that_was_sound_long_ago_can_be_suspect() {
