Try requests with some of the accused parts before those with all

Cause: a trial was put off by 20 s if the request had a second accused part. After a loss of all entries nothing is proven sound, and a few crashes accuse all parts of the sound requests, so that none of them was tried in time and their route was refused for 20 s. Load pattern: a crashing part beside sound requests with few different parts, and no answers yet. Now a request waits longer only if it resembles those under which targets crashed: it has all parts a crash is blamed on, or all suspect ones.

--- a/crates/retry/src/parts/part_blame.rs
+++ b/crates/retry/src/parts/part_blame.rs
@@ -70,6 +70,27 @@
     }
 }
 
+/// Returns true if a request with these parts resembles those under which targets crashed: it has
+/// all parts that a crash is blamed on, or all of them that are suspect. A trial of such a request
+/// tells little, while one that has only some of the parts clears or convicts just these.
+pub fn resembles_crash(
+    parts: &[PartKey],
+    rows: &BTreeMap<CrashKey, CrashRow>,
+    proofs: &PartProofs,
+    suspects: &BTreeMap<PartKey, Suspicion>,
+) -> bool {
+    let has_all = |blamed: &[PartKey]| {
+        let is_ambiguous = blamed.len() > 1;
+        is_ambiguous && blamed.iter().all(|part| parts.contains(part))
+    };
+    rows.values().any(|row| {
+        let blamed: Vec<PartKey> = blamed_parts(row, proofs).collect();
+        let suspect = blamed.iter().filter(|part| suspects.contains_key(part));
+        let suspect: Vec<PartKey> = suspect.copied().collect();
+        has_all(&blamed) || has_all(&suspect)
+    })
+}
+
 /// Returns the parts of a crash that no answer has shown to be sound.
 pub fn blamed_parts(row: &CrashRow, proofs: &PartProofs) -> impl Iterator<Item = PartKey> {
     let is_blamed = |part: &PartKey| !proofs.is_sound_at(*part, row.at);
--- a/crates/retry/src/parts/part_tracker.rs
+++ b/crates/retry/src/parts/part_tracker.rs
@@ -2,7 +2,7 @@
     crate::{
         CrashKey, PartCrash, PartKey, PartNews, PartProof,
         parts::{
-            part_blame::{CrashRow, Suspicion, blamed_parts, suspect_parts},
+            part_blame::{CrashRow, Suspicion, blamed_parts, resembles_crash, suspect_parts},
             part_proofs::PartProofs,
         },
     },
@@ -18,8 +18,8 @@
 pub const CRASH_LIFETIME: Duration = Duration::from_secs(30 * 60);
 /// Maximum number of crashes that are kept, the latest ones.
 const MAX_CRASHES: usize = 128;
-/// Time by which a request with several suspect parts waits longer for its trial. By then each of
-/// the parts has been tried alone, where requests have it alone.
+/// Time by which a request that resembles those under which targets crashed waits longer for its
+/// trial. By then requests with some of its parts have been tried, where there are any.
 const JOINT_TRIAL_DELAY: Duration = Duration::from_secs(20);
 
 /// Whether a request may be sent, by the parts of its prompt.
@@ -157,9 +157,7 @@
         let Some(mut trial_at) = trial_times.max() else {
             return PartVerdict::Clear;
         };
-        // A crash of a trial says nothing about one part while another one may be to blame.
-        let accused_count = parts.iter().filter(|part| self.accused.contains(part));
-        if accused_count.count() > 1 {
+        if resembles_crash(parts, &self.rows, &self.proofs, &self.suspects) {
             trial_at += JOINT_TRIAL_DELAY;
         }
         match trial_at.saturating_duration_since(now) {
--- a/crates/retry/tests/part_tracker.rs
+++ b/crates/retry/tests/part_tracker.rs
@@ -167,3 +167,22 @@
     assert!(start.elapsed() < Duration::from_secs(5));
     assert!(is_clear(&tracker, &[7], now));
 }
+
+/// Nothing has been answered yet, and all parts of the sound requests were there when a target
+/// crashed, so that none of these requests has a single accused part.
+#[test]
+fn sound_requests_are_tried_soon_although_all_their_parts_are_accused() {
+    let now = Instant::now();
+    let mut tracker = PartTracker::default();
+    tracker.record_crash(0, &[SYSTEM, CUSTOMER, BAD], false, now);
+    tracker.record_crash(1, &[SYSTEM, CUSTOMER, BAD], false, now);
+    let later = now + Duration::from_secs(1);
+    assert!(matches!(
+        tracker.verdict(&[SYSTEM, CUSTOMER], later),
+        PartVerdict::Trial { .. }
+    ));
+    assert!(matches!(
+        tracker.verdict(&[SYSTEM, CUSTOMER, BAD], later),
+        PartVerdict::Held { .. }
+    ));
+}
