--- a/crates/retry/tests/part_fleets.rs
+++ b/crates/retry/tests/part_fleets.rs
@@ -144,7 +144,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(64))]
+    #![proptest_config(ProptestConfig::with_cases(128))]
 
     /// Whatever entries hear late, once they have heard of five crashes few further requests reach
     /// targets, and sound requests are served again after some seconds.
