Let streams go on only at the software version that began them

Callers saw: streams with events of two versions of an engine's software, which do not fit together. Cause: the version of a target's software was not read. Within an answer any target could go on; over a caller's tries nobody knew which version had brought the first event. Class: work of two processes joined by the name of the service alone. Change: targets have a version, unknown is equal to none. From its first event on, a stream is bound to its version in the choice, the owner's placement and each repeat. Without an answer it goes on only if the service has had one version for longer than any stream lasts, without a gap in what the entry knows of the list; otherwise it is refused at once. Cached parts of prompts are fetched within a version only, for the same reason. Why it works: what is found is what the entry saw that passed the first event on; all else is refused, so a lost message or entry costs a refusal and never a mixed stream.

--- a/crates/base/src/failure_report.rs
+++ b/crates/base/src/failure_report.rs
@@ -53,6 +53,9 @@
     PeerLost,
     /// The caller read its answer too slowly.
     SlowReader,
+    /// A stream cannot go on: the software version that began it is not known, or no target of it
+    /// takes calls.
+    VersionLost,
 }
 
 impl FailureReason {
--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -8,6 +8,7 @@
 mod evidence_refresher;
 mod gossip_round;
 mod gossip_settings;
+mod holder_choice;
 mod host_record;
 mod host_row;
 mod host_table;
@@ -20,6 +21,7 @@
     },
     gossip_round::GossipRound,
     gossip_settings::GossipSettings,
+    holder_choice::rank_holders,
     host_record::{
         AgedHostRecord, CrashReport, GossipDatagram, GossipMessage, HostHeartbeat, HostRecord,
         PoolLoad, TargetLoad,
--- a/crates/piece/tests/batch_scheduler.rs
+++ b/crates/piece/tests/batch_scheduler.rs
@@ -29,6 +29,7 @@
         service: String::from("intake"),
         address: "127.0.0.1:1".parse().unwrap(),
         data_centre: centre.to_string(),
+        version: Some(String::from("v1")),
         slots: 1,
         leaving: false,
         started_ms: 0,
--- a/crates/piece/tests/pool_shards.rs
+++ b/crates/piece/tests/pool_shards.rs
@@ -18,6 +18,7 @@
             service: String::from("pieces"),
             address: format!("10.0.0.{number}:80").parse().unwrap(),
             data_centre: format!("dc{}", number * centre_count / target_count),
+            version: Some(String::from("v1")),
             slots: 1,
             leaving: false,
             started_ms: 0,
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -15,7 +15,7 @@
     route_rule::{RepeatRule, RouteRule, StageRule},
     service_spec::{EngineSpec, PieceSpec, ServiceSpec},
     store_position::{StoreEra, StorePosition},
-    target_row::{TargetMap, TargetRow},
+    target_row::{SoftwareVersion, TargetMap, TargetRow},
 };
 
 /// Name of a service: a group of targets that serve the same calls.
--- a/crates/plan/src/target_row.rs
+++ b/crates/plan/src/target_row.rs
@@ -4,6 +4,10 @@
     std::{collections::BTreeMap, net::SocketAddr},
 };
 
+/// Version of a target's software, not of the weights of its model. Two are the same if their texts
+/// are.
+pub type SoftwareVersion = String;
+
 /// One target in the platform's target list.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetRow {
@@ -13,6 +17,8 @@
     pub address: SocketAddr,
     /// Data centre of the target.
     pub data_centre: String,
+    /// Version of its software; `None` if unknown.
+    pub version: Option<SoftwareVersion>,
     /// Number of requests that the target runs concurrently.
     pub slots: u32,
     /// True once the target accepts no new work.
--- a/crates/relay/src/caller/relay_draft.rs
+++ b/crates/relay/src/caller/relay_draft.rs
@@ -7,7 +7,7 @@
     bytes::Bytes,
     plan::{FleetPlan, RouteRule, ServiceId},
     retry::{CrashFingerprint, PartKey, part_keys},
-    route::{PrefixKey, prefix_keys},
+    route::{PrefixKey, VersionRule, prefix_keys},
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -36,6 +36,8 @@
     pub prefixes: Vec<(PrefixKey, u32)>,
     /// Parts of the prompt that it may share with other requests.
     pub parts: Vec<PartKey>,
+    /// Software versions at which the request may run: one, once the caller has a part of a stream.
+    pub versions: VersionRule,
     /// Place in the line for targets that are all limited, until the request is sent; `None` if they
     /// are not.
     pub limited_place: Option<LimitedPlace>,
@@ -80,6 +82,7 @@
             priority: rule.priority.min(LOWEST_PRIORITY),
             prefixes: prefix_keys(&head.prompt),
             parts: part_keys(head.prompt.iter().map(|part| part.id.as_str())),
+            versions: VersionRule::Any,
             limited_place: None,
             arrived,
             goal_at: arrived + rule.latency_goal.min(timeout),
--- a/crates/relay/src/dialect/caller_head.rs
+++ b/crates/relay/src/dialect/caller_head.rs
@@ -29,11 +29,18 @@
     pub piece_key: Option<String>,
     /// Id of the last event that the caller received, if it resumes a stream.
     pub last_event_id: Option<String>,
+    /// Id of the caller's try that brought the first event of the stream, if it resumes one.
+    pub resumes: Option<String>,
     /// Headers to be passed on to the target.
     pub headers: HeaderList,
 }
 
 impl CallerHead {
+    /// Returns true if the caller has events of a stream and asks for the rest.
+    pub fn is_resumption(&self) -> bool {
+        self.last_event_id.is_some() || self.resumes.is_some()
+    }
+
     /// Returns the path without its query.
     pub fn path_without_query(&self) -> &str {
         self.path.split('?').next().unwrap_or_default()
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,6 +8,7 @@
 mod caller;
 mod dialect;
 mod filters;
+mod origin;
 mod peer;
 mod permit;
 mod place;
--- /dev/null
+++ b/crates/relay/src/origin/bind_resumption.rs
@@ -0,0 +1,93 @@
+use {
+    crate::{
+        caller::RelayDraft,
+        dialect::RelayRefusal,
+        origin::{find_origin, tell_origin::draft_attempt},
+        shared::RelayCore,
+    },
+    base::FailureReason,
+    plan::RepeatRule,
+    route::VersionRule,
+    slog::info,
+    std::time::{Duration, Instant},
+};
+
+/// A stream is no older than this multiple of its route's time-out, over all tries of its caller.
+const STREAM_AGE_FACTOR: u32 = 2;
+/// Added to the age of a stream, for callers that come back late.
+const STREAM_AGE_MARGIN: Duration = Duration::from_secs(5);
+
+/// Binds a request for the rest of a stream to the version that began it.
+///
+/// # Errors
+///
+/// Refuses the request at once if that version is not known or no target of it takes calls.
+pub async fn bind_resumption(core: &RelayCore, draft: &mut RelayDraft) -> Result<(), RelayRefusal> {
+    if draft.rule.repeat != RepeatRule::Resumable || !draft.head.is_resumption() {
+        return Ok(());
+    }
+    core.metrics.resumptions.inc();
+    let (version, known_by) = find_version(core, draft).await?;
+    info!(core.log, "caller resumes stream"; "request" => &draft.head.request_id,
+        "resumes" => &draft.head.resumes, "after" => &draft.head.last_event_id,
+        "version" => &version, "known_by" => known_by);
+    draft.versions = VersionRule::Only(version);
+    let pools = core.pools.borrow();
+    let pool = pools.get(&draft.service);
+    match pool.is_some_and(|pool| pool.has_version(&draft.versions, Instant::now())) {
+        true => Ok(()),
+        false => Err(refusal(
+            core,
+            "no target of the version that began the stream",
+        )),
+    }
+}
+
+/// Returns the version that began the stream, and who knew it.
+async fn find_version(
+    core: &RelayCore,
+    draft: &mut RelayDraft,
+) -> Result<(String, String), RelayRefusal> {
+    if draft.head.resumes.is_some()
+        && let Some(found) = find_origin(core, draft_attempt(draft)).await
+    {
+        let origin = found.origin;
+        let mut services = draft.rule.split.iter().map(|(service, _)| service);
+        if !services.any(|service| *service == origin.service) {
+            let detail = "the service that began the stream no longer has its route";
+            return Err(refusal(core, detail));
+        }
+        draft.service = origin.service;
+        return Ok((origin.version, found.holder));
+    }
+    match sole_version(core, draft) {
+        Some(version) => Ok((version, String::from("the only version"))),
+        None => Err(refusal(
+            core,
+            "the version that began the stream is not known",
+        )),
+    }
+}
+
+/// Returns the version that the targets of the request's service have all had for longer than any
+/// stream lasts, if that is certain.
+fn sole_version(core: &RelayCore, draft: &RelayDraft) -> Option<String> {
+    let has_one_service = draft.rule.split.len() == 1;
+    if !has_one_service || !core.can_reject_unknown() {
+        return None;
+    }
+    let timeout = draft
+        .rule
+        .timeout
+        .max(draft.head.timeout.unwrap_or_default());
+    let max_age = timeout * STREAM_AGE_FACTOR + STREAM_AGE_MARGIN;
+    let history = core.version_history.borrow();
+    let version = history.sole_version(&draft.service, max_age, Instant::now());
+    version.map(String::from)
+}
+
+/// Coming back does not help: the caller has to begin anew.
+fn refusal(core: &RelayCore, detail: &str) -> RelayRefusal {
+    core.metrics.resumptions_refused.inc();
+    RelayRefusal::not_run(FailureReason::VersionLost, detail)
+}
--- /dev/null
+++ b/crates/relay/src/origin/mod.rs
@@ -0,0 +1,9 @@
+mod bind_resumption;
+mod find_origin;
+mod origin_frame;
+mod tell_origin;
+
+pub use {
+    bind_resumption::bind_resumption, find_origin::find_origin, origin_frame::OriginFrame,
+    tell_origin::tell_origin,
+};
--- a/crates/relay/src/place/place_desk.rs
+++ b/crates/relay/src/place/place_desk.rs
@@ -113,6 +113,7 @@
     let query = ServiceQuery {
         prefixes: &question.prompt,
         tried: &question.excluded,
+        versions: &question.versions,
         data_centre: &question.data_centre,
         inputs: &question.inputs,
         among: Some(&group.targets),
--- a/crates/relay/src/place/place_frame.rs
+++ b/crates/relay/src/place/place_frame.rs
@@ -1,6 +1,6 @@
 use {
     plan::ServiceId,
-    route::{PrefixKey, ServiceOutcome, ServicePick},
+    route::{PrefixKey, ServiceOutcome, ServicePick, VersionRule},
     serde::{Deserialize, Serialize},
     std::collections::BTreeMap,
 };
@@ -16,6 +16,8 @@
     pub prompt: Vec<(PrefixKey, u32)>,
     /// Ids of the engines that must not be chosen.
     pub excluded: Vec<String>,
+    /// Software versions at which the request may run.
+    pub versions: VersionRule,
     /// Data centre of the entry that asks.
     pub data_centre: String,
     /// Size of the request's inputs in bytes, by the data centre that stores them.
--- a/crates/relay/src/run/call_slot.rs
+++ b/crates/relay/src/run/call_slot.rs
@@ -1,6 +1,6 @@
 use {
     crate::{place::RemotePlace, run::crash_watch::CrashWatch, shared::RelayCore},
-    plan::ServiceId,
+    plan::{ServiceId, SoftwareVersion},
     route::{PrefixKey, ServiceOutcome, ServicePick},
     std::{
         rc::Rc,
@@ -58,6 +58,15 @@
         &self.pick.target
     }
 
+    /// Returns the version of the target's software; `None` if it is not known, or if the list of
+    /// targets has another one by now.
+    pub fn version(&self) -> Option<SoftwareVersion> {
+        let pools = self.core.pools.borrow();
+        let listed = pools.get(&self.service)?.version(&self.pick.target)?;
+        let version = self.pick.version.clone();
+        version.filter(|version| version == listed)
+    }
+
     /// Returns the number of prompt tokens that the target is expected to read.
     pub fn unread_tokens(&self) -> u32 {
         self.pick.unread_tokens
--- a/crates/relay/src/run/run_request.rs
+++ b/crates/relay/src/run/run_request.rs
@@ -2,6 +2,7 @@
     crate::{
         caller::{RelayDraft, build_reply},
         dialect::RelayRefusal,
+        origin::bind_resumption,
         run::{
             call_slot::CallSlot,
             relay_run::RelayRun,
@@ -38,9 +39,10 @@
 /// Returns the refusal if no target answered.
 pub async fn run_request(
     core: &Rc<RelayCore>,
-    draft: RelayDraft,
+    mut draft: RelayDraft,
     running: RunningGuard,
 ) -> Result<HttpReply, RelayRefusal> {
+    bind_resumption(core, &mut draft).await?;
     let mut run = RelayRun::new(core, draft, running);
     loop {
         let due = run.draft.first_event_deadline;
@@ -147,6 +149,7 @@
         "organisation" => &draft.organisation,
         "plan" => draft.plan.version,
         "target" => slot.target(),
+        "version" => slot.version(),
         "sends" => run.tracker.sends() + 1,
         "status" => status,
         "ms" => elapsed.as_millis() as u64,
--- a/crates/relay/src/run/stream_pump.rs
+++ b/crates/relay/src/run/stream_pump.rs
@@ -2,6 +2,7 @@
     crate::{
         caller::{AnswerBody, BodyCut, build_reply},
         dialect::RelayRefusal,
+        origin::tell_origin,
         run::{
             call_slot::CallSlot,
             relay_run::RelayRun,
@@ -13,7 +14,7 @@
     bytes::Bytes,
     plan::RepeatRule,
     retry::SendFault,
-    route::ServiceOutcome,
+    route::{ServiceOutcome, VersionRule},
     setup::HttpReply,
     slog::{debug, info},
     std::{future::Future, time::Instant},
@@ -71,6 +72,9 @@
             Ok(read) => read?,
             Err(_) => return Err(pump.run.deadline_refusal(true)),
         };
+        if matches!(first_read, StreamRead::Events(_)) {
+            pump.bind_version();
+        }
         let core = pump.run.core.clone();
         let elapsed = pump.run.draft.arrived.elapsed();
         core.metrics.first_byte.observe(elapsed.as_secs_f64());
@@ -94,6 +98,19 @@
         }
     }
 
+    /// From its first event on, the stream goes on only at the version that brought it.
+    fn bind_version(&mut self) {
+        let draft = &mut self.run.draft;
+        if draft.rule.repeat != RepeatRule::Resumable {
+            return;
+        }
+        let version = self.slot.version();
+        draft.versions = VersionRule::begun_at(version.clone());
+        if let Some(version) = version {
+            tell_origin(&self.run.core, draft, version);
+        }
+    }
+
     /// Forwards the stream to its end, until the caller leaves or until the deadline.
     async fn forward(
         mut self,
@@ -207,7 +224,8 @@
                 Ok(reply) if (200..300).contains(&reply.status) => {
                     info!(self.run.core.log, "stream goes on";
                         "request" => &self.run.draft.head.request_id,
-                        "target" => &pick.target, "after" => last_id);
+                        "target" => &pick.target, "after" => last_id,
+                        "version" => &pick.version);
                     self.slot = slot;
                     self.reply = reply;
                     return Ok(());
--- a/crates/relay/src/run/target_choice.rs
+++ b/crates/relay/src/run/target_choice.rs
@@ -7,7 +7,7 @@
         run::relay_run::{RETRY_DELAY, RelayRun},
     },
     base::FailureReason,
-    route::{ServicePick, ServiceQuery},
+    route::{ServicePick, ServiceQuery, VersionRule},
     std::time::{Duration, Instant},
 };
 
@@ -44,7 +44,10 @@
             }
         }
         let service = &self.draft.service;
-        let detail = format!("no further target of service {service} can be used");
+        let detail = match &self.draft.versions {
+            VersionRule::Any => format!("no further target of service {service} can be used"),
+            versions => format!("no further target of service {service} at {versions:?}"),
+        };
         let refusal = RelayRefusal::not_run(FailureReason::NoTarget, detail);
         let delay = self.time_to_usable(Instant::now()).max(RETRY_DELAY);
         Err(self.with_verdict(refusal.retry_after(delay)))
@@ -98,11 +101,19 @@
             group: group.name,
             prompt: draft.prefixes.clone(),
             excluded,
+            versions: draft.versions.clone(),
             data_centre: core.settings.borrow().data_centre.clone(),
             inputs: input_bytes.unwrap_or_default(),
         };
-        let (pick, place) = ask_place(core, question).await?;
-        accepts_calls(&pick.target).then_some((pick, place))
+        let (mut pick, place) = ask_place(core, question).await?;
+        let pools = core.pools.borrow();
+        let listed_version = pools.get(&draft.service)?.version(&pick.target);
+        if pick.version.as_deref() != listed_version {
+            // One of the two entries has an outdated list.
+            pick.version = None;
+        }
+        let may_run = draft.versions.accepts(pick.version.as_deref());
+        (may_run && accepts_calls(&pick.target)).then_some((pick, place))
     }
 
     /// Returns the target that is currently the best of those that were not tried yet.
@@ -116,6 +127,7 @@
             data_centre: &own_centre,
             inputs: &input_bytes.unwrap_or_default(),
             among: None,
+            versions: &self.draft.versions,
         };
         let pools = self.core.pools.borrow();
         let mut random = self.core.random.borrow_mut();
--- a/crates/relay/src/shared/core_peers.rs
+++ b/crates/relay/src/shared/core_peers.rs
@@ -58,6 +58,10 @@
         let mut replica = self.replica.borrow_mut();
         replica.on_peer_plan(latest_plan, now);
         self.state.borrow_mut().evidence = replica.view().evidence;
+        drop(replica);
+        if !self.can_reject_unknown() {
+            self.version_history.borrow_mut().interrupt(now);
+        }
     }
 
     /// Records that a target died while it ran a request, and reports it to the other entries.
--- a/crates/relay/src/shared/core_targets.rs
+++ b/crates/relay/src/shared/core_targets.rs
@@ -27,6 +27,8 @@
         }
         if previous.targets != view.targets {
             self.log_target_changes(&previous, view);
+            let mut history = self.version_history.borrow_mut();
+            history.observe(view.targets.values(), now);
         }
         if plan.version > previous_version || previous.targets != view.targets {
             self.apply_targets(plan, view, now);
@@ -130,7 +132,8 @@
         for (id, row) in &view.targets {
             match previous.targets.get(id) {
                 None => info!(self.log, "target listed"; "target" => id,
-                    "service" => &row.service, "address" => %row.address),
+                    "service" => &row.service, "address" => %row.address,
+                    "version" => &row.version),
                 Some(previous_row) if previous_row.leaving != row.leaving => {
                     info!(self.log, "target changed"; "target" => id, "leaving" => row.leaving);
                 }
--- a/crates/relay/src/shared/relay_core.rs
+++ b/crates/relay/src/shared/relay_core.rs
@@ -16,7 +16,7 @@
         CrashTracker, CrashTrackerSettings, FleetBudget, FleetBudgetSettings, PartTracker,
         TrialDesk,
     },
-    route::{EngineGroups, ServicePool, TargetNotices},
+    route::{EngineGroups, ServicePool, StreamOrigins, TargetNotices, VersionHistory},
     slog::Logger,
     std::{
         cell::{Cell, RefCell},
@@ -97,6 +97,10 @@
     pub trials: RefCell<TrialDesk>,
     /// Wakes the task that tells the other entries of parts.
     pub part_news: Notify,
+    /// Where streams began, as far as this entry has seen it or was told.
+    pub origins: RefCell<StreamOrigins>,
+    /// For how long the targets of each service have all had the same version.
+    pub version_history: RefCell<VersionHistory>,
     pub random: RefCell<ChaCha8Rng>,
     pub phase: Cell<RelayPhase>,
     /// Number of requests whose answer has not been passed on whole.
@@ -154,6 +158,8 @@
             parts: RefCell::default(),
             trials: RefCell::new(TrialDesk::new(now)),
             part_news: Notify::new(),
+            origins: RefCell::default(),
+            version_history: RefCell::default(),
             random: RefCell::new(ChaCha8Rng::seed_from_u64(incarnation)),
             phase: Cell::new(RelayPhase::Starting),
             running_requests: Cell::new(0),
--- a/crates/relay/src/shared/relay_metrics.rs
+++ b/crates/relay/src/shared/relay_metrics.rs
@@ -42,6 +42,10 @@
     pub target_limits: Counter,
     /// Calls to limited targets that were turned away and went elsewhere or were refused.
     pub limited_calls: Counter,
+    /// Requests for the rest of a stream.
+    pub resumptions: Counter,
+    /// Those that were refused, since the version that began the stream is not known or not there.
+    pub resumptions_refused: Counter,
     /// Connections opened to targets and the store, failed attempts included.
     pub dials: Gauge,
     /// Version of the configuration in force.
@@ -70,6 +74,8 @@
             part_trials: Counter::default(),
             target_limits: Counter::default(),
             limited_calls: Counter::default(),
+            resumptions: Counter::default(),
+            resumptions_refused: Counter::default(),
             dials: Gauge::default(),
             plan_version: Gauge::default(),
             registry: Registry::default(),
@@ -125,6 +131,16 @@
                 "Calls turned away by a target's limit",
                 &metrics.limited_calls,
             ),
+            (
+                "resumptions",
+                "Requests of callers for the rest of a stream",
+                &metrics.resumptions,
+            ),
+            (
+                "resumptions_refused",
+                "Those refused for the version that began the stream",
+                &metrics.resumptions_refused,
+            ),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
--- a/crates/relay/src/stage/owner_link.rs
+++ b/crates/relay/src/stage/owner_link.rs
@@ -1,5 +1,6 @@
 use {
     crate::{
+        origin::OriginFrame,
         permit::{PermitAnswer, PermitFrame},
         place::PlaceFrame,
         stage::{
@@ -11,7 +12,7 @@
         target::configure_socket,
     },
     piece::{StageJob, StageResult},
-    route::ServicePick,
+    route::{ServicePick, StreamOrigin},
     slog::{Logger, info},
     std::{
         cell::{Cell, RefCell},
@@ -42,6 +43,8 @@
     place_waiters: AnswerWaiters<Option<ServicePick>>,
     /// Waiters for permits.
     permit_waiters: AnswerWaiters<PermitAnswer>,
+    /// Waiters for where a stream began.
+    origin_waiters: AnswerWaiters<Option<StreamOrigin>>,
     next_number: Cell<u64>,
     is_closed: Cell<bool>,
 }
@@ -56,6 +59,7 @@
             waiters: Waiters::default(),
             place_waiters: AnswerWaiters::default(),
             permit_waiters: AnswerWaiters::default(),
+            origin_waiters: AnswerWaiters::default(),
             next_number: Cell::new(0),
             is_closed: Cell::new(false),
         });
@@ -66,6 +70,7 @@
             running_link.waiters.borrow_mut().clear();
             running_link.place_waiters.clear();
             running_link.permit_waiters.clear();
+            running_link.origin_waiters.clear();
             let reason = outcome
                 .err()
                 .map_or(String::from("closed"), |error| error.to_string());
@@ -110,6 +115,16 @@
         self.permit_waiters.forget(number);
     }
 
+    /// Returns the number for a question where a stream began, and the receiver of its answer.
+    pub fn expect_origin(&self) -> (u64, oneshot::Receiver<Option<StreamOrigin>>) {
+        self.expect_answer(&self.origin_waiters)
+    }
+
+    /// Drops the waiter for an answer where a stream began.
+    pub fn forget_origin(&self, number: u64) {
+        self.origin_waiters.forget(number);
+    }
+
     fn expect_answer<Answer>(
         &self,
         waiters: &AnswerWaiters<Answer>,
@@ -181,7 +196,13 @@
             PeerMessage::Permit(PermitFrame::Answer { number, answer }) => {
                 return self.permit_waiters.resolve(number, answer);
             }
-            PeerMessage::Place(_) | PeerMessage::Permit(_) | PeerMessage::Feed(_) => return,
+            PeerMessage::Origin(OriginFrame::Found { number, origin }) => {
+                return self.origin_waiters.resolve(number, origin);
+            }
+            PeerMessage::Place(_)
+            | PeerMessage::Permit(_)
+            | PeerMessage::Feed(_)
+            | PeerMessage::Origin(_) => return,
         };
         let (number, outcome) = match frame {
             JobFrame::Made { number, results } => (number, Ok(results)),
--- a/crates/relay/src/stage/peer_message.rs
+++ b/crates/relay/src/stage/peer_message.rs
@@ -1,5 +1,8 @@
 use {
-    crate::{permit::PermitFrame, place::PlaceFrame, stage::JobFrame, state::FeedFrame},
+    crate::{
+        origin::OriginFrame, permit::PermitFrame, place::PlaceFrame, stage::JobFrame,
+        state::FeedFrame,
+    },
     serde::{Deserialize, Serialize},
 };
 
@@ -14,4 +17,6 @@
     Feed(FeedFrame),
     /// About a permit that one entry gives out for the whole fleet.
     Permit(PermitFrame),
+    /// About where a stream began.
+    Origin(OriginFrame),
 }
--- a/crates/relay/src/stage/peer_server.rs
+++ b/crates/relay/src/stage/peer_server.rs
@@ -1,5 +1,6 @@
 use {
     crate::{
+        origin::OriginFrame,
         permit::{PermitFrame, grant_permit},
         place::PlaceDesk,
         shared::RelayCore,
@@ -96,7 +97,15 @@
             // The peer may be gone, and the permit with it.
             let _ = outbox.send(PeerMessage::Permit(PermitFrame::Answer { number, answer }));
         }
-        PeerMessage::Feed(_) | PeerMessage::Permit(_) => {}
+        PeerMessage::Origin(OriginFrame::Tell(origin)) => {
+            core.origins.borrow_mut().record(&origin, Instant::now());
+        }
+        PeerMessage::Origin(OriginFrame::Ask { number, attempt }) => {
+            let origin = core.origins.borrow().find(attempt, Instant::now());
+            // The peer may be gone, and its caller with it.
+            let _ = outbox.send(PeerMessage::Origin(OriginFrame::Found { number, origin }));
+        }
+        PeerMessage::Feed(_) | PeerMessage::Permit(_) | PeerMessage::Origin(_) => {}
     })
     .await
 }
--- a/crates/relay/src/stage/shard_owner.rs
+++ b/crates/relay/src/stage/shard_owner.rs
@@ -9,6 +9,7 @@
     },
     board::{HostTable, pick_owner, rank_hosts},
     piece::StageJob,
+    slog::Logger,
     std::{
         collections::BTreeSet,
         rc::Rc,
@@ -56,14 +57,28 @@
         if *owner == hosts.own_record().host {
             return JobPlace::Here;
         }
-        let Some(address) = hosts.peer_address(owner) else {
-            return JobPlace::Unknown;
-        };
+        let link = self.open_link(&hosts, owner, &core.log);
+        link.map_or(JobPlace::Unknown, JobPlace::Peer)
+    }
+
+    /// Returns a connection to another entry; `None` if its address is not known or a connection to
+    /// it was lost a moment ago.
+    pub fn peer_link(&self, core: &RelayCore, host: &str, now: Instant) -> Option<Rc<OwnerLink>> {
+        self.close_lost_links(now);
+        let is_lost = self.lost_hosts.borrow().contains_key(host);
+        match is_lost {
+            true => None,
+            false => self.open_link(&core.hosts.borrow(), host, &core.log),
+        }
+    }
+
+    fn open_link(&self, hosts: &HostTable, host: &str, log: &Logger) -> Option<Rc<OwnerLink>> {
+        let address = hosts.peer_address(host)?;
         let mut links = self.links.borrow_mut();
         let link = links
             .entry(address)
-            .or_insert_with(|| OwnerLink::open(owner, address, self.seal.clone(), &core.log));
-        JobPlace::Peer(Rc::clone(link))
+            .or_insert_with(|| OwnerLink::open(host, address, self.seal.clone(), log));
+        Some(Rc::clone(link))
     }
 
     /// Drops the connections that have ended, and remembers their hosts for a while.
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -14,6 +14,7 @@
         service: String::from("s"),
         address: "127.0.0.1:1".parse().unwrap(),
         data_centre: String::from("a"),
+        version: Some(String::from("v1")),
         slots: 1,
         leaving: false,
         started_ms: 0,
--- a/crates/route/src/engine_groups.rs
+++ b/crates/route/src/engine_groups.rs
@@ -33,6 +33,7 @@
 ///     service: String::from("models"),
 ///     address: "10.0.0.1:80".parse().unwrap(),
 ///     data_centre: String::from("north"),
+///     version: Some(String::from("v1")),
 ///     slots: 16,
 ///     leaving: false,
 ///     started_ms: 0,
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -17,6 +17,7 @@
 mod target_record;
 mod target_spec;
 mod target_status;
+mod versions;
 
 pub use {
     call_outcome::CallOutcome,
@@ -31,4 +32,5 @@
     target_pool::{Pick, PickQuery, TargetPool},
     target_spec::TargetSpec,
     target_status::{StandingChange, TargetStanding, TargetStatus},
+    versions::{AttemptKey, StreamOrigin, StreamOrigins, VersionHistory, VersionRule, attempt_key},
 };
--- a/crates/route/src/service_choice.rs
+++ b/crates/route/src/service_choice.rs
@@ -77,13 +77,14 @@
         });
         let usable = self.targets.iter().filter(|(id, target)| {
             target.accepts_calls(now)
+                && query.versions.accepts(target.version.as_deref())
                 && !query.tried.contains(id)
                 && query.among.is_none_or(|among| among.contains(*id))
         });
         let costs = usable.map(|(id, target)| {
             let work = match (query.among, prefix_owner) {
                 (Some(among), _) => {
-                    let source = self.cached_source(id, among, query.prefixes, now);
+                    let source = self.cached_source((id, target), among, query.prefixes, now);
                     self.work_elsewhere(target, source, query.prefixes, now)
                 }
                 (None, Some((owner_id, _))) if owner_id == id => {
@@ -102,6 +103,7 @@
             target: id.clone(),
             data_centre: target.data_centre.clone(),
             address: target.address,
+            version: target.version.clone(),
             unread_tokens: work.read_tokens,
             queued_tokens: work.fetch_from.map_or(queued_tokens, |_| 0),
             fetch_from: work.fetch_from,
@@ -130,17 +132,18 @@
         times.min()
     }
 
-    /// Returns the target among those that this entry places all prompts at which has cached the
-    /// most of the prompt's shared part; `None` if none has any of it.
+    /// Returns the target among those that this entry places all prompts at, other than `reader` but
+    /// of its version, which has cached the most of the prompt's shared part.
     fn cached_source(
         &self,
-        id: &str,
+        reader: (&String, &ServiceTarget),
         among: &BTreeSet<String>,
         prefixes: &[(PrefixKey, u32)],
         now: Instant,
     ) -> Option<FetchSource<'_>> {
-        let others = among.iter().filter(|other| *other != id);
+        let others = among.iter().filter(|other| *other != reader.0);
         let others = others.filter_map(|other| self.targets.get(other));
+        let others = others.filter(|other| other.shares_version(reader.1));
         let sources = others.filter(|target| !target.is_backing_off(now));
         let sources = sources.map(|target| {
             let unread_tokens = target.cache.unread_tokens(prefixes, now);
@@ -154,7 +157,8 @@
 
     /// Returns the work for a prompt at a target that does not own its prefix. The shared prefix is
     /// fetched from the source if that costs less than reading it. The fetched tokens still count as
-    /// read in the cost, since the source may have evicted them and the fetch takes time.
+    /// read in the cost, since the source may have evicted them and the fetch takes time. Nothing is
+    /// fetched from another version, whose memory may be laid out differently.
     fn work_elsewhere(
         &self,
         target: &ServiceTarget,
@@ -164,6 +168,7 @@
     ) -> PromptWork {
         let unread_tokens = target.cache.unread_tokens(prefixes, now);
         let shared_tokens = unread_tokens - unshared_tokens(prefixes, unread_tokens);
+        let source = source.filter(|source| source.target.shares_version(target));
         let missing_tokens = source.map_or(0, |source| source.missing_tokens);
         let fetched_tokens = shared_tokens.saturating_sub(missing_tokens);
         let fetch_from = source.and_then(|source| {
--- a/crates/route/src/service_pick.rs
+++ b/crates/route/src/service_pick.rs
@@ -1,5 +1,6 @@
 use {
-    crate::PrefixKey,
+    crate::{PrefixKey, VersionRule},
+    plan::SoftwareVersion,
     serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -37,6 +38,8 @@
     /// Targets to choose from if this entry places all prompts there, so that it knows exactly what
     /// they run and have cached; `None` to choose from all targets by what is known of them.
     pub among: Option<&'a BTreeSet<String>>,
+    /// Software versions at which the request may run.
+    pub versions: &'a VersionRule,
 }
 
 /// Target chosen for a request.
@@ -48,6 +51,8 @@
     pub data_centre: String,
     /// Address to send the request to.
     pub address: SocketAddr,
+    /// Version of the target's software; `None` if unknown.
+    pub version: Option<SoftwareVersion>,
     /// Prompt tokens that the target is expected to read, because it has not cached them.
     pub unread_tokens: u32,
     /// Prompt tokens that the target reads before the first event of the answer, including those
--- a/crates/route/src/service_pool.rs
+++ b/crates/route/src/service_pool.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        NoticeStanding, PrefixKey, ServiceOutcome, ServicePick,
+        NoticeStanding, PrefixKey, ServiceOutcome, ServicePick, VersionRule,
         service_target::{ServiceTarget, TargetWork},
     },
     base::StableHash,
@@ -96,6 +96,18 @@
         target.is_some_and(|target| target.accepts_calls(now))
     }
 
+    /// Returns the version of a target's software; `None` if it is not known.
+    pub fn version(&self, target: &str) -> Option<&str> {
+        self.targets.get(target)?.version.as_deref()
+    }
+
+    /// True if a target at which the request may run, by its version, takes calls now.
+    pub fn has_version(&self, versions: &VersionRule, now: Instant) -> bool {
+        let mut accepting = self.targets.values();
+        accepting
+            .any(|target| target.accepts_calls(now) && versions.accepts(target.version.as_deref()))
+    }
+
     /// Returns the time until the first target that is only held takes calls again; `None` if none
     /// is, since all others are leaving or want no calls.
     pub fn time_to_held(&self, now: Instant) -> Option<Duration> {
--- a/crates/route/src/service_target.rs
+++ b/crates/route/src/service_target.rs
@@ -1,5 +1,6 @@
 use {
     crate::{NoticeStanding, prefix_cache::PrefixCache},
+    plan::SoftwareVersion,
     std::{
         net::SocketAddr,
         time::{Duration, Instant},
@@ -40,6 +41,8 @@
 pub struct ServiceTarget {
     pub address: SocketAddr,
     pub data_centre: String,
+    /// Version of the target's software; `None` if unknown.
+    pub version: Option<SoftwareVersion>,
     /// Number of requests that the target runs concurrently, at least 1.
     pub slots: u32,
     /// True if the target gets no new work, by the list of targets or by its own notice.
@@ -70,6 +73,7 @@
         Self {
             address: row.address,
             data_centre: row.data_centre.clone(),
+            version: row.version.clone(),
             slots: row.slots.max(1),
             leaving: row.leaving,
             paused_until: None,
@@ -99,6 +103,7 @@
         }
         self.address = row.address;
         self.data_centre.clone_from(&row.data_centre);
+        self.version.clone_from(&row.version);
         self.slots = row.slots.max(1);
         self.leaving = row.leaving;
         self.started_ms = row.started_ms;
@@ -115,6 +120,11 @@
         !self.leaving && self.pause_left(now).is_zero()
     }
 
+    /// True if both targets are known to run the same version of their software.
+    pub fn shares_version(&self, other: &Self) -> bool {
+        self.version.is_some() && self.version == other.version
+    }
+
     /// Returns the time for which the target takes no calls of this entry.
     pub fn pause_left(&self, now: Instant) -> Duration {
         let until = self.paused_until.max(self.held_until).unwrap_or(now);
--- a/crates/route/tests/engine_groups.rs
+++ b/crates/route/tests/engine_groups.rs
@@ -7,7 +7,7 @@
     rand_chacha::ChaCha8Rng,
     route::{
         EngineGroups, NoticeStanding, PromptPart, ServiceOutcome, ServicePick, ServicePool,
-        ServiceQuery, prefix_keys,
+        ServiceQuery, VersionRule, prefix_keys,
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -22,6 +22,7 @@
             .parse()
             .unwrap(),
         data_centre: format!("z{}", number % 5),
+        version: Some(String::from("v1")),
         slots: 16,
         leaving: false,
         started_ms: 0,
@@ -119,6 +120,7 @@
             tried: &[],
             data_centre: "z0",
             inputs: &BTreeMap::new(),
+            versions: &VersionRule::Any,
             among: Some(&self.targets),
         };
         let pick = self.pool.pick(query, self.now, &mut self.random).unwrap();
--- a/crates/route/tests/service_pool.rs
+++ b/crates/route/tests/service_pool.rs
@@ -4,7 +4,10 @@
     plan::{EngineSpec, ServiceSpec, TargetRow},
     rand::SeedableRng,
     rand_chacha::ChaCha8Rng,
-    route::{PromptPart, ServiceOutcome, ServicePick, ServicePool, ServiceQuery, prefix_keys},
+    route::{
+        PromptPart, ServiceOutcome, ServicePick, ServicePool, ServiceQuery, VersionRule,
+        prefix_keys,
+    },
     std::{
         collections::{BTreeMap, HashMap},
         time::{Duration, Instant},
@@ -29,6 +32,7 @@
                 service: String::from("s"),
                 address: format!("10.0.0.{number}:80").parse().unwrap(),
                 data_centre: String::from(if number % 2 == 0 { "a" } else { "b" }),
+                version: Some(String::from("v1")),
                 slots: 6,
                 leaving: number == 0 && target_count > 3,
                 started_ms: 0,
@@ -60,6 +64,7 @@
         data_centre: "a",
         inputs: &BTreeMap::new(),
         among: None,
+        versions: &VersionRule::Any,
     };
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     pool.pick(query, Instant::now(), &mut random).unwrap()
