--- a/crates/relay/src/origin/bind_resumption.rs
+++ b/crates/relay/src/origin/bind_resumption.rs
@@ -27,9 +27,10 @@
         return Ok(());
     }
     core.metrics.resumptions.inc();
-    let (version, known_by) = find_version(core, draft).await?;
     info!(core.log, "caller resumes stream"; "request" => &draft.head.request_id,
-        "resumes" => &draft.head.resumes, "after" => &draft.head.last_event_id,
+        "resumes" => &draft.head.resumes, "after" => &draft.head.last_event_id);
+    let (version, known_by) = find_version(core, draft).await?;
+    info!(core.log, "stream bound to version"; "request" => &draft.head.request_id,
         "version" => &version, "known_by" => known_by);
     draft.versions = VersionRule::Only(version);
     let pools = core.pools.borrow();
