--- a/crates/board/src/evidence_refresher.rs
+++ b/crates/board/src/evidence_refresher.rs
@@ -141,8 +141,8 @@
 /// # use board::{GossipSettings, HostRecord, HostTable, store_checkers};
 /// # let address: std::net::SocketAddr = "10.0.0.1:1".parse().unwrap();
 /// # let own = HostRecord { host: String::from("h1"), data_centre: String::new(), incarnation: 1,
-/// #     sequence: 0, callers: address, peers: address, core_share: 250, ready: true,
-/// #     leaving: false, settled: true, plan_version: 1, loads: Vec::new(), pools: Vec::new(),
+/// #     sequence: 0, callers: address, peers: address, hops: address, core_share: 250, ready: true,
+/// #     reaches_targets: true, leaving: false, settled: true, plan_version: 1, loads: Vec::new(), pools: Vec::new(),
 /// #     crashes: Vec::new() };
 /// let hosts = HostTable::new(GossipSettings::default(), own, [], 1);
 /// assert_eq!(store_checkers(&hosts, std::time::Instant::now()), ["h1"]);
--- a/crates/board/src/holder_choice.rs
+++ b/crates/board/src/holder_choice.rs
@@ -9,7 +9,7 @@
 /// let host = |host: &str, data_centre: &str| HostRecord {
 ///     host: host.into(), data_centre: data_centre.into(), incarnation: 1, sequence: 0,
 ///     callers: "10.0.0.1:80".parse().unwrap(), peers: "10.0.0.1:81".parse().unwrap(),
-///     core_share: 1_000, ready: true, leaving: false, settled: true, plan_version: 1,
+///     hops: "127.0.0.1:3".parse().unwrap(), core_share: 1_000, ready: true, reaches_targets: true, leaving: false, settled: true, plan_version: 1,
 ///     loads: Vec::new(), pools: Vec::new(), crashes: Vec::new(),
 /// };
 /// let hosts = [host("a", "north"), host("b", "north"), host("c", "north"), host("d", "south")];
--- a/crates/board/src/host_record.rs
+++ b/crates/board/src/host_record.rs
@@ -54,10 +54,14 @@
     pub callers: SocketAddr,
     /// Address at which the entry receives datagrams of peers.
     pub peers: SocketAddr,
+    /// Address at which the entry takes requests over from entries without links to targets.
+    pub hops: SocketAddr,
     /// Share of a CPU core that the entry may use, in thousandths.
     pub core_share: u32,
     /// True while the entry accepts requests.
     pub ready: bool,
+    /// True unless the entry has lost its links to all targets.
+    pub reaches_targets: bool,
     /// True once the entry is shutting down.
     pub leaving: bool,
     /// True once the entry has run enough gossip rounds to have learnt of the other hosts.
@@ -99,6 +103,8 @@
     pub age_ms: u16,
     /// [`HostRecord::ready`] of that version.
     pub ready: bool,
+    /// [`HostRecord::reaches_targets`] of that version.
+    pub reaches_targets: bool,
     /// [`HostRecord::leaving`] of that version.
     pub leaving: bool,
     /// [`HostRecord::settled`] of that version.
--- a/crates/board/src/host_row.rs
+++ b/crates/board/src/host_row.rs
@@ -44,6 +44,7 @@
             sequence: self.record.sequence,
             age_ms: u16::try_from(self.age(now).as_millis()).unwrap_or(u16::MAX),
             ready: self.record.ready,
+            reaches_targets: self.record.reaches_targets,
             leaving: self.record.leaving,
             settled: self.record.settled,
             plan_version: self.record.plan_version,
@@ -60,6 +61,7 @@
         let changed = (record.ready, record.leaving) != (heartbeat.ready, heartbeat.leaving);
         record.sequence = heartbeat.sequence;
         record.ready = heartbeat.ready;
+        record.reaches_targets = heartbeat.reaches_targets;
         record.leaving = heartbeat.leaving;
         record.settled = heartbeat.settled;
         record.plan_version = heartbeat.plan_version;
--- a/crates/board/src/host_table.rs
+++ b/crates/board/src/host_table.rs
@@ -134,15 +134,16 @@
     }
 
     /// Returns the names of the live hosts that can own shards: those that are settled, are not
-    /// leaving, and have at least three quarters of the largest core share among such hosts. If
+    /// leaving, reach targets, and have at least three quarters of the largest core share among such hosts. If
     /// there are many, it returns those that rank highest, the same on every entry.
     ///
     /// Hosts other than this one must also have a configuration in force.
     pub fn owner_candidates(&self, now: Instant) -> BTreeSet<&str> {
-        let can_own =
-            |record: &&HostRecord| !record.leaving && record.settled && record.plan_version > 0;
+        let is_able =
+            |record: &HostRecord| !record.leaving && record.settled && record.reaches_targets;
+        let can_own = |record: &&HostRecord| is_able(record) && record.plan_version > 0;
         let mut hosts: Vec<&HostRecord> = self.live_peers(now).filter(can_own).collect();
-        if !self.own.leaving && self.own.settled {
+        if is_able(&self.own) {
             hosts.push(&self.own);
         }
         largest_hosts(hosts).into_iter().collect()
--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -9,6 +9,7 @@
 mod gossip_round;
 mod gossip_settings;
 mod holder_choice;
+mod hop_choice;
 mod host_record;
 mod host_row;
 mod host_table;
@@ -22,6 +23,7 @@
     gossip_round::GossipRound,
     gossip_settings::GossipSettings,
     holder_choice::rank_holders,
+    hop_choice::pick_hop,
     host_record::{
         AgedHostRecord, CrashReport, GossipDatagram, GossipMessage, HostHeartbeat, HostRecord,
         PoolLoad, TargetLoad,
--- a/crates/relay/src/caller/auxiliary_server.rs
+++ b/crates/relay/src/caller/auxiliary_server.rs
@@ -72,6 +72,10 @@
     if core.is_ready() {
         entries.push(hosts.own_record());
     }
+    // One without links to targets serves by way of others, later and at their cost.
+    if entries.iter().any(|record| record.reaches_targets) {
+        entries.retain(|record| record.reaches_targets);
+    }
     let data_centre = query.data_centre.as_deref();
     let mut random = core.random.borrow_mut();
     let chosen = address_sample(entries, data_centre, MAX_ADDRESSES, &mut *random);
--- a/crates/relay/src/caller/caller_server.rs
+++ b/crates/relay/src/caller/caller_server.rs
@@ -29,10 +29,19 @@
 /// Time after which a caller should retry if this entry has no sufficiently recent configuration.
 const NO_PLAN_RETRY_DELAY: Duration = Duration::from_millis(400);
 
-/// Answers one request of a caller.
+/// Who has sent a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestSender {
+    Caller,
+    /// Another entry, which has no links to targets.
+    Peer,
+}
+
+/// Answers one request of a caller, which may have come by way of another entry.
 pub async fn answer_caller(
     core: Rc<RelayCore>,
     chain: Rc<FilterChain>,
+    sender: RequestSender,
     mut request: Request,
 ) -> HttpReply {
     let arrived = Instant::now();
@@ -60,10 +69,14 @@
         return close_unread(refuse(&core, &head.request_id, refusal), payload);
     };
     let id = head.request_id.clone();
-    let draft = match create_draft(&core, head, body, arrived) {
+    let mut draft = match create_draft(&core, head, body, arrived) {
         Ok(draft) => draft,
         Err(refusal) => return refuse(&core, &id, refusal),
     };
+    if sender == RequestSender::Peer {
+        core.metrics.taken_hops.inc();
+        draft.is_hop = true;
+    }
     match chain.apply(&core, draft) {
         Ok(draft) => match run_request(&core, draft, guard).await {
             Ok(reply) => reply,
--- a/crates/relay/src/caller/mod.rs
+++ b/crates/relay/src/caller/mod.rs
@@ -6,6 +6,6 @@
 pub use {
     answer_body::{AnswerBody, BodyCut},
     auxiliary_server::{answer_addresses, answer_operator, answer_ready},
-    caller_server::{answer_caller, build_reply},
+    caller_server::{RequestSender, answer_caller, build_reply},
     relay_draft::RelayDraft,
 };
--- a/crates/relay/src/caller/relay_draft.rs
+++ b/crates/relay/src/caller/relay_draft.rs
@@ -36,6 +36,8 @@
     pub prefixes: Vec<(PrefixKey, u32)>,
     /// Parts of the prompt that it may share with other requests.
     pub parts: Vec<PartKey>,
+    /// True if another entry without links to targets has handed the request over.
+    pub is_hop: bool,
     /// Software versions at which the request may run: one, once the caller has a part of a stream.
     pub versions: VersionRule,
     /// Place in the line for targets that are all limited, until the request is sent; `None` if they
@@ -82,6 +84,7 @@
             priority: rule.priority.min(LOWEST_PRIORITY),
             prefixes: prefix_keys(&head.prompt),
             parts: part_keys(head.prompt.iter().map(|part| part.id.as_str())),
+            is_hop: false,
             versions: VersionRule::Any,
             limited_place: None,
             arrived,
--- a/crates/relay/src/dialect/caller_dialect.rs
+++ b/crates/relay/src/dialect/caller_dialect.rs
@@ -1,5 +1,5 @@
 use {
-    crate::dialect::{CallerHead, HeadFault, HeaderList, RelayRefusal},
+    crate::dialect::{CallerHead, HeadFault, HeaderList, RelayRefusal, WireCall},
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -10,6 +10,19 @@
     pub data_centre: Option<String>,
 }
 
+/// A caller's request as it is handed over to another entry.
+#[derive(Debug, Clone)]
+pub struct HopRequest<'a> {
+    /// Head of the caller's request.
+    pub head: &'a CallerHead,
+    /// Time until the request's deadline.
+    pub time_left: Duration,
+    /// Id of the last event that the caller has, if it has some of a stream.
+    pub last_event_id: Option<&'a str>,
+    /// Id of the caller's try that brought the first event of the stream, if it is known.
+    pub resumes: Option<&'a str>,
+}
+
 /// Translates between the HTTP messages of callers and the types of this crate.
 pub trait CallerDialect {
     /// Parses the head of a request; `path` includes the query.
@@ -24,6 +37,10 @@
         headers: HeaderList,
     ) -> Result<CallerHead, HeadFault>;
 
+    /// Returns the call that hands a request over to another entry, which reads it like a caller's;
+    /// its body is left empty.
+    fn write_hop(&self, request: &HopRequest<'_>) -> WireCall;
+
     /// Returns the status, headers and body that tell a caller of a refusal.
     fn write_refusal(&self, refusal: &RelayRefusal) -> (u16, HeaderList, Vec<u8>);
 
--- a/crates/relay/src/dialect/mod.rs
+++ b/crates/relay/src/dialect/mod.rs
@@ -7,7 +7,7 @@
 mod wire_fault;
 
 pub use {
-    caller_dialect::{AddressQuery, CallerDialect},
+    caller_dialect::{AddressQuery, CallerDialect, HopRequest},
     caller_head::{CallerHead, HeadFault, HeaderList, header_value},
     relay_refusal::RelayRefusal,
     store_dialect::{StoreChanges, StoreDialect, StoreItem, StorePage},
--- a/crates/relay/src/dialect/target_dialect.rs
+++ b/crates/relay/src/dialect/target_dialect.rs
@@ -62,6 +62,9 @@
     /// Returns the call that runs a request; its body is left empty.
     fn write_request(&self, request: &TargetRequest<'_>) -> WireCall;
 
+    /// Returns a call that any target answers at once, whether it has room or not.
+    fn write_check(&self) -> WireCall;
+
     /// Parses the head of a reply to the request with this id.
     fn read_reply(&self, request_id: &str, status: u16, headers: &HeaderList) -> ReplyHead;
 
--- a/crates/relay/src/filters/admission_filter.rs
+++ b/crates/relay/src/filters/admission_filter.rs
@@ -26,6 +26,10 @@
 impl RequestFilter for AdmissionFilter {
     fn apply(&self, core: &RelayCore, draft: RelayDraft) -> FilterResult {
         let now = Instant::now();
+        if !draft.is_hop && core.link.borrow().is_lost() {
+            // The entry that the request is handed over to decides.
+            return Ok(draft);
+        }
         let pools = core.pools.borrow();
         let pool = pools.get(&draft.service);
         let Some(answer_time) = pool.and_then(|pool| pool.min_answer_time(&draft.prefixes, now))
--- a/crates/relay/src/filters/limit_filter.rs
+++ b/crates/relay/src/filters/limit_filter.rs
@@ -20,6 +20,9 @@
 impl RequestFilter for LimitFilter {
     fn apply(&self, core: &RelayCore, mut draft: RelayDraft) -> FilterResult {
         let now = Instant::now();
+        if !draft.is_hop && core.link.borrow().is_lost() {
+            return Ok(draft);
+        }
         let limits = core.service_limits(&draft.service, now);
         let Some(intervals) = limits.filter(|limits| !limits.is_empty()) else {
             return Ok(draft);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,6 +8,8 @@
 mod caller;
 mod dialect;
 mod filters;
+mod hop;
+mod link;
 mod origin;
 mod peer;
 mod permit;
@@ -23,8 +25,8 @@
 
 pub use {
     dialect::{
-        AddressQuery, CallerDialect, CallerHead, HeadFault, HeaderList, RelayRefusal, ReplyHead,
-        ReplyOutcome, StoreChanges, StoreDialect, StoreItem, StorePage, TargetDialect,
+        AddressQuery, CallerDialect, CallerHead, HeadFault, HeaderList, HopRequest, RelayRefusal,
+        ReplyHead, ReplyOutcome, StoreChanges, StoreDialect, StoreItem, StorePage, TargetDialect,
         TargetRequest, WireCall, WireFault, header_value,
     },
     relay_settings::{BoundSettings, ListenSettings, LogSettings, PeerSettings, RelaySettings},
--- /dev/null
+++ b/crates/relay/src/link/link_check.rs
@@ -0,0 +1,118 @@
+use {
+    crate::{shared::RelayCore, target::CallFault},
+    futures_util::future::join_all,
+    route::{LinkChange, pick_checks},
+    slog::{info, warn},
+    std::{
+        future::Future,
+        time::{Duration, Instant},
+    },
+};
+
+/// Maximum number of targets that are called in one check.
+const MAX_CHECKS: usize = 4;
+/// Time within which a checked target must answer.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Time without an answer after which a target counts as silent.
+const SILENCE_TIME: Duration = Duration::from_millis(1_000);
+/// Interval of checks whether a target is silent.
+const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Records that a call to a target failed, which may be a fault of this entry's own links.
+pub fn record_call_fault(core: &RelayCore, target: &str, fault: &CallFault) {
+    match fault {
+        CallFault::NotSent(_) | CallFault::Broken(_) => {}
+        // The target has begun to answer, or has had the call for long.
+        CallFault::TimedOut | CallFault::TooLong => return,
+    }
+    let now = Instant::now();
+    let mut link = core.link.borrow_mut();
+    link.record_unreached(target, now);
+    if link.is_check_due(now) {
+        core.link_doubted.notify_one();
+    }
+}
+
+/// Waits for the answer to a call. Gives up once the links to all targets are lost if the call may be
+/// repeated, since the answer will not come.
+pub async fn await_answer<T>(
+    core: &RelayCore,
+    target: &str,
+    may_repeat: bool,
+    answering: impl Future<Output = Result<T, CallFault>>,
+) -> Result<T, CallFault> {
+    let called_at = Instant::now();
+    tokio::pin!(answering);
+    loop {
+        tokio::select! {
+            answer = &mut answering => return answer,
+            () = actix_rt::time::sleep(SILENCE_CHECK_INTERVAL) => {}
+        }
+        let now = Instant::now();
+        let mut link = core.link.borrow_mut();
+        if may_repeat && link.is_lost() && !link.has_reached_since(called_at) {
+            return Err(CallFault::Broken(String::from("links to targets lost")));
+        }
+        if now.saturating_duration_since(called_at) >= SILENCE_TIME {
+            link.record_silence(target, called_at, now);
+            if link.is_check_due(now) {
+                core.link_doubted.notify_one();
+            }
+        }
+    }
+}
+
+/// Returns true if this entry has reached a target since the given time, or reaches one now. What
+/// failed since then is a fault of a target only in this case.
+pub async fn is_link_sound(core: &RelayCore, since: Instant) -> bool {
+    if !core.link.borrow().has_reached_since(since) {
+        check_link(core).await;
+    }
+    core.link.borrow().has_reached_since(since)
+}
+
+/// Calls a few targets on new connections and records whether they answer.
+pub(super) async fn check_link(core: &RelayCore) {
+    let addresses = {
+        let state = core.state.borrow();
+        let link = core.link.borrow();
+        let avoided: Vec<&str> = link.unreached().collect();
+        let is_wanted = |target: &str| {
+            let may_call = core.may_check(target);
+            may_call && (link.is_lost() || !avoided.contains(&target))
+        };
+        let mut random = core.random.borrow_mut();
+        pick_checks(&state.targets, is_wanted, MAX_CHECKS, &mut *random)
+    };
+    let checks = addresses.iter().map(|address| {
+        let call = core.dialects.target.write_check();
+        core.connections.is_answered(*address, call, CHECK_TIMEOUT)
+    });
+    let answers = join_all(checks).await;
+    let reached = answers.iter().filter(|is_answered| **is_answered).count();
+    let now = Instant::now();
+    let change = core
+        .link
+        .borrow_mut()
+        .record_check(reached, answers.len(), now);
+    core.metrics.link_checks.inc_by(answers.len() as u64);
+    info!(core.log, "links to targets checked"; "checked" => answers.len(), "reached" => reached);
+    match change {
+        Some(LinkChange::Lost) => {
+            core.metrics.link_losses.inc();
+            let link = core.link.borrow();
+            let unreached: Vec<&str> = link.unreached().collect();
+            warn!(core.log, "links to targets lost"; "unreached" => unreached.join(","),
+                "checked" => answers.len());
+        }
+        Some(LinkChange::Regained { after }) => {
+            info!(core.log, "links to targets regained"; "reached" => reached,
+                "checked" => answers.len(), "after_ms" => after.as_millis() as u64);
+            for pool in core.pools.borrow_mut().values_mut() {
+                pool.forget_losses();
+            }
+        }
+        None => {}
+    }
+}
--- a/crates/relay/src/origin/bind_resumption.rs
+++ b/crates/relay/src/origin/bind_resumption.rs
@@ -2,7 +2,7 @@
     crate::{
         caller::RelayDraft,
         dialect::RelayRefusal,
-        origin::{find_origin, tell_origin::draft_attempt},
+        origin::{find_origin::find_origin, tell_origin::draft_attempt},
         shared::RelayCore,
     },
     base::FailureReason,
--- a/crates/relay/src/origin/find_origin.rs
+++ b/crates/relay/src/origin/find_origin.rs
@@ -1,6 +1,10 @@
 use {
     crate::{
-        origin::{OriginFrame, tell_origin::holder_links},
+        caller::RelayDraft,
+        origin::{
+            OriginFrame,
+            tell_origin::{draft_attempt, holder_links},
+        },
         shared::RelayCore,
         stage::PeerMessage,
     },
@@ -24,6 +28,12 @@
     pub holder: String,
 }
 
+/// Returns where the stream of a request began that has brought events before.
+pub async fn find_draft_origin(core: &RelayCore, draft: &RelayDraft) -> Option<StreamOrigin> {
+    let found = find_origin(core, draft_attempt(draft)).await;
+    found.map(|found| found.origin)
+}
+
 /// Returns where the stream began whose first event this try brought; `None` if neither this entry
 /// nor another that it reaches knows.
 pub async fn find_origin(core: &RelayCore, attempt: AttemptKey) -> Option<FoundOrigin> {
--- a/crates/relay/src/origin/mod.rs
+++ b/crates/relay/src/origin/mod.rs
@@ -4,6 +4,6 @@
 mod tell_origin;
 
 pub use {
-    bind_resumption::bind_resumption, find_origin::find_origin, origin_frame::OriginFrame,
+    bind_resumption::bind_resumption, find_origin::find_draft_origin, origin_frame::OriginFrame,
     tell_origin::tell_origin,
 };
--- a/crates/relay/src/relay_settings.rs
+++ b/crates/relay/src/relay_settings.rs
@@ -42,6 +42,8 @@
     pub operators: SocketAddr,
     /// Address for messages of other entries, over TCP and UDP.
     pub peers: SocketAddr,
+    /// Address for requests that other entries hand over while they have no links to targets.
+    pub hops: SocketAddr,
 }
 
 /// How to reach the other entries.
--- a/crates/relay/src/run/call_slot.rs
+++ b/crates/relay/src/run/call_slot.rs
@@ -105,8 +105,13 @@
 
 impl Drop for CallSlot {
     fn drop(&mut self) {
+        let is_proven = self.core.link.borrow().has_reached_since(self.started);
         if let Some(place) = &mut self.place {
-            place.set_outcome(self.outcome);
+            // Others are told of a loss only if it is not this entry's own fault.
+            place.set_outcome(match self.outcome {
+                ServiceOutcome::Lost if !is_proven => ServiceOutcome::Cancelled,
+                outcome => outcome,
+            });
         }
         let now = Instant::now();
         let elapsed = now.saturating_duration_since(self.started);
--- a/crates/relay/src/run/crash_watch.rs
+++ b/crates/relay/src/run/crash_watch.rs
@@ -1,6 +1,7 @@
 use {
     crate::{
         caller::RelayDraft,
+        link::is_link_sound,
         shared::{RelayCore, part_name},
     },
     retry::{CrashKey, PartKey},
@@ -64,11 +65,6 @@
         }
     }
 
-    /// Returns true if an event has arrived.
-    pub fn has_events(&self) -> bool {
-        self.reads > 0
-    }
-
     /// Records the end of a stream. One that ends with its connection may be that of a target that
     /// crashed after the first event.
     pub fn record_end(&mut self, ends_with_connection: bool) {
@@ -96,8 +92,9 @@
         };
         let fingerprint = draft.fingerprint();
         let request = draft.head.request_id.clone();
+        let lost_at = Instant::now();
         actix_rt::spawn(async move {
-            if !is_process_gone(address).await {
+            if !is_process_gone(address).await || !is_link_sound(&core, lost_at).await {
                 return;
             }
             let part_names: Vec<String> = parts.iter().copied().map(part_name).collect();
--- a/crates/relay/src/run/mod.rs
+++ b/crates/relay/src/run/mod.rs
@@ -1,10 +1,12 @@
+mod answer_source;
 mod call_slot;
 mod crash_watch;
 mod part_gate;
 mod relay_run;
 mod run_request;
+mod send_next;
 mod send_once;
 mod stream_pump;
 mod target_choice;
 
-pub use {part_gate::held_refusal, run_request::run_request};
+pub use {part_gate::held_refusal, relay_run::RelayRun, run_request::run_request};
--- a/crates/relay/src/run/relay_run.rs
+++ b/crates/relay/src/run/relay_run.rs
@@ -2,6 +2,7 @@
     crate::{
         caller::RelayDraft,
         dialect::RelayRefusal,
+        hop::HopSlot,
         run::{call_slot::CallSlot, crash_watch::CrashWatch, part_gate::pass_part_gate},
         shared::{RelayCore, RunningGuard},
         stage::StageRun,
@@ -30,7 +31,7 @@
     pub tracker: AttemptTracker,
     /// Run of the request's stages, which holds their results; `None` if the stages must be run.
     pub(super) stages: Option<StageRun>,
-    /// Ids of the targets to which the request was sent.
+    /// Ids of the targets and names of the other entries' hosts to which the request was sent.
     pub(super) tried_targets: Vec<String>,
     _running: RunningGuard,
 }
@@ -109,6 +110,12 @@
         Ok((slot, pick))
     }
 
+    /// Takes a slot at another entry if this one has no links to targets; `None` if it has, or if
+    /// there is no entry to hand the request over to.
+    pub fn take_hop(&self) -> Option<HopSlot> {
+        HopSlot::take(&self.core, &self.draft, &self.tried_targets)
+    }
+
     /// Records a failed send. Returns the refusal if the request must not be sent again.
     pub fn on_fault(&mut self, target: &str, fault: SendFault) -> Result<(), RelayRefusal> {
         let now = Instant::now();
--- a/crates/relay/src/run/run_request.rs
+++ b/crates/relay/src/run/run_request.rs
@@ -4,15 +4,18 @@
         dialect::RelayRefusal,
         origin::bind_resumption,
         run::{
+            answer_source::AnswerSource,
             call_slot::CallSlot,
             relay_run::RelayRun,
-            send_once::{fault_outcome, send_once},
+            send_next::{SendEnd, send_next},
+            send_once::fault_outcome,
             stream_pump::StreamPump,
         },
         shared::{RelayCore, RunningGuard},
         target::CallReply,
     },
     actix_http::body::BoxBody,
+    base::{FailureReason, RunVerdict},
     retry::{SendFault, TrackedCall, TrackedCallEnd},
     route::ServiceOutcome,
     setup::HttpReply,
@@ -23,6 +26,9 @@
 /// Longest answer that is not streamed, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
+/// Statuses of entries' answers that promise that the request was not run.
+const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
+
 /// Outcome of a send that was answered.
 enum SendOutcome {
     /// The answer for the caller.
@@ -46,42 +52,24 @@
     let mut run = RelayRun::new(core, draft, running);
     loop {
         let due = run.draft.first_event_deadline;
-        let stages_result = tokio::time::timeout_at(due.into(), run.run_stages()).await;
-        match stages_result {
-            Ok(result) => result?,
-            Err(_) => return Err(run.deadline_refusal(false)),
-        }
-        let (mut slot, pick) = run.take_slot().await?;
-        let target = pick.target.clone();
-        let send_result = {
-            let sending = async {
-                let reply = send_once(&run, &mut slot, &pick, None).await?;
-                Ok::<_, SendFault>(reply)
-            };
-            tokio::time::timeout_at(due.into(), sending).await
-        };
-        let reply = match send_result {
-            Ok(Ok(reply)) => reply,
-            Ok(Err(fault)) => {
-                drop(slot);
-                run.on_fault(&target, fault)?;
+        let (source, reply) = match send_next(&mut run, due, None).await? {
+            SendEnd::Answered(source, reply) => (source, reply),
+            SendEnd::Failed { place, fault } => {
+                run.on_fault(&place, fault)?;
                 continue;
             }
-            Err(_) => {
-                slot.set_outcome(ServiceOutcome::Failed);
-                return Err(run.deadline_refusal(true));
-            }
         };
         if run.draft.rule.streaming && (200..300).contains(&reply.status) {
-            return StreamPump::start(run, slot, reply).await;
+            return StreamPump::start(run, source, reply).await;
         }
-        match read_answer(&mut run, slot, reply).await? {
+        let place = source.name().to_string();
+        match read_answer(&mut run, source, reply).await? {
             Ok(SendOutcome::Answer(reply)) => return Ok(reply),
-            Ok(SendOutcome::Failure(reply)) => match run.on_fault(&target, SendFault::Failed) {
+            Ok(SendOutcome::Failure(reply)) => match run.on_fault(&place, SendFault::Failed) {
                 Ok(()) => continue,
                 Err(_) => return Ok(reply),
             },
-            Err(fault) => run.on_fault(&target, fault)?,
+            Err(fault) => run.on_fault(&place, fault)?,
         }
     }
 }
@@ -90,38 +78,42 @@
 /// sent again, the outer one the final refusal.
 async fn read_answer(
     run: &mut RelayRun,
-    mut slot: CallSlot,
+    mut source: AnswerSource,
     mut reply: CallReply,
 ) -> Result<Result<SendOutcome, SendFault>, RelayRefusal> {
-    slot.record_event();
+    source.record_event();
     let due = run.draft.deadline;
     let read_result = tokio::time::timeout_at(due.into(), reply.read_body(MAX_ANSWER_BYTES)).await;
     let body = match read_result {
         Ok(Ok(body)) if !is_cut_short(run, &reply, &body) => body,
         Ok(_) => {
-            slot.set_outcome(fault_outcome(SendFault::Garbled));
-            slot.watch.check_crash(&run.draft);
+            source.set_outcome(fault_outcome(SendFault::Garbled));
+            source.check_crash(&run.draft);
             return Ok(Err(SendFault::Garbled));
         }
         Err(_) => {
-            slot.set_outcome(ServiceOutcome::Failed);
+            source.set_outcome(ServiceOutcome::Failed);
             return Err(run.deadline_refusal(true));
         }
     };
+    if source.slot().is_none() {
+        check_promise(run, reply.status)?;
+    }
     let has_failed = reply.status >= 500;
     if !has_failed {
-        slot.watch.record_survival();
+        source.record_survival();
     }
-    slot.set_outcome(match has_failed {
+    source.set_outcome(match has_failed {
         true => ServiceOutcome::Failed,
         false => ServiceOutcome::Answered,
     });
-    log_answer(run, &slot, reply.status);
+    log_answer(run, &source, reply.status);
     reply
         .headers
         .retain(|(name, _)| name != "content-length" && name != "keep-alive");
     let answer = build_reply(&run.core, reply.status, &reply.headers, BoxBody::new(body));
-    Ok(Ok(match has_failed {
+    // Another entry has done all that can be done before it passes a failure on.
+    Ok(Ok(match has_failed && source.slot().is_some() {
         true => SendOutcome::Failure(answer),
         false => SendOutcome::Answer(answer),
     }))
@@ -133,8 +125,19 @@
     is_from_engine && reply.ends_with_connection && body.is_empty()
 }
 
+/// Refuses a request if another entry's answer promises that it was not run, while a target that
+/// this entry has called before may have run it.
+fn check_promise(run: &RelayRun, status: u16) -> Result<(), RelayRefusal> {
+    if !NOT_RUN_STATUSES.contains(&status) || run.tracker.verdict() == RunVerdict::NotRun {
+        return Ok(());
+    }
+    let detail = format!("another entry refused the repeat with status {status}");
+    let refusal = RelayRefusal::not_run(FailureReason::TargetLost, detail);
+    Err(run.with_verdict(refusal))
+}
+
 /// Logs an answered request and counts it in the metrics.
-pub fn log_answer(run: &RelayRun, slot: &CallSlot, status: u16) {
+pub fn log_answer(run: &RelayRun, source: &AnswerSource, status: u16) {
     let draft = &run.draft;
     let elapsed = draft.arrived.elapsed();
     run.core
@@ -148,14 +151,15 @@
         "route" => &draft.rule.name,
         "organisation" => &draft.organisation,
         "plan" => draft.plan.version,
-        "target" => slot.target(),
-        "version" => slot.version(),
+        "target" => source.slot().map(CallSlot::target),
+        "version" => source.version(),
+        "by_way_of" => source.slot().is_none().then(|| source.name()),
         "sends" => run.tracker.sends() + 1,
         "status" => status,
         "ms" => elapsed.as_millis() as u64,
-        "target_ms" => slot.elapsed().as_millis() as u64,
-        "unread" => slot.unread_tokens(),
-        "fetching" => slot.is_fetching(),
+        "target_ms" => source.elapsed().as_millis() as u64,
+        "unread" => source.slot().map(CallSlot::unread_tokens),
+        "fetching" => source.slot().is_some_and(CallSlot::is_fetching),
     );
 }
 
--- /dev/null
+++ b/crates/relay/src/run/send_next.rs
@@ -0,0 +1,125 @@
+use {
+    crate::{
+        dialect::RelayRefusal,
+        hop::{HopSlot, send_hop, until_hop},
+        origin::find_draft_origin,
+        run::{
+            answer_source::AnswerSource,
+            relay_run::{RETRY_DELAY, RelayRun},
+            send_once::send_once,
+        },
+        target::CallReply,
+    },
+    base::FailureReason,
+    retry::SendFault,
+    route::{ServiceOutcome, VersionRule},
+    std::{future::Future, rc::Rc, time::Instant},
+};
+
+/// Outcome of one send of a request.
+pub enum SendEnd {
+    /// The head of an answer has arrived.
+    Answered(AnswerSource, CallReply),
+    /// There is no answer.
+    Failed {
+        /// Target or other entry that the request was sent to.
+        place: String,
+        fault: SendFault,
+    },
+}
+
+/// Sends a request once and waits until `due` for the head of its answer: to another entry if this
+/// one has no links to targets, otherwise to a target, after its stages.
+///
+/// If a stream is resumed, `last_event_id` is the id of the last event that the caller has.
+///
+/// # Errors
+///
+/// Refuses the request if it cannot be sent, or if there is no answer in time.
+pub async fn send_next(
+    run: &mut RelayRun,
+    due: Instant,
+    last_event_id: Option<&str>,
+) -> Result<SendEnd, RelayRefusal> {
+    if let Some(slot) = run.take_hop() {
+        return hand_over(run, slot, due, last_event_id).await;
+    }
+    let refusal = match send_to_target(run, due, last_event_id).await {
+        Err(refusal) => refusal,
+        end => return end,
+    };
+    // The links may have been lost in the meantime.
+    let slot = run.take_hop().filter(|_| Instant::now() < due);
+    match slot {
+        Some(slot) => hand_over(run, slot, due, last_event_id).await,
+        None => Err(refusal),
+    }
+}
+
+async fn send_to_target(
+    run: &mut RelayRun,
+    due: Instant,
+    last_event_id: Option<&str>,
+) -> Result<SendEnd, RelayRefusal> {
+    if last_event_id.is_some() && run.draft.versions == VersionRule::Nowhere {
+        // Another entry has begun the stream.
+        let origin = find_draft_origin(&run.core, &run.draft).await;
+        run.draft.versions = VersionRule::begun_at(origin.map(|origin| origin.version));
+    }
+    run_stages(run, due).await?;
+    let (mut slot, pick) = run.take_slot().await?;
+    let sending = send_once(run, &mut slot, &pick, last_event_id);
+    let result = until_due(run, due, sending).await;
+    if result.is_err() {
+        slot.set_outcome(ServiceOutcome::Failed);
+    }
+    Ok(send_end(result?, AnswerSource::Target(slot)))
+}
+
+/// Runs the stages of a request unless it has to be handed over meanwhile.
+async fn run_stages(run: &mut RelayRun, due: Instant) -> Result<(), RelayRefusal> {
+    let (core, is_hop) = (Rc::clone(&run.core), run.draft.is_hop);
+    let result = tokio::select! {
+        result = tokio::time::timeout_at(due.into(), run.run_stages()) => result,
+        () = until_hop(&core, is_hop) => {
+            let detail = "links to targets lost";
+            let refusal = RelayRefusal::not_run(FailureReason::NoTarget, detail);
+            return Err(run.with_verdict(refusal.retry_after(RETRY_DELAY)));
+        }
+    };
+    match result {
+        Ok(result) => result,
+        Err(_) => Err(run.deadline_refusal(false)),
+    }
+}
+
+async fn hand_over(
+    run: &RelayRun,
+    slot: HopSlot,
+    due: Instant,
+    last_event_id: Option<&str>,
+) -> Result<SendEnd, RelayRefusal> {
+    let sending = send_hop(run, &slot, last_event_id);
+    let result = until_due(run, due, sending).await?;
+    Ok(send_end(result, AnswerSource::Peer(slot)))
+}
+
+/// Returns the output of a send, or the refusal of the request if it takes too long.
+async fn until_due<T>(
+    run: &RelayRun,
+    due: Instant,
+    sending: impl Future<Output = T>,
+) -> Result<T, RelayRefusal> {
+    let result = tokio::time::timeout_at(due.into(), sending).await;
+    result.map_err(|_| run.deadline_refusal(true))
+}
+
+fn send_end(result: Result<CallReply, SendFault>, source: AnswerSource) -> SendEnd {
+    match result {
+        Ok(reply) => SendEnd::Answered(source, reply),
+        Err(fault) => SendEnd::Failed {
+            place: source.name().to_string(),
+            fault,
+        },
+    }
+}
--- a/crates/relay/src/run/send_once.rs
+++ b/crates/relay/src/run/send_once.rs
@@ -1,6 +1,7 @@
 use {
     crate::{
         dialect::{ReplyOutcome, TargetRequest},
+        link::{await_answer, record_call_fault},
         run::{call_slot::CallSlot, relay_run::RelayRun},
         target::{CallFault, CallReply},
     },
@@ -42,9 +43,17 @@
         .borrow_mut()
         .on_request(&draft.service, Instant::now());
     let called_at = Instant::now();
-    let result = core.connections.call(pick.address, call).await;
+    let answering = core.connections.call(pick.address, call);
+    let may_repeat = draft.rule.repeat.may_repeat();
+    let result = await_answer(core, &pick.target, may_repeat, answering).await;
     let fault = match result {
         Ok(mut reply) => {
+            let mut link = core.link.borrow_mut();
+            match reply.is_on_new_connection() {
+                true => link.record_reached(Instant::now()),
+                false => link.record_answer(Instant::now()),
+            }
+            drop(link);
             let reply_head = core.dialects.target.read_reply(
                 &draft.head.request_id,
                 reply.status,
@@ -63,8 +72,13 @@
                 ReplyOutcome::Unverified => SendFault::Garbled,
             }
         }
-        Err(CallFault::NotSent(_)) => SendFault::NotSent,
-        Err(_) => SendFault::Lost,
+        Err(fault) => {
+            record_call_fault(core, &pick.target, &fault);
+            match fault {
+                CallFault::NotSent(_) => SendFault::NotSent,
+                _ => SendFault::Lost,
+            }
+        }
     };
     slot.set_outcome(fault_outcome(fault));
     if fault == SendFault::Lost {
--- a/crates/relay/src/run/stream_pump.rs
+++ b/crates/relay/src/run/stream_pump.rs
@@ -4,10 +4,11 @@
         dialect::RelayRefusal,
         origin::tell_origin,
         run::{
-            call_slot::CallSlot,
+            answer_source::AnswerSource,
             relay_run::RelayRun,
             run_request::{log_answer, record_completion},
-            send_once::{fault_outcome, send_once},
+            send_next::{SendEnd, send_next},
+            send_once::fault_outcome,
         },
         target::{CallReply, EventSplitter},
     },
@@ -41,8 +42,10 @@
 /// another one.
 pub struct StreamPump {
     run: RelayRun,
-    slot: CallSlot,
+    source: AnswerSource,
     reply: CallReply,
+    /// True once an event was read from the source.
+    has_events: bool,
     splitter: EventSplitter,
 }
 
@@ -54,7 +57,7 @@
     /// Returns the refusal if there is no first event in time.
     pub async fn start(
         run: RelayRun,
-        slot: CallSlot,
+        source: AnswerSource,
         reply: CallReply,
     ) -> Result<HttpReply, RelayRefusal> {
         let due = run.draft.first_event_deadline;
@@ -63,8 +66,9 @@
         headers.retain(|(name, _)| name != "content-length" && name != "keep-alive");
         let mut pump = Self {
             run,
-            slot,
+            source,
             reply,
+            has_events: false,
             splitter: EventSplitter::default(),
         };
         let result = tokio::time::timeout_at(due.into(), pump.read_first_events()).await;
@@ -104,7 +108,7 @@
         if draft.rule.repeat != RepeatRule::Resumable {
             return;
         }
-        let version = self.slot.version();
+        let version = self.source.version();
         draft.versions = VersionRule::begun_at(version.clone());
         if let Some(version) = version {
             tell_origin(&self.run.core, draft, version);
@@ -169,7 +173,7 @@
             Ok(read) => read,
             Err(_) => {
                 info!(self.run.core.log, "stream read failed"; "reason" => "no event in time",
-                    "target" => self.slot.target());
+                    "target" => self.source.name());
                 StreamRead::Broken
             }
         }
@@ -187,7 +191,7 @@
                     }
                     if self.splitter.has_oversized_event() {
                         info!(self.run.core.log, "stream read failed"; "reason" => "endless event",
-                            "target" => self.slot.target());
+                            "target" => self.source.name());
                         return StreamRead::Broken;
                     }
                 }
@@ -201,68 +205,76 @@
         }
     }
 
-    /// Sends the request to another target, which resumes the stream after the last complete event.
+    /// Sends the request again, for the rest of the stream after the last complete event.
     async fn resume(&mut self) -> Result<(), RelayRefusal> {
         let mut fault = SendFault::Lost;
-        let mut target = self.slot.target().to_string();
-        self.slot.set_outcome(fault_outcome(fault));
+        let mut place = self.source.name().to_string();
+        self.source.set_outcome(fault_outcome(fault));
         // The target must have stopped before another one goes on.
         self.reply.close();
         self.splitter.discard_partial_event();
         info!(self.run.core.log, "stream broken";
-            "request" => &self.run.draft.head.request_id, "target" => &target,
+            "request" => &self.run.draft.head.request_id, "target" => &place,
             "last_event" => self.splitter.last_id());
-        self.slot.watch.check_crash(&self.run.draft);
+        self.source.check_crash(&self.run.draft);
+        let last_id = self.splitter.last_id().map(String::from);
+        let last_id = last_id.or_else(|| self.run.draft.head.last_event_id.clone());
         loop {
             // Fails unless the stream may be resumed or no target has run the request.
-            self.run.on_fault(&target, fault)?;
-            self.run.run_stages().await?;
-            let (mut slot, pick) = self.run.take_slot().await?;
-            let last_id = self.splitter.last_id().map(String::from);
-            let last_id = last_id.or_else(|| self.run.draft.head.last_event_id.clone());
-            match send_once(&self.run, &mut slot, &pick, last_id.as_deref()).await {
-                Ok(reply) if (200..300).contains(&reply.status) => {
+            self.run.on_fault(&place, fault)?;
+            let due = self.run.draft.deadline;
+            match send_next(&mut self.run, due, last_id.as_deref()).await? {
+                SendEnd::Answered(source, reply) if (200..300).contains(&reply.status) => {
                     info!(self.run.core.log, "stream goes on";
                         "request" => &self.run.draft.head.request_id,
-                        "target" => &pick.target, "after" => last_id,
-                        "version" => &pick.version);
-                    self.slot = slot;
+                        "target" => source.name(), "after" => last_id,
+                        "version" => source.version());
+                    self.source = source;
                     self.reply = reply;
+                    self.has_events = false;
                     return Ok(());
                 }
-                Ok(_) => {
-                    slot.set_outcome(ServiceOutcome::Failed);
+                SendEnd::Answered(mut source, _) => {
+                    source.set_outcome(ServiceOutcome::Failed);
+                    place = source.name().to_string();
                     fault = SendFault::Failed;
                 }
-                Err(next_fault) => fault = next_fault,
+                SendEnd::Failed {
+                    place: failed_place,
+                    fault: next_fault,
+                } => {
+                    place = failed_place;
+                    fault = next_fault;
+                }
             }
-            target = pick.target;
         }
     }
 
     /// Returns true if a stream whose connection has ended normally was cut all the same: it ended
     /// within an event, or before the first one with nothing but the connection to mark the end.
     fn is_cut_short(&self) -> bool {
-        let is_empty = !self.slot.watch.has_events();
+        let is_empty = !self.has_events;
         self.splitter.has_partial_event() || (is_empty && self.reply.ends_with_connection)
     }
 
     /// Records at the target what was read from it.
     fn record_read(&mut self, read: &StreamRead) {
         match read {
-            StreamRead::Events(_) => self.slot.record_event(),
-            StreamRead::End => {
-                let watch = &mut self.slot.watch;
-                watch.record_end(self.reply.ends_with_connection);
+            StreamRead::Events(_) => {
+                self.has_events = true;
+                self.source.record_event();
             }
+            StreamRead::End => self.source.record_end(self.reply.ends_with_connection),
             StreamRead::Broken => {}
         }
     }
 
     fn on_complete(mut self) {
-        self.slot.set_outcome(ServiceOutcome::Answered);
-        record_completion(&self.run, self.slot.target());
-        log_answer(&self.run, &self.slot, 200);
+        self.source.set_outcome(ServiceOutcome::Answered);
+        if let Some(slot) = self.source.slot() {
+            record_completion(&self.run, slot.target());
+        }
+        log_answer(&self.run, &self.source, 200);
     }
 
     fn on_caller_left(self) {
@@ -281,7 +293,7 @@
     /// complete.
     async fn cut(self, sender: &mpsc::Sender<Result<Bytes, BodyCut>>, reason: &str) {
         info!(self.run.core.log, "stream cut"; "request" => &self.run.draft.head.request_id,
-            "target" => self.slot.target(), "reason" => reason,
+            "target" => self.source.name(), "reason" => reason,
             "ms" => self.run.draft.arrived.elapsed().as_millis() as u64);
         // The caller may have left in the meantime.
         let _ = sender.send(Err(BodyCut)).await;
--- a/crates/relay/src/shared/core_peers.rs
+++ b/crates/relay/src/shared/core_peers.rs
@@ -25,6 +25,7 @@
         let mut hosts = self.hosts.borrow_mut();
         let own = hosts.own_record_mut();
         own.ready = ready;
+        own.reaches_targets = !self.link.borrow().is_lost();
         own.leaving = self.phase.get() == RelayPhase::Leaving;
         own.plan_version = self.plan().map_or(0, |plan| plan.version);
         own.loads = loads;
--- a/crates/relay/src/shared/core_targets.rs
+++ b/crates/relay/src/shared/core_targets.rs
@@ -56,6 +56,14 @@
         is_listed_leaving || active.any(|(id, standing)| id == target && standing.leaving)
     }
 
+    /// Returns true if the target may be called to check the links: it takes calls of this entry and
+    /// names no limit.
+    pub fn may_check(&self, target: &str) -> bool {
+        let notices = self.notices.borrow();
+        let has_notice = notices.active(Instant::now()).any(|(id, _)| id == target);
+        !has_notice && self.target_limit(target).is_none()
+    }
+
     /// Removes targets that did not register again in time after an outage of the store.
     pub fn expire_targets(&self, now: Instant) {
         let expired = self.replica.borrow_mut().remove_expired(now);
--- a/crates/relay/src/shared/relay_core.rs
+++ b/crates/relay/src/shared/relay_core.rs
@@ -16,7 +16,7 @@
         CrashTracker, CrashTrackerSettings, FleetBudget, FleetBudgetSettings, PartTracker,
         TrialDesk,
     },
-    route::{EngineGroups, ServicePool, StreamOrigins, TargetNotices, VersionHistory},
+    route::{EngineGroups, ServicePool, StreamOrigins, TargetLink, TargetNotices, VersionHistory},
     slog::Logger,
     std::{
         cell::{Cell, RefCell},
@@ -101,6 +101,12 @@
     pub origins: RefCell<StreamOrigins>,
     /// For how long the targets of each service have all had the same version.
     pub version_history: RefCell<VersionHistory>,
+    /// Whether this entry reaches targets at all.
+    pub link: RefCell<TargetLink>,
+    /// Wakes the task that checks the links to targets.
+    pub link_doubted: Notify,
+    /// Numbers of running requests that were handed over, by the host of the other entry.
+    pub hop_counts: RefCell<HashMap<String, u32>>,
     pub random: RefCell<ChaCha8Rng>,
     pub phase: Cell<RelayPhase>,
     /// Number of requests whose answer has not been passed on whole.
@@ -160,6 +166,9 @@
             part_news: Notify::new(),
             origins: RefCell::default(),
             version_history: RefCell::default(),
+            link: RefCell::default(),
+            link_doubted: Notify::new(),
+            hop_counts: RefCell::default(),
             random: RefCell::new(ChaCha8Rng::seed_from_u64(incarnation)),
             phase: Cell::new(RelayPhase::Starting),
             running_requests: Cell::new(0),
@@ -217,8 +226,10 @@
         sequence: 0,
         callers: settings.listen.callers,
         peers: settings.listen.peers,
+        hops: settings.listen.hops,
         core_share: (settings.core_share * 1_000.0) as u32,
         ready: false,
+        reaches_targets: true,
         leaving: false,
         settled: false,
         plan_version: 0,
--- a/crates/relay/src/shared/relay_metrics.rs
+++ b/crates/relay/src/shared/relay_metrics.rs
@@ -46,6 +46,14 @@
     pub resumptions: Counter,
     /// Those that were refused, since the version that began the stream is not known or not there.
     pub resumptions_refused: Counter,
+    /// Calls to targets that check whether this entry reaches any.
+    pub link_checks: Counter,
+    /// Times that the links to all targets were lost.
+    pub link_losses: Counter,
+    /// Requests that were handed over to another entry, since this one has no links to targets.
+    pub hops: Counter,
+    /// Requests that were taken over from another entry.
+    pub taken_hops: Counter,
     /// Connections opened to targets and the store, failed attempts included.
     pub dials: Gauge,
     /// Version of the configuration in force.
@@ -76,6 +84,10 @@
             limited_calls: Counter::default(),
             resumptions: Counter::default(),
             resumptions_refused: Counter::default(),
+            link_checks: Counter::default(),
+            link_losses: Counter::default(),
+            hops: Counter::default(),
+            taken_hops: Counter::default(),
             dials: Gauge::default(),
             plan_version: Gauge::default(),
             registry: Registry::default(),
@@ -141,6 +153,26 @@
                 "Those refused for the version that began the stream",
                 &metrics.resumptions_refused,
             ),
+            (
+                "link_checks",
+                "Calls to check the links to targets",
+                &metrics.link_checks,
+            ),
+            (
+                "link_losses",
+                "Times that the links to all targets were lost",
+                &metrics.link_losses,
+            ),
+            (
+                "hops",
+                "Requests handed over to other entries",
+                &metrics.hops,
+            ),
+            (
+                "taken_hops",
+                "Requests taken over from other entries",
+                &metrics.taken_hops,
+            ),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
--- a/crates/relay/src/stage/batch_calls.rs
+++ b/crates/relay/src/stage/batch_calls.rs
@@ -1,5 +1,11 @@
 use {
-    crate::{permit::pass_limit, shared::RelayCore, stage::BatchService, target::CallFault},
+    crate::{
+        link::{await_answer, record_call_fault},
+        permit::pass_limit,
+        shared::RelayCore,
+        stage::BatchService,
+        target::CallFault,
+    },
     piece::{CallId, PieceOutcome, PieceWork},
     slog::{debug, info},
     std::{
@@ -135,13 +141,20 @@
     let call = core.dialects.target.write_pieces(target, work);
     core.metrics.piece_calls.inc();
     core.metrics.pieces.inc_by(work.len() as u64);
-    let answer = core
-        .connections
-        .call_and_read_body(address, call, CALL_TIMEOUT, MAX_ANSWER_BYTES)
-        .await;
-    let (status, headers, body) = answer.map_err(|fault| match fault {
-        CallFault::NotSent(_) => PieceCallFault::Unsent,
-        _ => PieceCallFault::Broken,
+    let answering =
+        core.connections
+            .call_and_read_body(address, call, CALL_TIMEOUT, MAX_ANSWER_BYTES);
+    // A piece may be made again.
+    let answer = await_answer(core, target, true, answering).await;
+    if answer.is_ok() {
+        core.link.borrow_mut().record_answer(Instant::now());
+    }
+    let (status, headers, body) = answer.map_err(|fault| {
+        record_call_fault(core, target, &fault);
+        match fault {
+            CallFault::NotSent(_) => PieceCallFault::Unsent,
+            _ => PieceCallFault::Broken,
+        }
     })?;
     let notice = core.dialects.target.read_notice(status, &headers);
     core.record_notice(target, notice, Instant::now());
--- a/crates/relay/src/start_relay.rs
+++ b/crates/relay/src/start_relay.rs
@@ -1,8 +1,9 @@
 use {
     crate::{
         RelaySettings,
-        caller::{answer_addresses, answer_caller, answer_operator, answer_ready},
+        caller::{RequestSender, answer_addresses, answer_caller, answer_operator, answer_ready},
         filters::FilterChain,
+        link::watch_link,
         peer::run_gossip,
         shared::{DialectSet, RelayCore, RelayPhase},
         stage::{BatchService, serve_peers},
@@ -59,6 +60,7 @@
     let addresses = bind("listen.addresses", listen.addresses).await?;
     let operators = bind("listen.operators", listen.operators).await?;
     let peers = bind("listen.peers", listen.peers).await?;
+    let hops = bind("listen.hops", listen.hops).await?;
     let datagrams = UdpSocket::bind(listen.peers).await?;
     let grace = settings.bounds.grace;
     let peer_key = settings.peer_key();
@@ -73,6 +75,7 @@
     actix_rt::spawn(run_gossip(Rc::clone(&core), datagrams, peer_key));
     actix_rt::spawn(serve_peers(Rc::clone(&core), peers));
     actix_rt::spawn(BatchService::run(Rc::clone(&core)));
+    actix_rt::spawn(watch_link(Rc::clone(&core)));
     actix_rt::spawn(reload_on_hangup(Rc::clone(&core), reload));
     let (closing, closing_inbox) = watch::channel(false);
     serve_auxiliary(&core, ready, answer_ready);
@@ -86,11 +89,18 @@
         ..HttpLimits::default()
     };
     let chain = Rc::new(FilterChain::new());
-    let handler = {
-        let core = Rc::clone(&core);
-        move |request| answer_caller(Rc::clone(&core), Rc::clone(&chain), request)
+    let handler = |sender: RequestSender| {
+        let (core, chain) = (Rc::clone(&core), Rc::clone(&chain));
+        move |request| answer_caller(Rc::clone(&core), Rc::clone(&chain), sender, request)
     };
-    let serving = serve_http(callers, limits, closing_inbox, handler);
+    let serving = serve_http(
+        callers,
+        limits,
+        closing_inbox.clone(),
+        handler(RequestSender::Caller),
+    );
+    let hop_handler = handler(RequestSender::Peer);
+    actix_rt::spawn(serve_http(hops, limits, closing_inbox, hop_handler));
     // Ends with the shutdown only, also if serving ends before.
     tokio::select! {
         () = async { serving.await; std::future::pending::<()>().await } => {}
--- a/crates/relay/src/target/call_reply.rs
+++ b/crates/relay/src/target/call_reply.rs
@@ -59,6 +59,12 @@
         }
     }
 
+    /// Returns true if the connection was opened for this call.
+    pub fn is_on_new_connection(&self) -> bool {
+        let connection = self.connection.as_ref();
+        connection.is_some_and(PooledConnection::is_new)
+    }
+
     /// Sets the time for which the other side keeps the idle connection open; `None` stands for a
     /// default.
     pub fn set_idle_timeout(&mut self, idle_timeout: Option<Duration>) {
--- a/crates/relay/src/target/connection_pool.rs
+++ b/crates/relay/src/target/connection_pool.rs
@@ -48,6 +48,15 @@
     /// Task that drives the connection, aborted on drop.
     task: Option<JoinHandle<()>>,
     address: SocketAddr,
+    /// True until the first answer has been read.
+    is_new: bool,
+}
+
+impl PooledConnection {
+    /// Returns true if the connection was opened for the call that it carries.
+    pub fn is_new(&self) -> bool {
+        self.is_new
+    }
 }
 
 impl Drop for PooledConnection {
@@ -140,6 +149,23 @@
         result.unwrap_or(Err(CallFault::TimedOut))
     }
 
+    /// Returns true if the address answers a call on a new connection within the time limit, with
+    /// whatever status.
+    pub async fn is_answered(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        call: WireCall,
+        time_limit: Duration,
+    ) -> bool {
+        let exchange = async {
+            let request = build_request(address, call).ok()?;
+            let connection = self.connect(address).await.ok()?;
+            self.send(connection, request).await.ok()
+        };
+        let answer = actix_rt::time::timeout(time_limit, exchange).await;
+        matches!(answer, Ok(Some(_)))
+    }
+
     /// Keeps a connection for later calls; its last answer was read to its end.
     pub(super) fn return_to_pool(
         self: &Rc<Self>,
@@ -153,6 +179,7 @@
             });
         actix_rt::spawn(async move {
             let mut connection = connection;
+            connection.is_new = false;
             let Some(sender) = &mut connection.sender else {
                 return;
             };
@@ -215,6 +242,7 @@
             sender: Some(sender),
             task: Some(task),
             address,
+            is_new: true,
         })
     }
 
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -3,6 +3,7 @@
 mod call_outcome;
 mod engine_groups;
 mod entry_ranking;
+mod link;
 mod outlier_rule;
 mod pool_settings;
 mod prefix_cache;
@@ -23,6 +24,7 @@
     call_outcome::CallOutcome,
     engine_groups::{EngineGroup, EngineGroups},
     entry_ranking::{DEFAULT_ENTRIES, EntryRanking},
+    link::{LinkChange, TargetLink, pick_checks},
     pool_settings::PoolSettings,
     prompt_part::{PrefixKey, PromptPart, prefix_keys},
     service_pick::{ServiceOutcome, ServicePick, ServiceQuery},
--- a/crates/route/src/service_pool.rs
+++ b/crates/route/src/service_pool.rs
@@ -68,6 +68,13 @@
         }
     }
 
+    /// Forgets the losses of all targets, after a fault of this entry's own links.
+    pub fn forget_losses(&mut self) {
+        for target in self.targets.values_mut() {
+            target.forget_losses();
+        }
+    }
+
     /// Sets the work that the targets do for other entries, keyed by [`id_hash`] of the target.
     pub fn set_peer_work(&mut self, work: &HashMap<u64, TargetWork>) {
         for (id, target) in &mut self.targets {
--- a/crates/route/src/service_target.rs
+++ b/crates/route/src/service_target.rs
@@ -95,9 +95,7 @@
     pub fn update(&mut self, row: &plan::TargetRow) {
         if row.started_ms != self.started_ms || row.address != self.address {
             self.cache.clear();
-            self.failure_rate = 0.0;
-            self.consecutive_losses = 0;
-            self.backoff_until = None;
+            self.forget_losses();
             self.paused_until = None;
             self.held_until = None;
         }
@@ -109,6 +107,13 @@
         self.started_ms = row.started_ms;
     }
 
+    /// Forgets failures and losses, which were not the target's.
+    pub fn forget_losses(&mut self) {
+        self.failure_rate = 0.0;
+        self.consecutive_losses = 0;
+        self.backoff_until = None;
+    }
+
     /// Applies what the target said of itself.
     pub fn apply_notice(&mut self, standing: NoticeStanding) {
         self.leaving |= standing.leaving;
