--- a/crates/relay/src/relay_settings.rs
+++ b/crates/relay/src/relay_settings.rs
@@ -42,8 +42,17 @@
     pub operators: SocketAddr,
     /// Address for messages of other entries, over TCP and UDP.
     pub peers: SocketAddr,
-    /// Address for requests that other entries hand over while they have no links to targets.
-    pub hops: SocketAddr,
+    /// Address for requests that other entries hand over while they have no links to targets; by
+    /// default the port after that of `peers`.
+    pub hops: Option<SocketAddr>,
+}
+
+impl ListenSettings {
+    /// Returns the address for requests that other entries hand over.
+    pub fn hop_address(&self) -> SocketAddr {
+        let next_port = SocketAddr::new(self.peers.ip(), self.peers.port().wrapping_add(1));
+        self.hops.unwrap_or(next_port)
+    }
 }
 
 /// How to reach the other entries.
--- a/crates/relay/src/run/answer_source.rs
+++ b/crates/relay/src/run/answer_source.rs
@@ -8,7 +8,7 @@
 /// Where the answer to a request comes from.
 pub enum AnswerSource {
     /// A target that this entry has called.
-    Target(CallSlot),
+    Target(Box<CallSlot>),
     /// Another entry, to which the request was handed over.
     Peer(HopSlot),
 }
--- a/crates/relay/src/run/run_request.rs
+++ b/crates/relay/src/run/run_request.rs
@@ -7,7 +7,7 @@
             answer_source::AnswerSource,
             call_slot::CallSlot,
             relay_run::RelayRun,
-            send_next::{SendEnd, send_next},
+            send_next::{SendAnswer, SendFailure, send_next},
             send_once::fault_outcome,
             stream_pump::StreamPump,
         },
@@ -53,8 +53,8 @@
     loop {
         let due = run.draft.first_event_deadline;
         let (source, reply) = match send_next(&mut run, due, None).await? {
-            SendEnd::Answered(source, reply) => (source, reply),
-            SendEnd::Failed { place, fault } => {
+            Ok(SendAnswer { source, reply }) => (source, reply),
+            Err(SendFailure { place, fault }) => {
                 run.on_fault(&place, fault)?;
                 continue;
             }
--- a/crates/relay/src/run/send_next.rs
+++ b/crates/relay/src/run/send_next.rs
@@ -16,18 +16,22 @@
     std::{future::Future, rc::Rc, time::Instant},
 };
 
-/// Outcome of one send of a request.
-pub enum SendEnd {
-    /// The head of an answer has arrived.
-    Answered(AnswerSource, CallReply),
-    /// There is no answer.
-    Failed {
-        /// Target or other entry that the request was sent to.
-        place: String,
-        fault: SendFault,
-    },
+/// An answer whose head has arrived.
+pub struct SendAnswer {
+    pub source: AnswerSource,
+    pub reply: CallReply,
+}
+
+/// A send without an answer.
+pub struct SendFailure {
+    /// Target or other entry that the request was sent to.
+    pub place: String,
+    pub fault: SendFault,
 }
 
+/// Outcome of one send of a request.
+pub type SendEnd = Result<SendAnswer, SendFailure>;
+
 /// Sends a request once and waits until `due` for the head of its answer: to another entry if this
 /// one has no links to targets, otherwise to a target, after its stages.
 ///
@@ -73,7 +77,7 @@
     if result.is_err() {
         slot.set_outcome(ServiceOutcome::Failed);
     }
-    Ok(send_end(result?, AnswerSource::Target(slot)))
+    Ok(send_end(result?, AnswerSource::Target(Box::new(slot))))
 }
 
 /// Runs the stages of a request unless it has to be handed over meanwhile.
@@ -116,10 +120,10 @@
 
 fn send_end(result: Result<CallReply, SendFault>, source: AnswerSource) -> SendEnd {
     match result {
-        Ok(reply) => SendEnd::Answered(source, reply),
-        Err(fault) => SendEnd::Failed {
+        Ok(reply) => Ok(SendAnswer { source, reply }),
+        Err(fault) => Err(SendFailure {
             place: source.name().to_string(),
             fault,
-        },
+        }),
     }
 }
--- a/crates/relay/src/run/stream_pump.rs
+++ b/crates/relay/src/run/stream_pump.rs
@@ -7,7 +7,7 @@
             answer_source::AnswerSource,
             relay_run::RelayRun,
             run_request::{log_answer, record_completion},
-            send_next::{SendEnd, send_next},
+            send_next::{SendAnswer, send_next},
             send_once::fault_outcome,
         },
         target::{CallReply, EventSplitter},
@@ -224,7 +224,7 @@
             self.run.on_fault(&place, fault)?;
             let due = self.run.draft.deadline;
             match send_next(&mut self.run, due, last_id.as_deref()).await? {
-                SendEnd::Answered(source, reply) if (200..300).contains(&reply.status) => {
+                Ok(SendAnswer { source, reply }) if (200..300).contains(&reply.status) => {
                     info!(self.run.core.log, "stream goes on";
                         "request" => &self.run.draft.head.request_id,
                         "target" => source.name(), "after" => last_id,
@@ -234,17 +234,14 @@
                     self.has_events = false;
                     return Ok(());
                 }
-                SendEnd::Answered(mut source, _) => {
+                Ok(SendAnswer { mut source, .. }) => {
                     source.set_outcome(ServiceOutcome::Failed);
                     place = source.name().to_string();
                     fault = SendFault::Failed;
                 }
-                SendEnd::Failed {
-                    place: failed_place,
-                    fault: next_fault,
-                } => {
-                    place = failed_place;
-                    fault = next_fault;
+                Err(failure) => {
+                    place = failure.place;
+                    fault = failure.fault;
                 }
             }
         }
--- a/crates/relay/src/shared/relay_core.rs
+++ b/crates/relay/src/shared/relay_core.rs
@@ -226,7 +226,7 @@
         sequence: 0,
         callers: settings.listen.callers,
         peers: settings.listen.peers,
-        hops: settings.listen.hops,
+        hops: settings.listen.hop_address(),
         core_share: (settings.core_share * 1_000.0) as u32,
         ready: false,
         reaches_targets: true,
--- a/crates/relay/src/start_relay.rs
+++ b/crates/relay/src/start_relay.rs
@@ -60,7 +60,7 @@
     let addresses = bind("listen.addresses", listen.addresses).await?;
     let operators = bind("listen.operators", listen.operators).await?;
     let peers = bind("listen.peers", listen.peers).await?;
-    let hops = bind("listen.hops", listen.hops).await?;
+    let hops = bind("listen.hops", listen.hop_address()).await?;
     let datagrams = UdpSocket::bind(listen.peers).await?;
     let grace = settings.bounds.grace;
     let peer_key = settings.peer_key();
