Check the links before a lost request is sent again

Cause: until two targets had failed, a request that was lost with the links was sent to a second target, which used up the sends that it may make. Change: after a loss the entry calls other targets before it sends again, unless one was reached meanwhile; one check answers all who wait.

--- a/crates/relay/src/link/link_check.rs
+++ b/crates/relay/src/link/link_check.rs
@@ -12,7 +12,7 @@
 /// Maximum number of targets that are called in one check.
 const MAX_CHECKS: usize = 4;
 /// Time within which a checked target must answer.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+const CHECK_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Time without an answer after which a target counts as silent.
 const SILENCE_TIME: Duration = Duration::from_millis(1_000);
@@ -66,7 +66,13 @@
 /// Returns true if this entry has reached a target since the given time, or reaches one now. What
 /// failed since then is a fault of a target only in this case.
 pub async fn is_link_sound(core: &RelayCore, since: Instant) -> bool {
-    if !core.link.borrow().has_reached_since(since) {
+    // One check answers all who wait for it.
+    let _checking = core.link_checking.lock().await;
+    let is_known = {
+        let link = core.link.borrow();
+        link.is_lost() || link.has_reached_since(since)
+    };
+    if !is_known {
         check_link(core).await;
     }
     core.link.borrow().has_reached_since(since)
--- a/crates/relay/src/link/link_watch.rs
+++ b/crates/relay/src/link/link_watch.rs
@@ -16,6 +16,7 @@
             () = core.link_doubted.notified() => {}
             () = actix_rt::time::sleep(WATCH_INTERVAL) => {}
         }
+        let _checking = core.link_checking.lock().await;
         let is_due = core.link.borrow().is_check_due(Instant::now());
         if is_due {
             check_link(&core).await;
--- a/crates/relay/src/run/relay_run.rs
+++ b/crates/relay/src/run/relay_run.rs
@@ -33,6 +33,8 @@
     pub(super) stages: Option<StageRun>,
     /// Ids of the targets and names of the other entries' hosts to which the request was sent.
     pub(super) tried_targets: Vec<String>,
+    /// Time of a loss that may be a fault of this entry's own links.
+    pub(super) unproven_loss: Option<Instant>,
     _running: RunningGuard,
 }
 
@@ -47,6 +49,7 @@
             tracker: AttemptTracker::new(may_repeat, rule.max_targets, draft.deadline),
             stages: None,
             tried_targets: Vec::new(),
+            unproven_loss: None,
             _running: running,
             draft,
         }
@@ -128,6 +131,9 @@
                 .take_repeat(service, entry_count, now)
         });
         self.tried_targets.push(target.to_string());
+        if fault == SendFault::Lost {
+            self.unproven_loss = Some(now);
+        }
         if fault == SendFault::InputsGone {
             self.stages = None;
         }
--- a/crates/relay/src/run/send_next.rs
+++ b/crates/relay/src/run/send_next.rs
@@ -2,6 +2,7 @@
     crate::{
         dialect::RelayRefusal,
         hop::{HopSlot, send_hop, until_hop},
+        link::is_link_sound,
         origin::find_draft_origin,
         run::{
             answer_source::AnswerSource,
@@ -45,6 +46,10 @@
     due: Instant,
     last_event_id: Option<&str>,
 ) -> Result<SendEnd, RelayRefusal> {
+    if let Some(lost_at) = run.unproven_loss.take() {
+        // The next send may be the last that is allowed.
+        is_link_sound(&run.core, lost_at).await;
+    }
     if let Some(slot) = run.take_hop() {
         return hand_over(run, slot, due, last_event_id).await;
     }
--- a/crates/relay/src/shared/relay_core.rs
+++ b/crates/relay/src/shared/relay_core.rs
@@ -25,7 +25,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::sync::{Notify, watch},
+    tokio::sync::{Mutex, Notify, watch},
 };
 
 /// Requests with keys are sent only while the evidence that the configuration is the latest one is
@@ -105,6 +105,8 @@
     pub link: RefCell<TargetLink>,
     /// Wakes the task that checks the links to targets.
     pub link_doubted: Notify,
+    /// Held while the links to targets are checked.
+    pub link_checking: Mutex<()>,
     /// Numbers of running requests that were handed over, by the host of the other entry.
     pub hop_counts: RefCell<HashMap<String, u32>>,
     pub random: RefCell<ChaCha8Rng>,
@@ -168,6 +170,7 @@
             version_history: RefCell::default(),
             link: RefCell::default(),
             link_doubted: Notify::new(),
+            link_checking: Mutex::new(()),
             hop_counts: RefCell::default(),
             random: RefCell::new(ChaCha8Rng::seed_from_u64(incarnation)),
             phase: Cell::new(RelayPhase::Starting),
