Be patient with connections to targets, and check targets that are silent

Cause: with TCP_USER_TIMEOUT at 1.5 s the kernel ends a connection 2 s after the last byte if a single keepalive probe, the one after 1 s, was lost, whatever the number of probes that is set: a sound target that is silent just then loses its calls, among them those that may not be repeated. Change: connections to targets wait 3.5 s (probes after 1, 2 and 3 s), those between entries as before. So that a dead target costs no more time, a call that may be repeated and has had no answer for a second has the target checked on a new connection, once for all calls to it; if that is not answered while others are, the call goes elsewhere. The loss of a probe was not played: the stand-ins cannot drop packets.

--- a/crates/relay/src/link/link_check.rs
+++ b/crates/relay/src/link/link_check.rs
@@ -5,6 +5,7 @@
     slog::{info, warn},
     std::{
         future::Future,
+        net::SocketAddr,
         time::{Duration, Instant},
     },
 };
@@ -12,7 +13,7 @@
 /// Maximum number of targets that are called in one check.
 const MAX_CHECKS: usize = 4;
 /// Time within which a checked target must answer.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(600);
+pub(super) const CHECK_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Time without an answer after which a target counts as silent.
 const SILENCE_TIME: Duration = Duration::from_millis(1_000);
@@ -34,11 +35,15 @@
     }
 }
 
-/// Waits for the answer to a call. Gives up once the links to all targets are lost if the call may be
-/// repeated, since the answer will not come.
+/// Waits for the answer to a call. If the call may be repeated, gives up once the target is silent to
+/// a check as well, or the links to all targets are lost, since the answer will not come.
+///
+/// The socket itself waits long, so that a sound target which falls silent for a second or two loses
+/// no call that may not be repeated.
 pub async fn await_answer<T>(
     core: &RelayCore,
     target: &str,
+    address: SocketAddr,
     may_repeat: bool,
     answering: impl Future<Output = Result<T, CallFault>>,
 ) -> Result<T, CallFault> {
@@ -50,19 +55,41 @@
             () = actix_rt::time::sleep(SILENCE_CHECK_INTERVAL) => {}
         }
         let now = Instant::now();
-        let mut link = core.link.borrow_mut();
-        if may_repeat && link.is_lost() && !link.has_reached_since(called_at) {
+        let is_long = now.saturating_duration_since(called_at) >= SILENCE_TIME;
+        if is_long {
+            record_silence(core, target, called_at, now);
+        }
+        if !may_repeat {
+            continue;
+        }
+        let is_lost = {
+            let link = core.link.borrow();
+            link.is_lost() && !link.has_reached_since(called_at)
+        };
+        if is_lost {
             return Err(CallFault::Broken(String::from("links to targets lost")));
         }
-        if now.saturating_duration_since(called_at) >= SILENCE_TIME {
-            link.record_silence(target, called_at, now);
-            if link.is_check_due(now) {
-                core.link_doubted.notify_one();
+        if is_long {
+            tokio::select! {
+                answer = &mut answering => return answer,
+                is_silent = core.target_checks.is_silent(core, target, address) => {
+                    if is_silent {
+                        return Err(CallFault::Broken(String::from("target is silent")));
+                    }
+                }
             }
         }
     }
 }
 
+fn record_silence(core: &RelayCore, target: &str, called_at: Instant, now: Instant) {
+    let mut link = core.link.borrow_mut();
+    link.record_silence(target, called_at, now);
+    if link.is_check_due(now) {
+        core.link_doubted.notify_one();
+    }
+}
+
 /// Returns true if this entry has reached a target since the given time, or reaches one now. What
 /// failed since then is a fault of a target only in this case.
 pub async fn is_link_sound(core: &RelayCore, since: Instant) -> bool {
--- a/crates/relay/src/run/send_once.rs
+++ b/crates/relay/src/run/send_once.rs
@@ -45,7 +45,7 @@
     let called_at = Instant::now();
     let answering = core.connections.call(pick.address, call);
     let may_repeat = draft.rule.repeat.may_repeat();
-    let result = await_answer(core, &pick.target, may_repeat, answering).await;
+    let result = await_answer(core, &pick.target, pick.address, may_repeat, answering).await;
     let fault = match result {
         Ok(mut reply) => {
             let mut link = core.link.borrow_mut();
--- a/crates/relay/src/shared/relay_core.rs
+++ b/crates/relay/src/shared/relay_core.rs
@@ -2,6 +2,7 @@
     crate::{
         RelaySettings,
         dialect::{CallerDialect, StoreDialect, TargetDialect},
+        link::TargetChecks,
         shared::{RelayMetrics, RelayPhase, boot_time},
         stage::BatchService,
         state::{FeedLag, StateView, StoreReplica},
@@ -105,6 +106,8 @@
     pub link: RefCell<TargetLink>,
     /// Wakes the task that checks the links to targets.
     pub link_doubted: Notify,
+    /// Checks of targets that have left calls without an answer.
+    pub target_checks: TargetChecks,
     /// Held while the links to targets are checked.
     pub link_checking: Mutex<()>,
     /// Numbers of running requests that were handed over, by the host of the other entry.
@@ -170,6 +173,7 @@
             version_history: RefCell::default(),
             link: RefCell::default(),
             link_doubted: Notify::new(),
+            target_checks: TargetChecks::default(),
             link_checking: Mutex::new(()),
             hop_counts: RefCell::default(),
             random: RefCell::new(ChaCha8Rng::seed_from_u64(incarnation)),
--- a/crates/relay/src/stage/batch_calls.rs
+++ b/crates/relay/src/stage/batch_calls.rs
@@ -145,7 +145,7 @@
         core.connections
             .call_and_read_body(address, call, CALL_TIMEOUT, MAX_ANSWER_BYTES);
     // A piece may be made again.
-    let answer = await_answer(core, target, true, answering).await;
+    let answer = await_answer(core, target, address, true, answering).await;
     if answer.is_ok() {
         core.link.borrow_mut().record_answer(Instant::now());
     }
--- a/crates/relay/src/stage/owner_link.rs
+++ b/crates/relay/src/stage/owner_link.rs
@@ -9,7 +9,7 @@
             frame_io::{read_frames, write_frames},
             shard_state::{InputsReadHook, JobOutcome, JobWaiter},
         },
-        target::configure_socket,
+        target::{PEER_PATIENCE, configure_socket},
     },
     piece::{StageJob, StageResult},
     route::{ServicePick, StreamOrigin},
@@ -179,7 +179,7 @@
     ) -> anyhow::Result<()> {
         let connect = TcpStream::connect(address);
         let stream = actix_rt::time::timeout(CONNECT_TIMEOUT, connect).await??;
-        configure_socket(&stream, log);
+        configure_socket(&stream, PEER_PATIENCE, log);
         let (reader, writer) = stream.into_split();
         tokio::select! {
             outcome = write_frames(writer, &seal, inbox) => outcome,
--- a/crates/relay/src/stage/peer_server.rs
+++ b/crates/relay/src/stage/peer_server.rs
@@ -10,7 +10,7 @@
             shard_owner::takes_jobs,
         },
         state::{FeedFrame, serve_feed},
-        target::configure_socket,
+        target::{PEER_PATIENCE, configure_socket},
     },
     actix_rt::task::JoinHandle,
     piece::PieceOutcome,
@@ -35,7 +35,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                configure_socket(&stream, &core.log);
+                configure_socket(&stream, PEER_PATIENCE, &core.log);
                 actix_rt::spawn(serve_peer(Rc::clone(&core), stream));
             }
             Err(error) => {
--- a/crates/relay/src/state/peer_feed.rs
+++ b/crates/relay/src/state/peer_feed.rs
@@ -4,7 +4,7 @@
         shared::RelayCore,
         stage::{PeerMessage, read_frames, write_frames},
         state::{FeedFrame, StoreReplica, feed_server::ALIVE_INTERVAL, store_reader::publish_view},
-        target::configure_socket,
+        target::{PEER_PATIENCE, configure_socket},
     },
     board::store_checkers,
     slog::{debug, info},
@@ -72,7 +72,7 @@
 async fn receive_feed(core: &Rc<RelayCore>, source: &FeedSource) -> anyhow::Result<()> {
     let connect = TcpStream::connect(source.address);
     let stream = actix_rt::time::timeout(CONNECT_TIMEOUT, connect).await??;
-    configure_socket(&stream, &core.log);
+    configure_socket(&stream, PEER_PATIENCE, &core.log);
     let (reader, writer) = stream.into_split();
     let (outbox, inbox) = mpsc::unbounded_channel();
     let position = core.replica.borrow().position();
--- a/crates/relay/src/target/connection_pool.rs
+++ b/crates/relay/src/target/connection_pool.rs
@@ -2,7 +2,7 @@
     crate::{
         dialect::{HeaderList, WireCall},
         target::{
-            CallFault, CallReply, configure_socket,
+            CallFault, CallReply, TARGET_PATIENCE, configure_socket,
             hop_headers::{end_to_end_headers, is_hop_header, keep_alive_timeout},
         },
     },
@@ -226,7 +226,7 @@
             Ok(Err(error)) => return Err(CallFault::NotSent(error.to_string())),
             Err(_) => return Err(CallFault::NotSent(String::from("connecting timed out"))),
         };
-        configure_socket(&stream, &self.log);
+        configure_socket(&stream, TARGET_PATIENCE, &self.log);
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
--- a/crates/relay/src/target/mod.rs
+++ b/crates/relay/src/target/mod.rs
@@ -9,5 +9,5 @@
     connection_pool::ConnectionPool,
     event_splitter::EventSplitter,
     hop_headers::{is_hop_header, keep_alive_timeout},
-    socket_setup::configure_socket,
+    socket_setup::{PEER_PATIENCE, TARGET_PATIENCE, configure_socket},
 };
