Give out the places at brittle targets, for all entries together

Callers saw: engines that say they are brittle fall over again and again under load, with all that runs on them. Cause: the header was not read, and every entry fills a target by what it knows of it, which together is more than it has room for. Class: a bound on the whole fleet kept by each of its parts, as with limits. Change: the owner of a target gives out its places, no more than it has slots, for as long as one of its service's targets says that it is brittle; a place comes back 50 ms after its call, or after 8 s if the entry is gone. A call that is turned away all the same pauses the target for a second and halves its places for five. The word travels, binds and ends as a limit does; a process that has said nothing yet counts as brittle if its service is, else all that waits is sent to it before its first answer.

--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -20,6 +20,9 @@
     queue_settings::QueueSettings,
     return_line::ReturnLine,
     stage_estimate::StageEstimate,
-    target::{LimitDesk, LimitNotice, LimitWord, TargetLimits, call_interval},
+    target::{
+        BrittleServices, LimitDesk, LimitNotice, LimitWord, RoomDesk, TargetLimits, TargetWord,
+        call_interval,
+    },
     waiting_call::{PoppedCall, QueuedCall, WaitingCall},
 };
--- a/crates/limit/src/target/limit_word.rs
+++ b/crates/limit/src/target/limit_word.rs
@@ -16,6 +16,24 @@
     Unreadable,
 }
 
+/// What a target says in an answer of the calls that it takes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct TargetWord {
+    /// Its limit.
+    pub limit: LimitWord,
+    /// True if it falls over when it has to turn away too many calls.
+    pub is_brittle: bool,
+}
+
+impl From<LimitWord> for TargetWord {
+    fn from(limit: LimitWord) -> Self {
+        Self {
+            limit,
+            is_brittle: false,
+        }
+    }
+}
+
 /// Returns the mean interval between calls for a limit in calls a second, at most 5 s: a limit of
 /// zero or less has that interval too. `None` if the limit is not a finite number.
 ///
--- a/crates/limit/src/target/target_limits.rs
+++ b/crates/limit/src/target/target_limits.rs
@@ -1,5 +1,5 @@
 use {
-    crate::LimitWord,
+    crate::{LimitWord, TargetWord},
     serde::{Deserialize, Serialize},
     std::{
         collections::BTreeMap,
@@ -21,6 +21,8 @@
     pub started_ms: u64,
     /// Mean interval between calls of all entries; `None` if the process names no limit any more.
     pub interval: Option<Duration>,
+    /// True if the process falls over when it has to turn away too many calls.
+    pub is_brittle: bool,
     /// Time since the answer.
     pub age: Duration,
 }
@@ -29,6 +31,7 @@
 struct LimitRow {
     started_ms: u64,
     interval: Option<Duration>,
+    is_brittle: bool,
     /// Time of the latest answer of the process.
     said_at: Instant,
     /// Time of the latest answer that is news for other entries.
@@ -62,30 +65,41 @@
     /// Returns true if other entries should be told.
     ///
     /// An answer without a limit ends the limit only if its call was sent after the limit was
-    /// named, since answers on different connections overtake each other.
+    /// named, since answers on different connections overtake each other; the same holds for being
+    /// brittle.
     pub fn record(
         &mut self,
         target: &str,
         started_ms: u64,
-        word: LimitWord,
+        word: impl Into<TargetWord>,
         called_at: Instant,
         now: Instant,
     ) -> bool {
         let known = self.rows.get(target);
         let known = known.filter(|row| row.started_ms == started_ms);
-        let interval = match word {
-            LimitWord::Unreadable => return false,
+        let TargetWord { limit, is_brittle } = word.into();
+        let known_interval = known.and_then(|row| row.interval);
+        let was_brittle = known.is_some_and(|row| row.is_brittle);
+        let interval = match limit {
+            LimitWord::Unreadable => known_interval,
             LimitWord::Every(interval) => Some(interval),
-            LimitWord::Unlimited => match known {
-                Some(row) if row.interval.is_some() && called_at >= row.said_at => None,
-                _ => return false,
-            },
+            LimitWord::Unlimited => None,
         };
-        let is_news = known.is_none_or(|row| is_change(row.interval, interval));
+        let ends_something =
+            (known_interval.is_some() && interval.is_none()) || (was_brittle && !is_brittle);
+        let is_overtaken = known.is_some_and(|row| called_at < row.said_at);
+        let says_nothing = interval.is_none() && !is_brittle && !ends_something;
+        let is_unreadable = limit == LimitWord::Unreadable && is_brittle == was_brittle;
+        if says_nothing || is_unreadable || (ends_something && is_overtaken) {
+            return false;
+        }
+        let is_news =
+            is_brittle != was_brittle || known.is_none_or(|row| is_change(row.interval, interval));
         let changed_at = known.map_or(now, |row| row.changed_at);
         let row = LimitRow {
             started_ms,
             interval,
+            is_brittle,
             said_at: now,
             changed_at: if is_news { now } else { changed_at },
         };
@@ -103,15 +117,23 @@
             return false;
         }
         let before = known.and_then(|row| row.interval);
+        let was_brittle = known.is_some_and(|row| row.is_brittle);
         let changed_at = known.map_or(said_at, |row| row.changed_at);
         let row = LimitRow {
             started_ms: notice.started_ms,
             interval: notice.interval,
+            is_brittle: notice.is_brittle,
             said_at,
             changed_at,
         };
         self.rows.insert(notice.target.clone(), row);
-        is_change(before, notice.interval)
+        was_brittle != notice.is_brittle || is_change(before, notice.interval)
+    }
+
+    /// Returns true if the target's process said last that it is brittle.
+    pub fn is_brittle(&self, target: &str, started_ms: u64) -> bool {
+        let row = self.rows.get(target);
+        row.is_some_and(|row| row.started_ms == started_ms && row.is_brittle)
     }
 
     /// Returns the mean interval between calls to the target's process; `None` if it names no limit.
@@ -147,6 +169,7 @@
         target: target.to_string(),
         started_ms: row.started_ms,
         interval: row.interval,
+        is_brittle: row.is_brittle,
         age: now.saturating_duration_since(row.said_at),
     }
 }
--- a/crates/relay/src/dialect/target_dialect.rs
+++ b/crates/relay/src/dialect/target_dialect.rs
@@ -1,6 +1,6 @@
 use {
     crate::dialect::{CallerHead, HeaderList, WireCall, WireFault},
-    limit::LimitWord,
+    limit::TargetWord,
     piece::{PieceOutcome, PieceWork, StageResult},
     route::TargetNotice,
     std::{net::SocketAddr, time::Duration},
@@ -52,8 +52,8 @@
     pub keep_alive: Option<Duration>,
     /// What the target says of itself.
     pub notice: TargetNotice,
-    /// What the target says of its limit.
-    pub limit: LimitWord,
+    /// What the target says of the calls that it takes.
+    pub word: TargetWord,
 }
 
 /// Translates between the HTTP messages of targets and the types of this crate: requests, pieces of
@@ -71,8 +71,8 @@
     /// Parses what a target says of itself in the head of any reply.
     fn read_notice(&self, status: u16, headers: &HeaderList) -> TargetNotice;
 
-    /// Parses what a target says of its limit in the head of any reply.
-    fn read_limit(&self, headers: &HeaderList) -> LimitWord;
+    /// Parses what a target says of the calls that it takes in the head of any reply.
+    fn read_word(&self, headers: &HeaderList) -> TargetWord;
 
     /// Returns the call that makes pieces of stages.
     fn write_pieces(&self, target: &str, work: &[PieceWork]) -> WireCall;
--- a/crates/relay/src/permit/permit_desk.rs
+++ b/crates/relay/src/permit/permit_desk.rs
@@ -25,6 +25,13 @@
     match subject {
         PermitSubject::Trial { parts, .. } => grant_trial(core, parts, now),
         PermitSubject::Call { notice } => grant_call(core, notice, now),
+        PermitSubject::Room { target, slots } => {
+            let taken = core.room_desk.borrow_mut().try_take(target, *slots, now);
+            taken.map_or_else(
+                |retry_in| PermitAnswer::Denied { retry_in },
+                |()| PermitAnswer::Granted,
+            )
+        }
     }
 }
 
--- a/crates/relay/src/permit/permit_frame.rs
+++ b/crates/relay/src/permit/permit_frame.rs
@@ -21,6 +21,13 @@
         /// What the target said last of its limit, as far as the asking entry knows.
         notice: LimitNotice,
     },
+    /// To have one call at a brittle target, until it is released.
+    Room {
+        /// Id of the target.
+        target: String,
+        /// Number of calls that the target works on at the same time.
+        slots: u32,
+    },
 }
 
 impl PermitSubject {
@@ -29,6 +36,7 @@
         match self {
             Self::Trial { part, .. } => format!("part/{}", part_name(*part)),
             Self::Call { notice } => format!("target/{}", notice.target),
+            Self::Room { target, .. } => format!("target/{target}"),
         }
     }
 }
@@ -63,4 +71,13 @@
         /// The answer.
         answer: PermitAnswer,
     },
+    /// Gives back a place at a brittle target; sent to the owner.
+    Release {
+        /// Id of the target.
+        target: String,
+        /// Time for which the place was taken.
+        held: Duration,
+        /// True if the target has turned the call away.
+        is_refused: bool,
+    },
 }
--- a/crates/relay/src/run/call_slot.rs
+++ b/crates/relay/src/run/call_slot.rs
@@ -1,5 +1,10 @@
 use {
-    crate::{place::RemotePlace, run::crash_watch::CrashWatch, shared::RelayCore},
+    crate::{
+        permit::CallPass,
+        place::RemotePlace,
+        run::{crash_watch::CrashWatch, target_choice::ChosenTarget},
+        shared::RelayCore,
+    },
     plan::{ServiceId, SoftwareVersion},
     route::{PrefixKey, ServiceOutcome, ServicePick},
     std::{
@@ -20,6 +25,8 @@
     /// Place that the owner of the engine's group has given the request; `None` if this entry has
     /// chosen the target itself.
     place: Option<RemotePlace>,
+    /// Leave to send the call.
+    pub pass: CallPass,
     /// Watches whether the target crashes.
     pub watch: CrashWatch,
     /// Outcome that is recorded when the slot is dropped; cancelled until it is set.
@@ -27,17 +34,17 @@
 }
 
 impl CallSlot {
-    /// Takes a slot at the picked target. `prefixes` are the keys of the prompt's prefixes, each
+    /// Takes a slot at the chosen target. `prefixes` are the keys of the prompt's prefixes, each
     /// with the number of tokens in its last part.
     pub fn take(
         core: &Rc<RelayCore>,
         service: &str,
-        pick: ServicePick,
-        place: Option<RemotePlace>,
+        chosen: ChosenTarget,
         prefixes: &[(PrefixKey, u32)],
         watch: CrashWatch,
     ) -> Self {
         let now = Instant::now();
+        let ChosenTarget { pick, place, pass } = chosen;
         if let Some(pool) = core.pools.borrow_mut().get_mut(service) {
             pool.record_start(&pick, prefixes, now);
         }
@@ -48,6 +55,7 @@
             started: now,
             has_first_event: false,
             place,
+            pass,
             watch,
             outcome: ServiceOutcome::Cancelled,
         }
--- a/crates/relay/src/run/relay_run.rs
+++ b/crates/relay/src/run/relay_run.rs
@@ -98,15 +98,15 @@
     pub async fn take_slot(&mut self) -> Result<(CallSlot, ServicePick), RelayRefusal> {
         let gate = pass_part_gate(&self.core, &self.draft).await;
         let is_trial = gate.map_err(|refusal| self.with_verdict(refusal))?;
-        let (pick, place) = self.choose_target().await?;
+        let chosen = self.choose_target().await?;
+        let pick = chosen.pick.clone();
         self.draft.limited_place = None;
         let parts = self.draft.parts.clone();
         let watch = CrashWatch::new(&self.core, &pick, parts, is_trial);
         let slot = CallSlot::take(
             &self.core,
             &self.draft.service,
-            pick.clone(),
-            place,
+            chosen,
             &self.draft.prefixes,
             watch,
         );
--- a/crates/relay/src/run/send_once.rs
+++ b/crates/relay/src/run/send_once.rs
@@ -62,7 +62,7 @@
             reply.set_idle_timeout(reply_head.keep_alive);
             core.record_notice(&pick.target, reply_head.notice, Instant::now());
             if reply_head.outcome != ReplyOutcome::Misdirected {
-                core.record_limit(&pick.target, reply_head.limit, called_at);
+                core.record_limit(&pick.target, reply_head.word, called_at);
             }
             match reply_head.outcome {
                 ReplyOutcome::Ran => return Ok(reply),
@@ -81,6 +81,9 @@
         }
     };
     slot.set_outcome(fault_outcome(fault));
+    if fault == SendFault::Refused {
+        slot.pass.set_refused();
+    }
     if fault == SendFault::Lost {
         slot.watch.check_crash(draft);
     }
--- a/crates/relay/src/run/target_choice.rs
+++ b/crates/relay/src/run/target_choice.rs
@@ -2,7 +2,7 @@
     crate::{
         dialect::RelayRefusal,
         filters::stale_keys_refusal,
-        permit::pass_limit,
+        permit::{CallPass, pass_limit},
         place::{PlaceQuestion, RemotePlace, ask_place, prompt_group},
         run::relay_run::{RETRY_DELAY, RelayRun},
     },
@@ -18,13 +18,20 @@
 /// Maximum number of targets that are chosen for a send if their limits leave it no call.
 const MAX_LIMITED_CHOICES: usize = 6;
 
+/// The target for one send of a request.
+pub struct ChosenTarget {
+    pub pick: ServicePick,
+    /// Place that the owner of the engine's group has given the request, if it has.
+    pub place: Option<RemotePlace>,
+    /// Leave to send the call.
+    pub pass: CallPass,
+}
+
 /// The choice of a target for the next send of a request.
 impl RelayRun {
     /// Chooses a target that takes a call now. Refuses the request if there is none, or if it has a
     /// key and the keys in force were not confirmed recently enough.
-    pub(super) async fn choose_target(
-        &self,
-    ) -> Result<(ServicePick, Option<RemotePlace>), RelayRefusal> {
+    pub(super) async fn choose_target(&self) -> Result<ChosenTarget, RelayRefusal> {
         for _ in 0..MAX_LIMITED_CHOICES {
             let placed = self.ask_place().await;
             self.check_keys()?;
@@ -38,9 +45,9 @@
                 continue;
             };
             // A target that is turned away is not chosen again for a while.
-            if pass_limit(&self.core, &pick.target).await {
+            if let Some(pass) = pass_limit(&self.core, &pick.target).await {
                 self.check_keys()?;
-                return Ok((pick, place));
+                return Ok(ChosenTarget { pick, place, pass });
             }
         }
         let service = &self.draft.service;
--- a/crates/relay/src/shared/core_limits.rs
+++ b/crates/relay/src/shared/core_limits.rs
@@ -1,6 +1,6 @@
 use {
     crate::shared::{LimitedPlace, RelayCore},
-    limit::{LimitNotice, LimitWord},
+    limit::{LimitNotice, LimitWord, TargetWord},
     slog::{info, warn},
     std::time::{Duration, Instant},
 };
@@ -9,11 +9,15 @@
 impl RelayCore {
     /// Records what a target said of its limit in the answer to a call that was sent at
     /// `called_at`, and tells the other entries if that is news.
-    pub fn record_limit(&self, target: &str, word: LimitWord, called_at: Instant) {
-        if word == LimitWord::Unreadable {
+    pub fn record_limit(&self, target: &str, word: TargetWord, called_at: Instant) {
+        if word.limit == LimitWord::Unreadable {
             warn!(self.log, "limit of a target could not be read"; "target" => target);
         }
         let now = Instant::now();
+        if let Some(row) = self.state.borrow().targets.get(target) {
+            let mut services = self.brittle_services.borrow_mut();
+            services.record(&row.service, word.is_brittle, called_at, now);
+        }
         let started_ms = self.started_ms(target);
         let mut limits = self.limits.borrow_mut();
         if !limits.record(target, started_ms, word, called_at, now) {
@@ -22,7 +26,8 @@
         let interval = limits.interval(target, started_ms);
         drop(limits);
         info!(self.log, "target named its limit"; "target" => target,
-            "interval_ms" => interval.map(|interval| interval.as_millis() as u64));
+            "interval_ms" => interval.map(|interval| interval.as_millis() as u64),
+            "brittle" => word.is_brittle);
         self.metrics.target_limits.inc();
         self.hold_target(target, None);
         self.limit_news.notify_one();
@@ -32,11 +37,20 @@
     pub fn merge_limits(&self, notices: &[LimitNotice]) {
         let now = Instant::now();
         for notice in notices {
+            let state = self.state.borrow();
+            if let Some(row) = state.targets.get(&notice.target)
+                && notice.is_brittle
+            {
+                let mut services = self.brittle_services.borrow_mut();
+                services.record(&row.service, true, now, now);
+            }
+            drop(state);
             if self.limits.borrow_mut().merge(notice, now) {
                 // The time for which the target was held goes by what it said before.
                 self.hold_target(&notice.target, None);
                 info!(self.log, "peer told the limit of a target"; "target" => &notice.target,
-                    "interval_ms" => notice.interval.map(|interval| interval.as_millis() as u64));
+                    "interval_ms" => notice.interval.map(|interval| interval.as_millis() as u64),
+                    "brittle" => notice.is_brittle);
             }
         }
     }
@@ -52,6 +66,17 @@
         notice.filter(|notice| notice.interval.is_some())
     }
 
+    /// Returns the number of slots of the target that is listed under this id if it is brittle.
+    pub fn brittle_slots(&self, target: &str) -> Option<u32> {
+        let state = self.state.borrow();
+        let row = state.targets.get(target)?;
+        let limits = self.limits.borrow();
+        let services = self.brittle_services.borrow();
+        let is_brittle = limits.is_brittle(target, row.started_ms)
+            || services.is_brittle(&row.service, Instant::now());
+        is_brittle.then_some(row.slots.max(1))
+    }
+
     /// Returns the intervals between calls of the targets of a service that take calls now; `None`
     /// if one of them names no limit.
     pub fn service_limits(&self, service: &str, now: Instant) -> Option<Vec<Duration>> {
--- a/crates/relay/src/shared/relay_core.rs
+++ b/crates/relay/src/shared/relay_core.rs
@@ -9,7 +9,7 @@
         target::ConnectionPool,
     },
     board::{CrashReport, GossipSettings, HostRecord, HostTable},
-    limit::{LimitDesk, ReturnLine, TargetLimits},
+    limit::{BrittleServices, LimitDesk, ReturnLine, RoomDesk, TargetLimits},
     plan::{FleetPlan, ServiceId, StorePosition},
     rand::SeedableRng,
     rand_chacha::ChaCha8Rng,
@@ -74,6 +74,10 @@
     pub limits: RefCell<TargetLimits>,
     /// Calls to limited targets that this entry gives out to all entries.
     pub limit_desk: RefCell<LimitDesk>,
+    /// Services whose targets are brittle.
+    pub brittle_services: RefCell<BrittleServices>,
+    /// Places at brittle targets that this entry gives out to all entries.
+    pub room_desk: RefCell<RoomDesk>,
     /// Numbers of requests that are admitted for a service all of whose targets are limited, and
     /// not sent yet.
     pub limited_places: RefCell<HashMap<ServiceId, Rc<Cell<usize>>>>,
@@ -158,6 +162,8 @@
             notices: RefCell::default(),
             limits: RefCell::default(),
             limit_desk: RefCell::default(),
+            brittle_services: RefCell::default(),
+            room_desk: RefCell::default(),
             limited_places: RefCell::default(),
             limit_news: Notify::new(),
             pools: RefCell::default(),
--- a/crates/relay/src/stage/batch_calls.rs
+++ b/crates/relay/src/stage/batch_calls.rs
@@ -98,8 +98,8 @@
                 Ok((status, headers, _)) => {
                     let notice = core.dialects.target.read_notice(status, &headers);
                     core.record_notice(&target, notice, Instant::now());
-                    let limit = core.dialects.target.read_limit(&headers);
-                    core.record_limit(&target, limit, called_at);
+                    let word = core.dialects.target.read_word(&headers);
+                    core.record_limit(&target, word, called_at);
                     if let Some(state) =
                         core.batch_service.shard_states.borrow_mut().get_mut(&shard)
                     {
@@ -128,15 +128,14 @@
 }
 
 async fn call_target(
-    core: &RelayCore,
+    core: &Rc<RelayCore>,
     target: &str,
     work: &[PieceWork],
 ) -> Result<Vec<PieceOutcome>, PieceCallFault> {
     let address = core.batch_service.addresses.borrow().get(target).copied();
     let address = address.ok_or(PieceCallFault::Unsent)?;
-    if !pass_limit(core, target).await {
-        return Err(PieceCallFault::Unsent);
-    }
+    let pass = pass_limit(core, target).await;
+    let mut pass = pass.ok_or(PieceCallFault::Unsent)?;
     let called_at = Instant::now();
     let call = core.dialects.target.write_pieces(target, work);
     core.metrics.piece_calls.inc();
@@ -159,10 +158,11 @@
     let notice = core.dialects.target.read_notice(status, &headers);
     core.record_notice(target, notice, Instant::now());
     if status != MISDIRECTED_STATUS {
-        let limit = core.dialects.target.read_limit(&headers);
-        core.record_limit(target, limit, called_at);
+        let word = core.dialects.target.read_word(&headers);
+        core.record_limit(target, word, called_at);
     }
     if status != 200 {
+        pass.set_refused();
         return Err(PieceCallFault::Refused);
     }
     let outcomes = core.dialects.target.read_pieces(&body, work.len());
--- a/crates/relay/src/stage/peer_server.rs
+++ b/crates/relay/src/stage/peer_server.rs
@@ -97,6 +97,14 @@
             // The peer may be gone, and the permit with it.
             let _ = outbox.send(PeerMessage::Permit(PermitFrame::Answer { number, answer }));
         }
+        PeerMessage::Permit(PermitFrame::Release {
+            target,
+            held,
+            is_refused,
+        }) => {
+            let mut desk = core.room_desk.borrow_mut();
+            desk.release(&target, held, is_refused, Instant::now());
+        }
         PeerMessage::Origin(OriginFrame::Tell(origin)) => {
             core.origins.borrow_mut().record(&origin, Instant::now());
         }
