Have a few hosts remember where streams began in large fleets

Any of hundreds of hosts remembered some streams, so each entry kept a connection, with its keepalive probes, to each other one. Now the sixteen to which all have connections in any case do, and all hosts of a small fleet as before.

--- a/crates/board/src/host_table.rs
+++ b/crates/board/src/host_table.rs
@@ -158,6 +158,14 @@
         largest_hosts(hosts).into_iter()
     }
 
+    /// Returns the records of the other live hosts that remember things for all entries: in a large
+    /// fleet the few to which all entries have connections in any case. Unlike owners, they need not
+    /// be settled or reach targets.
+    pub fn holder_hosts(&self, now: Instant) -> impl Iterator<Item = &HostRecord> {
+        let rows = self.owner_hosts(now).filter_map(|host| self.rows.get(host));
+        rows.map(|row| &row.record)
+    }
+
     /// Returns the latest version of the configuration that a live peer has in force; 0 if none.
     pub fn latest_peer_plan(&self, now: Instant) -> u64 {
         let versions = self.live_peers(now).map(|record| record.plan_version);
--- a/crates/relay/src/origin/tell_origin.rs
+++ b/crates/relay/src/origin/tell_origin.rs
@@ -57,8 +57,7 @@
 ) -> Vec<Rc<OwnerLink>> {
     let hosts = core.hosts.borrow();
     let key = format!("stream/{attempt:016x}");
-    let staying = hosts.live_peers(now).filter(|record| !record.leaving);
-    let ranked = rank_holders(&key, staying);
+    let ranked = rank_holders(&key, hosts.holder_hosts(now));
     let links = ranked.into_iter();
     let links = links.filter_map(|record| core.batch_service.peer_link(core, &record.host, now));
     links.take(max_links).collect()
