Prove which process goes on with a stream

Cause: the version belongs to the process, and the list of targets may be behind one that came back under its id and address with other software; X-Expect-Instance names the id only. Change: a stream that is bound goes on only at a target that states the listed start time on a new connection, asked while its answer comes in; the same is asked at the first event if a connection to the target was lost since it was listed. If the list names another version while a stream runs, the stream is bound to none and the entries that remember it are told.

--- a/crates/relay/src/dialect/target_dialect.rs
+++ b/crates/relay/src/dialect/target_dialect.rs
@@ -65,6 +65,10 @@
     /// Returns a call that any target answers at once, whether it has room or not.
     fn write_check(&self) -> WireCall;
 
+    /// Parses the start time of a target's process, in milliseconds since the Unix epoch, from the
+    /// answer to a check; `None` if the answer does not state it.
+    fn read_start(&self, body: &[u8]) -> Option<u64>;
+
     /// Parses the head of a reply to the request with this id.
     fn read_reply(&self, request_id: &str, status: u16, headers: &HeaderList) -> ReplyHead;
 
--- a/crates/relay/src/link/link_check.rs
+++ b/crates/relay/src/link/link_check.rs
@@ -120,10 +120,10 @@
     };
     let checks = addresses.iter().map(|address| {
         let call = core.dialects.target.write_check();
-        core.connections.is_answered(*address, call, CHECK_TIMEOUT)
+        core.connections.check(*address, call, CHECK_TIMEOUT)
     });
     let answers = join_all(checks).await;
-    let reached = answers.iter().filter(|is_answered| **is_answered).count();
+    let reached = answers.iter().filter(|answer| answer.is_some()).count();
     let now = Instant::now();
     let change = core
         .link
--- a/crates/relay/src/link/target_check.rs
+++ b/crates/relay/src/link/target_check.rs
@@ -38,8 +38,8 @@
         }
         self.set(target, started, None);
         let call = core.dialects.target.write_check();
-        let answering = core.connections.is_answered(address, call, CHECK_TIMEOUT);
-        let is_answered = answering.await || !super::is_link_sound(core, started).await;
+        let answering = core.connections.check(address, call, CHECK_TIMEOUT);
+        let is_answered = answering.await.is_some() || !super::is_link_sound(core, started).await;
         core.metrics.link_checks.inc();
         self.set(target, started, Some(is_answered));
         !is_answered
--- a/crates/relay/src/origin/mod.rs
+++ b/crates/relay/src/origin/mod.rs
@@ -2,8 +2,9 @@
 mod find_origin;
 mod origin_frame;
 mod tell_origin;
+mod verify_process;
 
 pub use {
     bind_resumption::bind_resumption, find_origin::find_draft_origin, origin_frame::OriginFrame,
-    tell_origin::tell_origin,
+    tell_origin::tell_origin, verify_process::verify_process,
 };
--- a/crates/relay/src/run/call_slot.rs
+++ b/crates/relay/src/run/call_slot.rs
@@ -1,5 +1,6 @@
 use {
     crate::{
+        origin::verify_process,
         permit::CallPass,
         place::RemotePlace,
         run::{crash_watch::CrashWatch, target_choice::ChosenTarget},
@@ -75,6 +76,28 @@
         version.filter(|version| version == listed)
     }
 
+    /// Returns true if the list of targets has another version for the target by now. One that is no
+    /// longer listed may still run.
+    pub fn is_replaced(&self) -> bool {
+        let pools = self.core.pools.borrow();
+        let pool = pools.get(&self.service);
+        let pool = pool.filter(|pool| pool.is_listed(&self.pick.target));
+        pool.is_some_and(|pool| pool.version(&self.pick.target) != self.pick.version.as_deref())
+    }
+
+    /// Returns the version of the target's software once it is certain which process has answered.
+    pub async fn proven_version(&self) -> Option<SoftwareVersion> {
+        let is_doubtful = {
+            let pools = self.core.pools.borrow();
+            let pool = pools.get(&self.service);
+            pool.is_none_or(|pool| pool.is_doubtful(&self.pick.target))
+        };
+        if is_doubtful && !verify_process(&self.core, &self.pick).await {
+            return None;
+        }
+        self.version()
+    }
+
     /// Returns the number of prompt tokens that the target is expected to read.
     pub fn unread_tokens(&self) -> u32 {
         self.pick.unread_tokens
--- a/crates/relay/src/run/mod.rs
+++ b/crates/relay/src/run/mod.rs
@@ -9,5 +9,6 @@
 mod send_once;
 mod stream_pump;
 mod target_choice;
+mod version_bond;
 
 pub use {part_gate::held_refusal, relay_run::RelayRun, run_request::run_request};
--- a/crates/relay/src/run/send_next.rs
+++ b/crates/relay/src/run/send_next.rs
@@ -3,9 +3,10 @@
         dialect::RelayRefusal,
         hop::{HopSlot, send_hop, until_hop},
         link::is_link_sound,
-        origin::find_draft_origin,
+        origin::{find_draft_origin, verify_process},
         run::{
             answer_source::AnswerSource,
+            call_slot::CallSlot,
             relay_run::{RETRY_DELAY, RelayRun},
             send_once::send_once,
         },
@@ -13,7 +14,7 @@
     },
     base::FailureReason,
     retry::SendFault,
-    route::{ServiceOutcome, VersionRule},
+    route::{ServiceOutcome, ServicePick, VersionRule},
     std::{future::Future, rc::Rc, time::Instant},
 };
 
@@ -82,7 +83,19 @@
     if result.is_err() {
         slot.set_outcome(ServiceOutcome::Failed);
     }
-    Ok(send_end(result?, AnswerSource::Target(Box::new(slot))))
+    let mut result = result?;
+    let is_bound = run.draft.versions != VersionRule::Any;
+    if is_bound && result.is_ok() && !is_listed_version(run, &slot, &pick).await {
+        slot.set_outcome(ServiceOutcome::Cancelled);
+        result = Err(SendFault::Garbled);
+    }
+    Ok(send_end(result, AnswerSource::Target(Box::new(slot))))
+}
+
+/// Returns true if the target that goes on with a stream is at the version that began it, and not a
+/// process of which the list of targets does not know yet.
+async fn is_listed_version(run: &RelayRun, slot: &CallSlot, pick: &ServicePick) -> bool {
+    verify_process(&run.core, pick).await && run.draft.versions.accepts(slot.version().as_deref())
 }
 
 /// Runs the stages of a request unless it has to be handed over meanwhile.
--- a/crates/relay/src/run/stream_pump.rs
+++ b/crates/relay/src/run/stream_pump.rs
@@ -2,7 +2,6 @@
     crate::{
         caller::{AnswerBody, BodyCut, build_reply},
         dialect::RelayRefusal,
-        origin::tell_origin,
         run::{
             answer_source::AnswerSource,
             pump_stop::{PumpStop, unless_stopped},
@@ -10,13 +9,14 @@
             run_request::{log_answer, record_completion},
             send_next::{SendAnswer, send_next},
             send_once::fault_outcome,
+            version_bond::{bind_version, check_version},
         },
         target::{CallReply, EventSplitter},
     },
     bytes::Bytes,
     plan::RepeatRule,
     retry::SendFault,
-    route::{ServiceOutcome, VersionRule},
+    route::ServiceOutcome,
     setup::HttpReply,
     slog::{debug, info},
     tokio::sync::mpsc,
@@ -77,7 +77,7 @@
             Err(_) => return Err(pump.run.deadline_refusal(true)),
         };
         if matches!(first_read, StreamRead::Events(_)) {
-            pump.bind_version();
+            bind_version(&mut pump.run, &pump.source).await;
         }
         let core = pump.run.core.clone();
         let elapsed = pump.run.draft.arrived.elapsed();
@@ -102,19 +102,6 @@
         }
     }
 
-    /// From its first event on, the stream goes on only at the version that brought it.
-    fn bind_version(&mut self) {
-        let draft = &mut self.run.draft;
-        if draft.rule.repeat != RepeatRule::Resumable {
-            return;
-        }
-        let version = self.source.version();
-        draft.versions = VersionRule::begun_at(version.clone());
-        if let Some(version) = version {
-            tell_origin(&self.run.core, draft, version);
-        }
-    }
-
     /// Forwards the stream to its end, until the caller leaves or until the deadline.
     async fn forward(
         mut self,
@@ -259,6 +246,7 @@
         match read {
             StreamRead::Events(_) => {
                 self.has_events = true;
+                check_version(&mut self.run, &self.source);
                 self.source.record_event();
             }
             StreamRead::End => self.source.record_end(self.reply.ends_with_connection),
--- /dev/null
+++ b/crates/relay/src/run/version_bond.rs
@@ -0,0 +1,43 @@
+use {
+    crate::{
+        origin::tell_origin,
+        run::{answer_source::AnswerSource, relay_run::RelayRun},
+    },
+    plan::RepeatRule,
+    route::VersionRule,
+    slog::info,
+};
+
+/// Binds a stream whose first event has arrived to the version that brought it, and has other entries
+/// remember it.
+pub async fn bind_version(run: &mut RelayRun, source: &AnswerSource) {
+    if run.draft.rule.repeat != RepeatRule::Resumable {
+        return;
+    }
+    let version = match source.slot() {
+        Some(slot) => slot.proven_version().await,
+        // The entry that calls the target binds and tells it.
+        None => None,
+    };
+    run.draft.versions = VersionRule::begun_at(version.clone());
+    if let Some(version) = version {
+        tell_origin(&run.core, &run.draft, version);
+    }
+}
+
+/// Binds a stream to no version any more if the list of targets names another process by now: the
+/// one that answers may be either.
+pub fn check_version(run: &mut RelayRun, source: &AnswerSource) {
+    let VersionRule::Only(bound) = &run.draft.versions else {
+        return;
+    };
+    let slot = source.slot().filter(|slot| slot.is_replaced());
+    let Some(slot) = slot else {
+        return;
+    };
+    info!(run.core.log, "version of a stream is in doubt";
+        "request" => &run.draft.head.request_id, "bound" => bound, "target" => slot.target());
+    // Two versions for one stream stand for an unknown one.
+    tell_origin(&run.core, &run.draft, format!("not {bound}"));
+    run.draft.versions = VersionRule::Nowhere;
+}
--- a/crates/relay/src/target/connection_pool.rs
+++ b/crates/relay/src/target/connection_pool.rs
@@ -38,6 +38,8 @@
 const READY_TIMEOUT: Duration = Duration::from_millis(200);
 /// Longest head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Longest body of the answer to a check, in bytes.
+const MAX_CHECK_BYTES: usize = 64 * 1024;
 /// Maximum number of idle connections to one address.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
@@ -117,21 +119,25 @@
         result.unwrap_or(Err(CallFault::TimedOut))
     }
 
-    /// Returns true if the address answers a call on a new connection within the time limit, with
-    /// whatever status.
-    pub async fn is_answered(
+    /// Sends a call on a new connection and returns the body of its answer, whatever its status;
+    /// `None` if there is none within the time limit.
+    pub async fn check(
         self: &Rc<Self>,
         address: SocketAddr,
         call: WireCall,
         time_limit: Duration,
-    ) -> bool {
+    ) -> Option<Bytes> {
         let exchange = async {
             let request = build_request(address, call).ok()?;
             let connection = self.connect(address).await.ok()?;
-            self.send(connection, request).await.ok()
+            let mut reply = self.send(connection, request).await.ok()?;
+            let body = reply.read_body(MAX_CHECK_BYTES).await;
+            // The connection is not kept: checks are rare.
+            reply.close();
+            body.ok()
         };
         let answer = actix_rt::time::timeout(time_limit, exchange).await;
-        matches!(answer, Ok(Some(_)))
+        answer.ok().flatten()
     }
 
     /// Keeps a connection for later calls; its last answer was read to its end.
--- a/crates/route/src/service_pool.rs
+++ b/crates/route/src/service_pool.rs
@@ -108,6 +108,25 @@
         self.targets.get(target)?.version.as_deref()
     }
 
+    /// True if the target is listed.
+    pub fn is_listed(&self, target: &str) -> bool {
+        self.targets.contains_key(target)
+    }
+
+    /// True if the process that is listed for a target may be gone and replaced by another one.
+    pub fn is_doubtful(&self, target: &str) -> bool {
+        let target = self.targets.get(target);
+        target.is_none_or(|target| target.is_doubtful)
+    }
+
+    /// Records that the process with this start time is the one that runs at the target.
+    pub fn confirm_process(&mut self, target: &str, started_ms: u64) {
+        let target = self.targets.get_mut(target);
+        if let Some(target) = target.filter(|target| target.started_ms == started_ms) {
+            target.is_doubtful = false;
+        }
+    }
+
     /// True if a target at which the request may run, by its version, takes calls now.
     pub fn has_version(&self, versions: &VersionRule, now: Instant) -> bool {
         let mut accepting = self.targets.values();
