Have peers' reports of crashes cast doubt on the listed process at once

Change: a crash that a peer reports marks the target's process as doubtful, so that the next stream there asks when it started; the report goes out in a round of its own, not with the next one.

--- a/crates/relay/src/shared/relay_core.rs
+++ b/crates/relay/src/shared/relay_core.rs
@@ -21,7 +21,7 @@
     slog::Logger,
     std::{
         cell::{Cell, RefCell},
-        collections::HashMap,
+        collections::{HashMap, VecDeque},
         rc::Rc,
         sync::Arc,
         time::{Duration, Instant},
@@ -120,6 +120,10 @@
     pub phase: Cell<RelayPhase>,
     /// Number of requests whose answer has not been passed on whole.
     pub running_requests: Cell<usize>,
+    /// Has the next round of gossip sent at once, since this entry saw a crash.
+    pub crash_news: Notify,
+    /// Crashes that peers have reported, oldest first, with the host of each report.
+    pub(super) seen_crashes: RefCell<VecDeque<(String, CrashReport)>>,
     /// Crashes that this entry saw itself, oldest first, with the time of each.
     pub(super) recent_crashes: RefCell<Vec<(CrashReport, Instant)>>,
 }
@@ -185,6 +189,8 @@
             random: RefCell::new(ChaCha8Rng::seed_from_u64(incarnation)),
             phase: Cell::new(RelayPhase::Starting),
             running_requests: Cell::new(0),
+            crash_news: Notify::new(),
+            seen_crashes: RefCell::default(),
             recent_crashes: RefCell::default(),
         })
     }
--- a/crates/route/src/service_pool.rs
+++ b/crates/route/src/service_pool.rs
@@ -119,6 +119,14 @@
         target.is_none_or(|target| target.is_doubtful)
     }
 
+    /// Records that the listed processes of the targets for which `is_meant` is true may be gone.
+    pub fn doubt_process(&mut self, is_meant: impl Fn(&str) -> bool) {
+        let targets = self.targets.iter_mut();
+        for (_, target) in targets.filter(|(id, _)| is_meant(id)) {
+            target.is_doubtful = true;
+        }
+    }
+
     /// Records that the process with this start time is the one that runs at the target.
     pub fn confirm_process(&mut self, target: &str, started_ms: u64) {
         let target = self.targets.get_mut(target);
