Give up calls for lost links only where another entry can take them over

Cause in the product: calls were given up for lost links without asking whether anyone else could make them; a target that resets a check, as a full one does, counted as silent. Change: a call is given up for lost links only if it was not handed over and an entry that reaches targets is known; only a check without any answer in a second, not a refused one, shows a silent target; a check that took twice its time-out shows nothing, since the process stood still.

--- a/crates/relay/src/hop/hop_slot.rs
+++ b/crates/relay/src/hop/hop_slot.rs
@@ -74,6 +74,11 @@
     }
 }
 
+/// Returns true if this entry has no links to targets and there is an entry to hand requests over to.
+pub fn must_hand_over(core: &RelayCore) -> bool {
+    choose_hop(core, false, &[]).is_some()
+}
+
 fn choose_hop(core: &RelayCore, is_hop: bool, tried: &[String]) -> Option<(String, SocketAddr)> {
     if is_hop || !core.link.borrow().is_lost() {
         return None;
--- a/crates/relay/src/link/link_check.rs
+++ b/crates/relay/src/link/link_check.rs
@@ -1,5 +1,9 @@
 use {
-    crate::{shared::RelayCore, target::CallFault},
+    crate::{
+        hop::must_hand_over,
+        shared::RelayCore,
+        target::{CallFault, CheckOutcome},
+    },
     futures_util::future::join_all,
     route::{LinkChange, pick_checks},
     slog::{info, warn},
@@ -13,13 +17,23 @@
 /// Maximum number of targets that are called in one check.
 const MAX_CHECKS: usize = 4;
 /// Time within which a checked target must answer.
-pub(super) const CHECK_TIMEOUT: Duration = Duration::from_millis(600);
+const CHECK_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Time without an answer after which a target counts as silent.
 const SILENCE_TIME: Duration = Duration::from_millis(1_000);
 /// Interval of checks whether a target is silent.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Whether a call may be made again if it has no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallRepeat {
+    Never,
+    /// By this entry, at another target.
+    Here,
+    /// Also by another entry.
+    Elsewhere,
+}
+
 /// Records that a call to a target failed, which may be a fault of this entry's own links.
 pub fn record_call_fault(core: &RelayCore, target: &str, fault: &CallFault) {
     match fault {
@@ -36,7 +50,7 @@
 }
 
 /// Waits for the answer to a call. If the call may be repeated, gives up once the target is silent to
-/// a check as well, or the links to all targets are lost, since the answer will not come.
+/// a check as well; if it may also be made by another entry, once the links to all targets are lost.
 ///
 /// The socket itself waits long, so that a sound target which falls silent for a second or two loses
 /// no call that may not be repeated.
@@ -44,7 +58,7 @@
     core: &RelayCore,
     target: &str,
     address: SocketAddr,
-    may_repeat: bool,
+    repeat: CallRepeat,
     answering: impl Future<Output = Result<T, CallFault>>,
 ) -> Result<T, CallFault> {
     let called_at = Instant::now();
@@ -59,14 +73,11 @@
         if is_long {
             record_silence(core, target, called_at, now);
         }
-        if !may_repeat {
+        if repeat == CallRepeat::Never {
             continue;
         }
-        let is_lost = {
-            let link = core.link.borrow();
-            link.is_lost() && !link.has_reached_since(called_at)
-        };
-        if is_lost {
+        let is_lost = !core.link.borrow().has_reached_since(called_at) && must_hand_over(core);
+        if is_lost && repeat == CallRepeat::Elsewhere {
             return Err(CallFault::Broken(String::from("links to targets lost")));
         }
         if is_long {
@@ -118,13 +129,19 @@
         let mut random = core.random.borrow_mut();
         pick_checks(&state.targets, is_wanted, MAX_CHECKS, &mut *random)
     };
+    let started = Instant::now();
     let checks = addresses.iter().map(|address| {
         let call = core.dialects.target.write_check();
         core.connections.check(*address, call, CHECK_TIMEOUT)
     });
     let answers = join_all(checks).await;
-    let reached = answers.iter().filter(|answer| answer.is_some()).count();
+    let is_answered = |answer: &&CheckOutcome| matches!(answer, CheckOutcome::Answered(_));
+    let reached = answers.iter().filter(is_answered).count();
     let now = Instant::now();
+    if now.saturating_duration_since(started) > CHECK_TIMEOUT * 2 {
+        // This process has stood still, so the answers may just not have been read.
+        return;
+    }
     let change = core
         .link
         .borrow_mut()
--- a/crates/relay/src/link/mod.rs
+++ b/crates/relay/src/link/mod.rs
@@ -2,9 +2,8 @@
 mod link_watch;
 mod target_check;
 
-use link_check::CHECK_TIMEOUT;
 pub use {
-    link_check::{await_answer, is_link_sound, record_call_fault},
+    link_check::{CallRepeat, await_answer, is_link_sound, record_call_fault},
     link_watch::watch_link,
     target_check::TargetChecks,
 };
--- a/crates/relay/src/origin/verify_process.rs
+++ b/crates/relay/src/origin/verify_process.rs
@@ -1,4 +1,9 @@
-use {crate::shared::RelayCore, route::ServicePick, slog::info, std::time::Duration};
+use {
+    crate::{shared::RelayCore, target::CheckOutcome},
+    route::ServicePick,
+    slog::info,
+    std::time::Duration,
+};
 
 /// Time within which a target must tell when its process started.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
@@ -11,7 +16,7 @@
 pub async fn verify_process(core: &RelayCore, pick: &ServicePick) -> bool {
     let call = core.dialects.target.write_check();
     let answering = core.connections.check(pick.address, call, ANSWER_TIMEOUT);
-    let Some(body) = answering.await else {
+    let CheckOutcome::Answered(body) = answering.await else {
         return false;
     };
     let stated = core.dialects.target.read_start(&body);
--- a/crates/relay/src/run/send_once.rs
+++ b/crates/relay/src/run/send_once.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         dialect::{ReplyOutcome, TargetRequest},
-        link::{await_answer, record_call_fault},
+        link::{CallRepeat, await_answer, record_call_fault},
         run::{call_slot::CallSlot, relay_run::RelayRun},
         target::{CallFault, CallReply},
     },
@@ -44,8 +44,12 @@
         .on_request(&draft.service, Instant::now());
     let called_at = Instant::now();
     let answering = core.connections.call(pick.address, call);
-    let may_repeat = draft.rule.repeat.may_repeat();
-    let result = await_answer(core, &pick.target, pick.address, may_repeat, answering).await;
+    let repeat = match (draft.rule.repeat.may_repeat(), draft.is_hop) {
+        (false, _) => CallRepeat::Never,
+        (true, true) => CallRepeat::Here,
+        (true, false) => CallRepeat::Elsewhere,
+    };
+    let result = await_answer(core, &pick.target, pick.address, repeat, answering).await;
     let fault = match result {
         Ok(mut reply) => {
             let mut link = core.link.borrow_mut();
--- a/crates/relay/src/stage/batch_calls.rs
+++ b/crates/relay/src/stage/batch_calls.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        link::{await_answer, record_call_fault},
+        link::{CallRepeat, await_answer, record_call_fault},
         permit::pass_limit,
         shared::RelayCore,
         stage::BatchService,
@@ -144,7 +144,7 @@
         core.connections
             .call_and_read_body(address, call, CALL_TIMEOUT, MAX_ANSWER_BYTES);
     // A piece may be made again.
-    let answer = await_answer(core, target, address, true, answering).await;
+    let answer = await_answer(core, target, address, CallRepeat::Elsewhere, answering).await;
     if answer.is_ok() {
         core.link.borrow_mut().record_answer(Instant::now());
     }
--- a/crates/relay/src/target/connection_pool.rs
+++ b/crates/relay/src/target/connection_pool.rs
@@ -38,8 +38,6 @@
 const READY_TIMEOUT: Duration = Duration::from_millis(200);
 /// Longest head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
-/// Longest body of the answer to a check, in bytes.
-const MAX_CHECK_BYTES: usize = 64 * 1024;
 /// Maximum number of idle connections to one address.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
@@ -119,27 +117,6 @@
         result.unwrap_or(Err(CallFault::TimedOut))
     }
 
-    /// Sends a call on a new connection and returns the body of its answer, whatever its status;
-    /// `None` if there is none within the time limit.
-    pub async fn check(
-        self: &Rc<Self>,
-        address: SocketAddr,
-        call: WireCall,
-        time_limit: Duration,
-    ) -> Option<Bytes> {
-        let exchange = async {
-            let request = build_request(address, call).ok()?;
-            let connection = self.connect(address).await.ok()?;
-            let mut reply = self.send(connection, request).await.ok()?;
-            let body = reply.read_body(MAX_CHECK_BYTES).await;
-            // The connection is not kept: checks are rare.
-            reply.close();
-            body.ok()
-        };
-        let answer = actix_rt::time::timeout(time_limit, exchange).await;
-        answer.ok().flatten()
-    }
-
     /// Keeps a connection for later calls; its last answer was read to its end.
     pub(super) fn return_to_pool(
         self: &Rc<Self>,
@@ -200,6 +177,14 @@
             Ok(Err(error)) => return Err(CallFault::NotSent(error.to_string())),
             Err(_) => return Err(CallFault::NotSent(String::from("connecting timed out"))),
         };
+        self.open(stream, address).await
+    }
+
+    pub(super) async fn open(
+        &self,
+        stream: TcpStream,
+        address: SocketAddr,
+    ) -> Result<PooledConnection, CallFault> {
         configure_socket(&stream, TARGET_PATIENCE, &self.log);
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
@@ -220,7 +205,7 @@
         })
     }
 
-    async fn send(
+    pub(super) async fn send(
         self: &Rc<Self>,
         mut connection: PooledConnection,
         request: Request<Full<Bytes>>,
@@ -262,14 +247,17 @@
 }
 
 /// Why a send got no head of an answer.
-enum SendFailure {
+pub(super) enum SendFailure {
     /// The connection was closed before anything was sent; holds the request.
     Unsent(Box<Request<Full<Bytes>>>),
     /// The call failed in another way, perhaps after the request was sent.
     Fault(CallFault),
 }
 
-fn build_request(address: SocketAddr, call: WireCall) -> Result<Request<Full<Bytes>>, CallFault> {
+pub(super) fn build_request(
+    address: SocketAddr,
+    call: WireCall,
+) -> Result<Request<Full<Bytes>>, CallFault> {
     let mut builder = Request::builder()
         .method(call.method.as_str())
         .uri(call.path.as_str());
--- a/crates/relay/src/target/mod.rs
+++ b/crates/relay/src/target/mod.rs
@@ -1,4 +1,5 @@
 mod call_reply;
+mod connection_check;
 mod connection_pool;
 mod event_splitter;
 mod hop_headers;
@@ -7,6 +8,7 @@
 
 pub use {
     call_reply::{CallFault, CallReply},
+    connection_check::CheckOutcome,
     connection_pool::ConnectionPool,
     event_splitter::EventSplitter,
     hop_headers::{is_hop_header, keep_alive_timeout},
