--- a/crates/relay/src/caller/auxiliary_server.rs
+++ b/crates/relay/src/caller/auxiliary_server.rs
@@ -54,7 +54,10 @@
 pub async fn answer_operator(core: Rc<RelayCore>, request: Request) -> HttpReply {
     match request.path() {
         METRICS_PATH => {
-            let dials = i64::try_from(core.connections.dial_count()).unwrap_or(i64::MAX);
+            let dials = i64::try_from(
+                core.connections.dial_count() + core.control_connections.dial_count(),
+            )
+            .unwrap_or(i64::MAX);
             core.metrics.dials.set(dials);
             text_reply(StatusCode::OK, core.metrics.encode_text())
         }
--- a/crates/relay/src/peer/gossip_loop.rs
+++ b/crates/relay/src/peer/gossip_loop.rs
@@ -80,6 +80,7 @@
     core.refresh_own_record(now);
     core.apply_peer_records(now);
     core.connections.close_expired(now);
+    core.control_connections.close_expired(now);
     let round = core.hosts.borrow_mut().next_round(now);
     let Some(bytes) = seal_shortened(seal, round.message) else {
         return;
--- a/crates/relay/src/shared/relay_core.rs
+++ b/crates/relay/src/shared/relay_core.rs
@@ -6,7 +6,7 @@
         shared::{RelayMetrics, RelayPhase, boot_time},
         stage::BatchService,
         state::{FeedLag, StateView, StoreReplica},
-        target::ConnectionPool,
+        target::{ConnectionPool, PEER_PATIENCE, TARGET_PATIENCE},
     },
     board::{CrashReport, GossipSettings, HostRecord, HostTable},
     limit::{BrittleServices, LimitDesk, ReturnLine, RoomDesk, TargetLimits},
@@ -55,7 +55,10 @@
     pub dialects: DialectSet,
     pub log: Logger,
     pub metrics: RelayMetrics,
+    /// Connections to targets.
     pub connections: Rc<ConnectionPool>,
+    /// Connections to the store and to other entries.
+    pub control_connections: Rc<ConnectionPool>,
     /// Configuration, targets and evidence that are in force.
     pub state: RefCell<StateView>,
     pub replica: RefCell<StoreReplica>,
@@ -152,7 +155,8 @@
         };
         Rc::new(Self {
             batch_service: BatchService::new(peer_key),
-            connections: ConnectionPool::new(log.clone()),
+            connections: ConnectionPool::new(TARGET_PATIENCE, log.clone()),
+            control_connections: ConnectionPool::new(PEER_PATIENCE, log.clone()),
             settings: RefCell::new(settings),
             dialects,
             log,
--- a/crates/relay/src/state/store_reader.rs
+++ b/crates/relay/src/state/store_reader.rs
@@ -138,7 +138,7 @@
     let store = core.settings.borrow().store;
     core.metrics.store_calls.inc();
     let exchange =
-        core.connections
+        core.control_connections
             .call_and_read_body(store, call, wait + timeout, MAX_ANSWER_BYTES);
     let (status, headers, body) = exchange.await.map_err(to_wire_fault)?;
     let era = dialect.read_era(&headers);
--- a/crates/relay/src/target/connection_pool.rs
+++ b/crates/relay/src/target/connection_pool.rs
@@ -2,7 +2,7 @@
     crate::{
         dialect::{HeaderList, WireCall},
         target::{
-            CallFault, CallReply, TARGET_PATIENCE, configure_socket,
+            CallFault, CallReply, configure_socket,
             hop_headers::{end_to_end_headers, is_hop_header, keep_alive_timeout},
             pooled_connection::{IdleConnection, PooledConnection},
         },
@@ -45,13 +45,15 @@
 pub struct ConnectionPool {
     idle: RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>,
     dial_count: Cell<u64>,
+    patience: Duration,
     log: Logger,
 }
 
 impl ConnectionPool {
-    /// Creates an empty pool.
-    pub fn new(log: Logger) -> Rc<Self> {
+    /// Creates an empty pool, whose connections wait for the time `patience` for an acknowledgement.
+    pub fn new(patience: Duration, log: Logger) -> Rc<Self> {
         Rc::new(Self {
+            patience,
             idle: RefCell::default(),
             dial_count: Cell::new(0),
             log,
@@ -185,7 +187,7 @@
         stream: TcpStream,
         address: SocketAddr,
     ) -> Result<PooledConnection, CallFault> {
-        configure_socket(&stream, TARGET_PATIENCE, &self.log);
+        configure_socket(&stream, self.patience, &self.log);
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
