Let hosts without links to targets go on checking the store

Those that watch the store for a large fleet were chosen among the hosts that can own shards, which leave out hosts without links to targets; but these reach the store, and a change of the watchers makes all followers begin anew.

--- a/crates/board/src/evidence_refresher.rs
+++ b/crates/board/src/evidence_refresher.rs
@@ -148,5 +148,9 @@
 /// assert_eq!(store_checkers(&hosts, std::time::Instant::now()), ["h1"]);
 /// ```
 pub fn store_checkers(hosts: &HostTable, now: Instant) -> Vec<&str> {
-    rank_hosts(CHECKER_RANK_KEY, hosts.owner_candidates(now), CHECKER_COUNT)
+    rank_hosts(
+        CHECKER_RANK_KEY,
+        hosts.checker_candidates(now),
+        CHECKER_COUNT,
+    )
 }
--- a/crates/board/src/host_table.rs
+++ b/crates/board/src/host_table.rs
@@ -139,8 +139,22 @@
     ///
     /// Hosts other than this one must also have a configuration in force.
     pub fn owner_candidates(&self, now: Instant) -> BTreeSet<&str> {
+        self.settled_hosts(now, |record| record.reaches_targets)
+    }
+
+    /// Returns the names of the hosts that can check the store for all: like
+    /// [`HostTable::owner_candidates`], but they need not reach targets.
+    pub fn checker_candidates(&self, now: Instant) -> BTreeSet<&str> {
+        self.settled_hosts(now, |_| true)
+    }
+
+    fn settled_hosts(
+        &self,
+        now: Instant,
+        is_suitable: impl Fn(&HostRecord) -> bool,
+    ) -> BTreeSet<&str> {
         let is_able =
-            |record: &HostRecord| !record.leaving && record.settled && record.reaches_targets;
+            |record: &HostRecord| !record.leaving && record.settled && is_suitable(record);
         let can_own = |record: &&HostRecord| is_able(record) && record.plan_version > 0;
         let mut hosts: Vec<&HostRecord> = self.live_peers(now).filter(can_own).collect();
         if is_able(&self.own) {
