Name what tuples and texts stood for in the new code

Change: an origin has no version once it is in doubt, a lease exists only for a place that was or may have been granted, and the pairs are types with named fields. No decision changes.

--- a/crates/relay/src/hop/hop_slot.rs
+++ b/crates/relay/src/hop/hop_slot.rs
@@ -15,9 +15,15 @@
 /// Dropping it ends the count of the request at the other entry.
 pub struct HopSlot {
     core: Rc<RelayCore>,
+    peer: HopPeer,
+    started: Instant,
+}
+
+/// An entry to which requests can be handed over.
+struct HopPeer {
     host: String,
+    /// Address at which it takes them over.
     address: SocketAddr,
-    started: Instant,
 }
 
 impl HopSlot {
@@ -25,28 +31,24 @@
     /// entry has links to targets, if the request was handed over before, or if no entry reaches
     /// targets.
     pub fn take(core: &Rc<RelayCore>, draft: &RelayDraft, tried: &[String]) -> Option<Self> {
-        let (host, address) = choose_hop(core, draft.is_hop, tried)?;
-        *core
-            .hop_counts
-            .borrow_mut()
-            .entry(host.clone())
-            .or_default() += 1;
+        let peer = choose_hop(core, draft.is_hop, tried)?;
+        let mut counts = core.hop_counts.borrow_mut();
+        *counts.entry(peer.host.clone()).or_default() += 1;
         Some(Self {
             core: Rc::clone(core),
-            host,
-            address,
+            peer,
             started: Instant::now(),
         })
     }
 
     /// Returns the name of the other host.
     pub fn host(&self) -> &str {
-        &self.host
+        &self.peer.host
     }
 
     /// Returns the address at which the other entry takes requests over.
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.peer.address
     }
 
     /// Returns the time since the request was handed over.
@@ -58,10 +60,10 @@
 impl Drop for HopSlot {
     fn drop(&mut self) {
         let mut counts = self.core.hop_counts.borrow_mut();
-        if let Some(count) = counts.get_mut(&self.host) {
+        if let Some(count) = counts.get_mut(&self.peer.host) {
             *count -= 1;
             if *count == 0 {
-                counts.remove(&self.host);
+                counts.remove(&self.peer.host);
             }
         }
     }
@@ -79,7 +81,7 @@
     choose_hop(core, false, &[]).is_some()
 }
 
-fn choose_hop(core: &RelayCore, is_hop: bool, tried: &[String]) -> Option<(String, SocketAddr)> {
+fn choose_hop(core: &RelayCore, is_hop: bool, tried: &[String]) -> Option<HopPeer> {
     if is_hop || !core.link.borrow().is_lost() {
         return None;
     }
@@ -91,5 +93,8 @@
     let open_requests = |host: &str| counts.get(host).copied().unwrap_or(0);
     let mut random = core.random.borrow_mut();
     let record = pick_hop(own_centre, others, open_requests, &mut *random)?;
-    Some((record.host.clone(), record.hops))
+    Some(HopPeer {
+        host: record.host.clone(),
+        address: record.hops,
+    })
 }
--- a/crates/relay/src/origin/bind_resumption.rs
+++ b/crates/relay/src/origin/bind_resumption.rs
@@ -6,7 +6,7 @@
         shared::RelayCore,
     },
     base::FailureReason,
-    plan::RepeatRule,
+    plan::{RepeatRule, SoftwareVersion},
     route::VersionRule,
     slog::info,
     std::time::{Duration, Instant},
@@ -29,10 +29,10 @@
     core.metrics.resumptions.inc();
     info!(core.log, "caller resumes stream"; "request" => &draft.head.request_id,
         "resumes" => &draft.head.resumes, "after" => &draft.head.last_event_id);
-    let (version, known_by) = find_version(core, draft).await?;
+    let known = find_version(core, draft).await?;
     info!(core.log, "stream bound to version"; "request" => &draft.head.request_id,
-        "version" => &version, "known_by" => known_by);
-    draft.versions = VersionRule::Only(version);
+        "version" => &known.version, "known_by" => known.known_by);
+    draft.versions = VersionRule::Only(known.version);
     let pools = core.pools.borrow();
     let pool = pools.get(&draft.service);
     match pool.is_some_and(|pool| pool.has_version(&draft.versions, Instant::now())) {
@@ -44,13 +44,21 @@
     }
 }
 
-/// Returns the version that began the stream, and who knew it.
+/// The version that began a stream.
+struct KnownVersion {
+    version: SoftwareVersion,
+    /// Host that remembered it, or that it is the only one.
+    known_by: String,
+}
+
+/// Returns the version that began the stream.
 async fn find_version(
     core: &RelayCore,
     draft: &mut RelayDraft,
-) -> Result<(String, String), RelayRefusal> {
+) -> Result<KnownVersion, RelayRefusal> {
     if draft.head.resumes.is_some()
         && let Some(found) = find_origin(core, draft_attempt(draft)).await
+        && let Some(version) = found.origin.version.clone()
     {
         let origin = found.origin;
         let mut services = draft.rule.split.iter().map(|(service, _)| service);
@@ -59,10 +67,16 @@
             return Err(refusal(core, detail));
         }
         draft.service = origin.service;
-        return Ok((origin.version, found.holder));
+        return Ok(KnownVersion {
+            version,
+            known_by: found.holder,
+        });
     }
     match sole_version(core, draft) {
-        Some(version) => Ok((version, String::from("the only version"))),
+        Some(version) => Ok(KnownVersion {
+            version,
+            known_by: String::from("the only version"),
+        }),
         None => Err(refusal(
             core,
             "the version that began the stream is not known",
@@ -72,7 +86,7 @@
 
 /// Returns the version that the targets of the request's service have all had for longer than any
 /// stream lasts, if that is certain.
-fn sole_version(core: &RelayCore, draft: &RelayDraft) -> Option<String> {
+fn sole_version(core: &RelayCore, draft: &RelayDraft) -> Option<SoftwareVersion> {
     let has_one_service = draft.rule.split.len() == 1;
     if !has_one_service || !core.can_reject_unknown() {
         return None;
--- a/crates/relay/src/origin/tell_origin.rs
+++ b/crates/relay/src/origin/tell_origin.rs
@@ -21,10 +21,11 @@
 /// back late.
 const KEEP_MARGIN: Duration = Duration::from_secs(5);
 
-/// Remembers the version that began the stream of a request, here and at a few other entries.
+/// Remembers the version that began the stream of a request, here and at a few other entries; `None`
+/// if it is in doubt.
 ///
 /// Nobody waits for them: a caller who comes back where none of them is reached is refused.
-pub fn tell_origin(core: &RelayCore, draft: &RelayDraft, version: SoftwareVersion) {
+pub fn tell_origin(core: &RelayCore, draft: &RelayDraft, version: Option<SoftwareVersion>) {
     let now = Instant::now();
     let origin = StreamOrigin {
         attempt: draft_attempt(draft),
--- a/crates/relay/src/permit/room_lease.rs
+++ b/crates/relay/src/permit/room_lease.rs
@@ -33,19 +33,19 @@
             slots,
         };
         let owner = ask_owner(core, subject).await;
-        // A place that is granted too late is given back when the lease is dropped.
-        let lease = Self {
+        let create_lease = || Self {
             core: Rc::clone(core),
             target: target.to_string(),
-            link: owner.link,
+            link: owner.link.clone(),
             is_refused: false,
             taken_at: Instant::now(),
         };
         match owner.answer {
-            PermitAnswer::Granted => Ok(lease),
+            PermitAnswer::Granted => Ok(create_lease()),
             PermitAnswer::Denied { retry_in } => {
-                if !owner.is_late {
-                    lease.forget();
+                if owner.is_late {
+                    // The owner may grant the place yet; this gives it back.
+                    drop(create_lease());
                 }
                 Err(retry_in)
             }
@@ -56,18 +56,10 @@
     pub fn set_refused(&mut self) {
         self.is_refused = true;
     }
-
-    /// Gives nothing back, as there is no place.
-    fn forget(mut self) {
-        self.target.clear();
-    }
 }
 
 impl Drop for RoomLease {
     fn drop(&mut self) {
-        if self.target.is_empty() {
-            return;
-        }
         let target = std::mem::take(&mut self.target);
         let held = self.taken_at.elapsed();
         match &self.link {
--- a/crates/relay/src/run/send_next.rs
+++ b/crates/relay/src/run/send_next.rs
@@ -74,7 +74,7 @@
     if last_event_id.is_some() && run.draft.versions == VersionRule::Nowhere {
         // Another entry has begun the stream.
         let origin = find_draft_origin(&run.core, &run.draft).await;
-        run.draft.versions = VersionRule::begun_at(origin.map(|origin| origin.version));
+        run.draft.versions = VersionRule::begun_at(origin.and_then(|origin| origin.version));
     }
     run_stages(run, due).await?;
     let (mut slot, pick) = run.take_slot().await?;
--- a/crates/relay/src/run/version_bond.rs
+++ b/crates/relay/src/run/version_bond.rs
@@ -20,7 +20,7 @@
         None => None,
     };
     run.draft.versions = VersionRule::begun_at(version.clone());
-    if let Some(version) = version {
+    if version.is_some() {
         tell_origin(&run.core, &run.draft, version);
     }
 }
@@ -37,7 +37,6 @@
     };
     info!(run.core.log, "version of a stream is in doubt";
         "request" => &run.draft.head.request_id, "bound" => bound, "target" => slot.target());
-    // Two versions for one stream stand for an unknown one.
-    tell_origin(&run.core, &run.draft, format!("not {bound}"));
+    tell_origin(&run.core, &run.draft, None);
     run.draft.versions = VersionRule::Nowhere;
 }
--- a/crates/relay/tests/stream_origins.rs
+++ b/crates/relay/tests/stream_origins.rs
@@ -107,7 +107,7 @@
                     let origin = StreamOrigin {
                         attempt,
                         service: String::from("s"),
-                        version: version.to_string(),
+                        version: Some(version.to_string()),
                         keep: Duration::from_secs(8),
                     };
                     let told = holders(host, attempt, &BTreeSet::new()).into_iter().take(TOLD);
@@ -133,7 +133,7 @@
                     let found: BTreeSet<String> = asked
                         .iter()
                         .filter_map(|asked| memories[*asked].find(attempt, now))
-                        .map(|origin| origin.version)
+                        .filter_map(|origin| origin.version)
                         .collect();
                     let versions = begun.get(&stream).cloned().unwrap_or_default();
                     for version in &found {
--- a/crates/route/src/versions/stream_origins.rs
+++ b/crates/route/src/versions/stream_origins.rs
@@ -29,8 +29,8 @@
     pub attempt: AttemptKey,
     /// Service whose target began the stream.
     pub service: ServiceId,
-    /// Software version of this target.
-    pub version: SoftwareVersion,
+    /// Software version of this target; `None` once it is in doubt.
+    pub version: Option<SoftwareVersion>,
     /// Time for which the caller may still ask for the rest of the stream.
     pub keep: Duration,
 }
@@ -38,7 +38,7 @@
 #[derive(Debug)]
 struct OriginRow {
     service: ServiceId,
-    /// Version that began the stream; `None` if two were told.
+    /// Version that began the stream; `None` if it is in doubt.
     version: Option<SoftwareVersion>,
     expires_at: Instant,
 }
@@ -55,12 +55,12 @@
 /// let origin = StreamOrigin {
 ///     attempt: attempt_key("a.example", "/chat/1", "r1"),
 ///     service: String::from("models"),
-///     version: String::from("v1"),
+///     version: Some(String::from("v1")),
 ///     keep: Duration::from_secs(8),
 /// };
 /// let mut origins = StreamOrigins::default();
 /// origins.record(&origin, now);
-/// assert_eq!(origins.find(origin.attempt, now).unwrap().version, "v1");
+/// assert_eq!(origins.find(origin.attempt, now).unwrap().version.unwrap(), "v1");
 /// assert_eq!(origins.find(origin.attempt, now + Duration::from_secs(9)), None);
 /// ```
 #[derive(Debug, Default)]
@@ -71,12 +71,12 @@
 }
 
 impl StreamOrigins {
-    /// Records where a stream began. A stream of which two versions are told has no known version.
+    /// Records where a stream began. If two versions are told for a stream, its version is in doubt.
     pub fn record(&mut self, origin: &StreamOrigin, now: Instant) {
         self.remove_expired(now);
         let mut row = OriginRow {
             service: origin.service.clone(),
-            version: Some(origin.version.clone()),
+            version: origin.version.clone(),
             expires_at: now + origin.keep.min(MAX_KEEP),
         };
         if let Some(known) = self.rows.remove(&origin.attempt) {
@@ -94,15 +94,15 @@
         }
     }
 
-    /// Returns where the stream began whose first event the try brought; `None` if that is not
-    /// known.
+    /// Returns where the stream began whose first event the try brought; `None` if that is not known
+    /// or its version is in doubt.
     pub fn find(&self, attempt: AttemptKey, now: Instant) -> Option<StreamOrigin> {
         let row = self.rows.get(&attempt);
-        let row = row.filter(|row| row.expires_at > now)?;
+        let row = row.filter(|row| row.expires_at > now && row.version.is_some())?;
         Some(StreamOrigin {
             attempt,
             service: row.service.clone(),
-            version: row.version.clone()?,
+            version: row.version.clone(),
             keep: row.expires_at.saturating_duration_since(now),
         })
     }
