--- /dev/null
+++ b/crates/piece/tests/batch_scheduler/main.rs
@@ -0,0 +1,5 @@
+//! Tests how pieces of many requests are batched into calls, under loads that went wrong before.
+
+mod batches;
+mod common;
+mod loads;
--- a/crates/relay/src/relay_settings.rs
+++ b/crates/relay/src/relay_settings.rs
@@ -117,6 +117,16 @@
                 self.bounds.grace
             ));
         }
+        let hops = self.listen.hop_address();
+        if [
+            self.listen.callers,
+            self.listen.operators,
+            self.listen.peers,
+        ]
+        .contains(&hops)
+        {
+            return invalid(format!("listen.hops: {hops} is listened on already"));
+        }
         if self.core_share.is_nan() || self.core_share <= 0.0 {
             return invalid(format!("core_share: {} is not above 0", self.core_share));
         }
