--- a/crates/relay/src/link/target_check.rs
+++ b/crates/relay/src/link/target_check.rs
@@ -9,7 +9,7 @@
 };
 
 /// Time within which a checked target must answer.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(1_000);
+const CHECK_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time for which the result of a check counts for all calls to the target.
 const RESULT_AGE: Duration = Duration::from_millis(800);
 
