Serve urgent requests and customers' fair shares first where a pool is short

Change: jobs carry a rank, to owners that read it. Owners serve started jobs, then timely ones by urgency, fair share and goal, then late ones; one call in twelve goes by goal alone. Entries let requests in by the wait of their own urgency. Only where the configuration has several urgencies.

--- a/crates/piece/src/batch_queue.rs
+++ b/crates/piece/src/batch_queue.rs
@@ -11,11 +11,6 @@
 /// A job counts as large if its results need more than a target's result memory divided by this.
 const LARGE_JOB_DIVISOR: u64 = 20;
 
-/// Sort key of a job: whether it has not started, whether it will miss its latency goal, the time
-/// of the goal, and its number. Started jobs come first, then those that can still meet their goal,
-/// earliest goal first.
-type QueueKey = (bool, bool, Instant, JobId);
-
 /// The queue of jobs: their order, the choice of pieces for a call, and which jobs fail as
 /// hopeless.
 ///
@@ -26,18 +21,41 @@
 /// can still use the refusal.
 impl BatchScheduler {
     /// Returns the expected time until a call includes a new job that can still meet its latency
-    /// goal.
+    /// goal and is the least urgent.
     pub fn timely_wait(&self, now: Instant) -> Duration {
+        self.timely_wait_of(u8::MAX, now)
+    }
+
+    /// Returns the expected time until a call includes a new job of this urgency that can still meet
+    /// its latency goal.
+    pub fn timely_wait_of(&self, urgency: u8, now: Instant) -> Duration {
         let earliest_done = now + self.next_call_time();
-        let jobs = self.jobs.values();
-        let preceding =
-            jobs.filter(|pending| pending.is_started() || pending.goal_at >= earliest_done);
-        self.queue_time(preceding.map(|pending| pending.waiting.len()).sum(), now)
+        let precedes = |pending: &PendingJob| {
+            let is_timely = pending.goal_at >= earliest_done;
+            pending.is_started() || (is_timely && pending.rank.urgency <= urgency)
+        };
+        self.wait_behind(precedes, now)
     }
 
     /// Returns the expected time until a call includes a new job at the end of the queue.
     pub fn queue_end_wait(&self, now: Instant) -> Duration {
-        self.queue_time(self.waiting_pieces(), now)
+        self.queue_end_wait_of(u8::MAX, now)
+    }
+
+    /// Returns the expected time until a call includes a new job of this urgency that will miss its
+    /// latency goal.
+    pub fn queue_end_wait_of(&self, urgency: u8, now: Instant) -> Duration {
+        let earliest_done = now + self.next_call_time();
+        let precedes = |pending: &PendingJob| {
+            let is_timely = pending.goal_at >= earliest_done;
+            pending.is_started() || is_timely || pending.rank.urgency <= urgency
+        };
+        self.wait_behind(precedes, now)
+    }
+
+    fn wait_behind(&self, precedes: impl Fn(&PendingJob) -> bool, now: Instant) -> Duration {
+        let preceding = self.jobs.values().filter(|pending| precedes(pending));
+        self.queue_time(preceding.map(|pending| pending.waiting.len()).sum(), now)
     }
 
     /// Returns the data centres that have a target which is not in backoff.
@@ -117,31 +135,8 @@
         }
     }
 
-    /// Returns the jobs with waiting pieces that `is_wanted` accepts, in serving order.
-    fn sorted_jobs(&self, now: Instant, is_wanted: impl Fn(&PendingJob) -> bool) -> Vec<JobId> {
-        let earliest_done = now + self.next_call_time();
-        let waiting = self
-            .jobs
-            .iter()
-            .filter(|(_, pending)| !pending.waiting.is_empty());
-        let key = |(id, pending): (&JobId, &PendingJob)| -> QueueKey {
-            (
-                !pending.is_started(),
-                pending.goal_at < earliest_done,
-                pending.goal_at,
-                *id,
-            )
-        };
-        let mut queue: Vec<QueueKey> = waiting
-            .filter(|(_, pending)| is_wanted(pending))
-            .map(key)
-            .collect();
-        queue.sort_unstable();
-        queue.into_iter().map(|(.., id)| id).collect()
-    }
-
     /// Returns the expected time of a call with all pieces that wait now, up to a full batch.
-    fn next_call_time(&self) -> Duration {
+    pub(super) fn next_call_time(&self) -> Duration {
         self.call_time(self.waiting_pieces().clamp(1, self.spec.batch))
     }
 
@@ -156,12 +151,16 @@
         pending.is_started() || !is_large || needed.min(max_needed) <= room
     }
 
+    /// Returns the number of targets that take work, 1 at least.
+    pub(super) fn working_targets(&self, now: Instant) -> usize {
+        let takes_work = |target: &&BatchTarget| !target.leaving && !target.is_paused(now);
+        self.targets.values().filter(takes_work).count().max(1)
+    }
+
     /// Returns the expected time until a call includes a piece that waits behind `pieces_before`
     /// others.
     fn queue_time(&self, pieces_before: usize, now: Instant) -> Duration {
-        let takes_work = |target: &&BatchTarget| !target.leaving && !target.is_paused(now);
-        let target_count = self.targets.values().filter(takes_work).count();
-        let target_count = u32::try_from(target_count).unwrap_or(1).max(1);
+        let target_count = u32::try_from(self.working_targets(now)).unwrap_or(1);
         let batch = self.spec.batch.max(1);
         let total_time = self
             .call_time(batch)
--- a/crates/piece/src/batch_scheduler.rs
+++ b/crates/piece/src/batch_scheduler.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        BatchAction, CallId, JobId, PieceOutcome, PieceWork, StageJob,
+        BatchAction, CallId, JobId, JobRank, PieceOutcome, PieceWork, StageJob,
         batch_target::BatchTarget,
         pending_job::{BatchCall, PendingJob},
     },
@@ -37,6 +37,8 @@
     pub(super) freed_results: BTreeMap<String, Vec<String>>,
     /// Time at which the targets are told of `freed_results`; `None` if there are none.
     pub(super) flush_at: Option<Instant>,
+    /// Number of calls started so far.
+    pub(super) call_count: u64,
     /// True while another entry may still be calling the same targets.
     is_shared: bool,
     /// Last number that was assigned to a job or a call, which are numbered together.
@@ -54,6 +56,7 @@
             actions: Vec::new(),
             freed_results: BTreeMap::new(),
             flush_at: None,
+            call_count: 0,
             is_shared: false,
             last_id: 0,
         }
@@ -84,10 +87,15 @@
         }
     }
 
-    /// Queues a job and returns its number.
+    /// Queues a job of the highest urgency and returns its number.
     pub fn submit(&mut self, job: StageJob, now: Instant) -> JobId {
+        self.submit_ranked(job, JobRank::default(), now)
+    }
+
+    /// Queues a job and returns its number.
+    pub fn submit_ranked(&mut self, job: StageJob, rank: JobRank, now: Instant) -> JobId {
         let id = self.next_id();
-        let pending = PendingJob::new(job, now);
+        let pending = PendingJob::new(job, rank, now);
         self.jobs.insert(id, pending);
         id
     }
@@ -226,6 +234,7 @@
         if let Some(target) = self.targets.get_mut(&id) {
             target.start_call(bytes, expected_time, now);
         }
+        self.call_count += 1;
         let call = self.next_id();
         let work = pieces
             .iter()
--- a/crates/piece/src/lib.rs
+++ b/crates/piece/src/lib.rs
@@ -7,6 +7,8 @@
 mod batch_scheduler;
 mod batch_target;
 mod batch_targets;
+mod job_order;
+mod job_rank;
 mod pending_job;
 mod pool_shards;
 mod stage_graph;
@@ -15,6 +17,7 @@
 pub use {
     batch_action::{BatchAction, CallId},
     batch_scheduler::BatchScheduler,
+    job_rank::JobRank,
     pool_shards::{PoolShard, PoolShards},
     stage_graph::{StageGraph, StageState},
     stage_job::{JobId, PieceInput, PieceOutcome, PieceWork, StageJob, StageResult},
--- a/crates/piece/src/pending_job.rs
+++ b/crates/piece/src/pending_job.rs
@@ -1,5 +1,5 @@
 use {
-    crate::{JobId, StageJob, StageResult},
+    crate::{JobId, JobRank, StageJob, StageResult},
     std::{
         collections::VecDeque,
         time::{Duration, Instant},
@@ -10,6 +10,7 @@
 #[derive(Debug)]
 pub struct PendingJob {
     pub job: StageJob,
+    pub rank: JobRank,
     /// Time by which all pieces must be made so that the request meets its latency goal.
     pub goal_at: Instant,
     /// Deadline, after which the pieces are of no use.
@@ -31,8 +32,9 @@
 
 impl PendingJob {
     /// Creates a job all of whose pieces wait for a call.
-    pub fn new(job: StageJob, now: Instant) -> Self {
+    pub fn new(job: StageJob, rank: JobRank, now: Instant) -> Self {
         Self {
+            rank,
             goal_at: now + job.aim_left,
             due_at: now + job.time_left,
             waiting: (0..job.pieces).collect(),
--- a/crates/piece/tests/batch_scheduler/main.rs
+++ b/crates/piece/tests/batch_scheduler/main.rs
@@ -3,3 +3,4 @@
 mod batches;
 mod common;
 mod loads;
+mod urgency;
--- a/crates/plan/src/fleet_plan.rs
+++ b/crates/plan/src/fleet_plan.rs
@@ -3,7 +3,7 @@
     serde::{Deserialize, Serialize},
     std::{
         cmp::Reverse,
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap},
         sync::Arc,
     },
 };
@@ -47,6 +47,19 @@
         }
     }
 
+    /// Returns the priorities that requests with stages can have; none if they all have the same, so
+    /// that no request goes before another by its priority.
+    pub fn urgencies(&self) -> BTreeSet<u8> {
+        let rules = self.routes.values().flatten();
+        let staged = rules.filter(|rule| !rule.stages.is_empty());
+        let urgencies = staged.map(|rule| rule.priority);
+        let urgencies: BTreeSet<u8> = urgencies.chain(self.keys.priorities()).collect();
+        match urgencies.len() {
+            0 | 1 => BTreeSet::new(),
+            _ => urgencies,
+        }
+    }
+
     /// Returns the rule of the host with the longest prefix of the path, or `None` if no rule
     /// matches. Letter case of the host is ignored.
     ///
--- a/crates/plan/src/key_registry.rs
+++ b/crates/plan/src/key_registry.rs
@@ -37,6 +37,11 @@
         self.owners.get(key)
     }
 
+    /// Returns the priorities that organisations have in place of those of the routes.
+    pub fn priorities(&self) -> impl Iterator<Item = u8> {
+        self.owners.values().filter_map(|owner| owner.priority)
+    }
+
     /// Returns true if the configuration has no keys; requests then need none.
     pub fn is_empty(&self) -> bool {
         self.owners.is_empty()
--- a/crates/relay/src/caller/relay_draft.rs
+++ b/crates/relay/src/caller/relay_draft.rs
@@ -5,10 +5,12 @@
     },
     base::FailureReason,
     bytes::Bytes,
+    piece::JobRank,
     plan::{FleetPlan, RouteRule, ServiceId},
     retry::{CrashFingerprint, PartKey, part_keys},
-    route::{PrefixKey, VersionRule, prefix_keys},
+    route::{PrefixKey, VersionRule, id_hash, prefix_keys},
     std::{
+        collections::BTreeSet,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -115,6 +117,24 @@
         self.first_event_deadline.saturating_duration_since(now)
     }
 
+    /// Returns how urgent the request's stages are, given the urgencies that the configuration has:
+    /// 0 goes first, and all have it where there are not several.
+    pub fn urgency(&self, urgencies: &BTreeSet<u8>) -> u8 {
+        match urgencies.is_empty() {
+            true => 0,
+            false => self.priority,
+        }
+    }
+
+    /// Returns the rank of the request's stages, given the urgencies that the configuration has.
+    pub fn job_rank(&self, urgencies: &BTreeSet<u8>) -> JobRank {
+        let customer = self.organisation.as_deref().map(id_hash);
+        JobRank {
+            urgency: self.urgency(urgencies),
+            customer: customer.unwrap_or_default(),
+        }
+    }
+
     /// Returns true if the request has stages that run before it.
     pub fn has_stages(&self) -> bool {
         !self.rule.stages.is_empty()
--- a/crates/relay/src/filters/admission_filter.rs
+++ b/crates/relay/src/filters/admission_filter.rs
@@ -88,6 +88,7 @@
     now: Instant,
     select_wait: impl Fn(PoolWait) -> Duration,
 ) -> Duration {
+    let urgency = draft.urgency(&core.urgencies.borrow());
     let mut stage_ends: Vec<Duration> = Vec::new();
     for (stage, rule) in draft.rule.stages.iter().enumerate() {
         let input_ends = rule
@@ -102,7 +103,7 @@
             .filter(|_| piece_count > 0)
         {
             Some(piece_spec) => {
-                select_wait(pool_wait(core, &rule.service, now))
+                select_wait(pool_wait(core, &rule.service, urgency, now))
                     + piece_spec.call_time
                     + piece_spec.item_time
             }
--- a/crates/relay/src/shared/core_peers.rs
+++ b/crates/relay/src/shared/core_peers.rs
@@ -22,7 +22,9 @@
             true => Vec::new(),
             false => self.own_loads(),
         };
-        let pool_loads = self.batch_service.own_pool_loads(now);
+        let pool_loads = self
+            .batch_service
+            .own_pool_loads(&self.urgencies.borrow(), now);
         let mark = HostMark {
             schema: NEWEST_SCHEMA,
             lacks_store: self.replica.borrow().lacks_store(),
--- a/crates/relay/src/shared/core_targets.rs
+++ b/crates/relay/src/shared/core_targets.rs
@@ -22,6 +22,7 @@
             self.metrics
                 .plan_version
                 .set(i64::try_from(plan.version).unwrap_or(i64::MAX));
+            self.urgencies.replace(plan.urgencies());
             info!(self.log, "configuration in force";
                 "version" => plan.version, "before" => previous_version);
         }
--- a/crates/relay/src/shared/relay_core.rs
+++ b/crates/relay/src/shared/relay_core.rs
@@ -21,7 +21,7 @@
     slog::Logger,
     std::{
         cell::{Cell, RefCell},
-        collections::{HashMap, VecDeque},
+        collections::{BTreeSet, HashMap, VecDeque},
         rc::Rc,
         sync::Arc,
         time::{Duration, Instant},
@@ -92,6 +92,9 @@
     /// Groups of the engines of each service, all of whose requests one entry places.
     pub engine_groups: RefCell<HashMap<ServiceId, EngineGroups>>,
     pub batch_service: BatchService,
+    /// Urgencies of the requests with stages, where the configuration has several; the most urgent
+    /// is 0.
+    pub urgencies: RefCell<BTreeSet<u8>>,
     /// Records of this entry and of the others.
     pub hosts: RefCell<HostTable>,
     /// When callers that were refused for lack of room may come back.
@@ -176,6 +179,7 @@
             limit_news: Notify::new(),
             pools: RefCell::default(),
             engine_groups: RefCell::default(),
+            urgencies: RefCell::default(),
             hosts: RefCell::new(hosts),
             return_line: RefCell::default(),
             budget: RefCell::new(FleetBudget::new(budget, now)),
--- a/crates/relay/src/stage/batch_service.rs
+++ b/crates/relay/src/stage/batch_service.rs
@@ -1,10 +1,13 @@
 use {
     crate::{
         shared::RelayCore,
-        stage::{PoolWait, owner_link::OwnerLink, shard_owner::is_owner, shard_state::ShardState},
+        stage::{
+            PoolWait, owner_link::OwnerLink, pool_wait::urgency_hash, shard_owner::is_owner,
+            shard_state::ShardState,
+        },
     },
     board::PoolLoad,
-    piece::{BatchAction, PoolShards},
+    piece::{BatchAction, BatchScheduler, PoolShards},
     plan::{PieceSpec, ServiceId, TargetRow},
     rand::Rng,
     route::{NoticeStanding, id_hash},
@@ -161,16 +164,13 @@
         waits.min_by_key(|wait| wait.timely).unwrap_or_default()
     }
 
-    /// Returns the expected waits of new work at the shards for which this entry has jobs.
-    pub fn own_pool_loads(&self, now: Instant) -> Vec<PoolLoad> {
+    /// Returns the expected waits of new work at the shards for which this entry has jobs: of the
+    /// least urgent work, and of that of each given urgency.
+    pub fn own_pool_loads(&self, urgencies: &BTreeSet<u8>, now: Instant) -> Vec<PoolLoad> {
         let states = self.shard_states.borrow();
         let busy = states.iter().filter(|(_, state)| !state.waiters.is_empty());
-        busy.map(|(shard, state)| PoolLoad {
-            pool: id_hash(shard),
-            wait_ms: millis(state.scheduler.timely_wait(now)),
-            last_wait_ms: millis(state.scheduler.queue_end_wait(now)),
-        })
-        .collect()
+        busy.flat_map(|(shard, state)| shard_loads(shard, &state.scheduler, urgencies, now))
+            .collect()
     }
 
     /// Carries out the actions of the schedulers for as long as the process runs.
@@ -236,6 +236,25 @@
     }
 }
 
+fn shard_loads(
+    shard: &str,
+    scheduler: &BatchScheduler,
+    urgencies: &BTreeSet<u8>,
+    now: Instant,
+) -> Vec<PoolLoad> {
+    let least_urgent = PoolLoad {
+        pool: id_hash(shard),
+        wait_ms: millis(scheduler.timely_wait(now)),
+        last_wait_ms: millis(scheduler.queue_end_wait(now)),
+    };
+    let by_urgency = urgencies.iter().map(|urgency| PoolLoad {
+        pool: urgency_hash(shard, *urgency),
+        wait_ms: millis(scheduler.timely_wait_of(*urgency, now)),
+        last_wait_ms: millis(scheduler.queue_end_wait_of(*urgency, now)),
+    });
+    std::iter::once(least_urgent).chain(by_urgency).collect()
+}
+
 /// Returns the duration in milliseconds, at most `u32::MAX`.
 fn millis(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
--- a/crates/relay/src/stage/job_frame.rs
+++ b/crates/relay/src/stage/job_frame.rs
@@ -1,9 +1,13 @@
 use {
-    piece::{PieceOutcome, StageJob, StageResult},
+    piece::{JobRank, PieceOutcome, StageJob, StageResult},
     plan::ServiceId,
     serde::{Deserialize, Serialize},
+    wire::{OLDEST_SCHEMA, SchemaNumber},
 };
 
+/// Schema from which on jobs are submitted with their ranks.
+pub const RANK_SCHEMA: SchemaNumber = 2;
+
 /// A message between an entry that needs the pieces of a job and the entry that owns the shard
 /// whose targets make them.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -49,4 +53,25 @@
         /// Why it failed.
         outcome: PieceOutcome,
     },
+    /// Like [`JobFrame::Submit`], with the rank of the job.
+    SubmitRanked {
+        /// Number that later messages about the job repeat, as in [`JobFrame::Submit`].
+        number: u64,
+        /// Name of the shard.
+        shard: ServiceId,
+        /// The job.
+        job: StageJob,
+        /// How urgent it is, and whose.
+        rank: JobRank,
+    },
+}
+
+impl JobFrame {
+    /// Returns the lowest schema that has the message.
+    pub fn schema(&self) -> SchemaNumber {
+        match self {
+            Self::SubmitRanked { .. } => RANK_SCHEMA,
+            _ => OLDEST_SCHEMA,
+        }
+    }
 }
--- a/crates/relay/src/stage/job_runner.rs
+++ b/crates/relay/src/stage/job_runner.rs
@@ -7,7 +7,7 @@
             shard_wait,
         },
     },
-    piece::{JobId, PieceOutcome, StageJob, StageResult},
+    piece::{JobId, JobRank, PieceOutcome, StageJob, StageResult},
     std::{
         collections::HashMap,
         rc::Rc,
@@ -32,13 +32,14 @@
         core: &RelayCore,
         pool: &str,
         job: StageJob,
+        rank: JobRank,
         on_inputs_read: InputsReadHook,
     ) -> JobOutcome {
         let started = Instant::now();
         for _ in 0..MAX_OWNER_ATTEMPTS {
             let now = Instant::now();
             let centre = job.data_centre.as_deref();
-            let wait = |shard: &str| shard_wait(core, shard, now).timely;
+            let wait = |shard: &str| shard_wait(core, shard, rank.urgency, now).timely;
             let shard = self.choose_shard(pool, centre, wait, &mut *core.random.borrow_mut());
             let Some(shard) = shard else {
                 return Err(PieceOutcome::Failed);
@@ -46,11 +47,11 @@
             let job = with_elapsed(&job, now - started);
             let outcome = match self.job_place(core, &shard, now) {
                 JobPlace::Peer(link) => {
-                    self.run_remote_job(core, &link, &shard, job, &on_inputs_read)
+                    self.run_remote_job(core, &link, &shard, (job, rank), &on_inputs_read)
                         .await
                 }
                 JobPlace::Here => Some(
-                    self.run_own_job(&shard, job, Rc::clone(&on_inputs_read))
+                    self.run_own_job(&shard, job, rank, Rc::clone(&on_inputs_read))
                         .await,
                 ),
                 JobPlace::Unknown => None,
@@ -69,6 +70,7 @@
         &self,
         shard: &str,
         job: StageJob,
+        rank: JobRank,
         on_inputs_read: InputsReadHook,
     ) -> JobOutcome {
         let now = Instant::now();
@@ -78,7 +80,7 @@
             let Some(state) = states.get_mut(shard) else {
                 return Err(PieceOutcome::Failed);
             };
-            let job_id = state.scheduler.submit(job, now);
+            let job_id = state.scheduler.submit_ranked(job, rank, now);
             state.waiters.insert(
                 job_id,
                 JobWaiter {
--- a/crates/relay/src/stage/owner_link.rs
+++ b/crates/relay/src/stage/owner_link.rs
@@ -11,7 +11,7 @@
         },
         target::{PEER_PATIENCE, configure_socket},
     },
-    piece::{StageJob, StageResult},
+    piece::{JobRank, StageJob, StageResult},
     route::{ServicePick, StreamOrigin},
     slog::{Logger, info},
     std::{
@@ -143,11 +143,13 @@
         number
     }
 
-    /// Submits a job for a shard; `on_inputs_read` is called once its inputs have been fetched.
+    /// Submits a job for a shard, without its rank if the owner does not read ranks;
+    /// `on_inputs_read` is called once its inputs have been fetched.
     pub fn submit(
         self: &Rc<Self>,
         shard: &str,
         job: StageJob,
+        rank: Option<JobRank>,
         on_inputs_read: InputsReadHook,
     ) -> RemoteJob {
         let number = self.take_number();
@@ -157,10 +159,15 @@
             on_inputs_read,
         };
         self.waiters.borrow_mut().insert(number, waiter);
-        self.send(PeerMessage::Job(JobFrame::Submit {
-            number,
-            shard: shard.to_string(),
-            job,
+        let shard = shard.to_string();
+        self.send(PeerMessage::Job(match rank {
+            Some(rank) => JobFrame::SubmitRanked {
+                number,
+                shard,
+                job,
+                rank,
+            },
+            None => JobFrame::Submit { number, shard, job },
         }));
         RemoteJob {
             link: Rc::clone(self),
@@ -213,7 +220,10 @@
                 }
                 return;
             }
-            JobFrame::Submit { .. } | JobFrame::Cancel { .. } | JobFrame::Free { .. } => {
+            JobFrame::Submit { .. }
+            | JobFrame::SubmitRanked { .. }
+            | JobFrame::Cancel { .. }
+            | JobFrame::Free { .. } => {
                 return;
             }
         };
--- a/crates/relay/src/stage/peer_message.rs
+++ b/crates/relay/src/stage/peer_message.rs
@@ -28,7 +28,8 @@
         match self {
             Self::Feed(frame) => frame.schema(),
             Self::Permit(frame) => frame.schema(),
-            Self::Job(_) | Self::Place(_) | Self::Origin(_) => OLDEST_SCHEMA,
+            Self::Job(frame) => frame.schema(),
+            Self::Place(_) | Self::Origin(_) => OLDEST_SCHEMA,
         }
     }
 }
--- a/crates/relay/src/stage/peer_server.rs
+++ b/crates/relay/src/stage/peer_server.rs
@@ -13,7 +13,8 @@
         target::{PEER_PATIENCE, configure_socket},
     },
     actix_rt::task::JoinHandle,
-    piece::PieceOutcome,
+    piece::{JobRank, PieceOutcome, StageJob},
+    plan::ServiceId,
     slog::{debug, warn},
     std::{
         collections::HashMap,
@@ -131,31 +132,22 @@
 ) {
     match frame {
         JobFrame::Submit { number, shard, job } => {
-            let (core, outbox) = (Rc::clone(core), outbox.clone());
-            let inputs_read_outbox = outbox.clone();
-            let on_inputs_read = Rc::new(move || {
-                // The peer may be gone; its jobs are cancelled when the connection ends.
-                let _ = inputs_read_outbox.send(PeerMessage::Job(JobFrame::InputsRead { number }));
-            });
-            if !takes_jobs(&core, &shard, Instant::now()) {
-                let outcome = PieceOutcome::Moved;
-                // The peer may be gone; its jobs are cancelled when the connection ends.
-                let _ = outbox.send(PeerMessage::Job(JobFrame::Failed { number, outcome }));
-                return;
-            }
-            let task = actix_rt::spawn(async move {
-                let frame = match core
-                    .batch_service
-                    .run_own_job(&shard, job, on_inputs_read)
-                    .await
-                {
-                    Ok(results) => JobFrame::Made { number, results },
-                    Err(outcome) => JobFrame::Failed { number, outcome },
-                };
-                // The peer may be gone; its jobs are cancelled when the connection ends.
-                let _ = outbox.send(PeerMessage::Job(frame));
-            });
-            tasks.insert(number, PeerTask(task));
+            // An entry that does not tell ranks gets no advantage from it.
+            let rank = JobRank {
+                urgency: u8::MAX,
+                customer: 0,
+            };
+            let task = run_job(core, number, shard, (job, rank), outbox);
+            tasks.extend(task.map(|task| (number, task)));
+        }
+        JobFrame::SubmitRanked {
+            number,
+            shard,
+            job,
+            rank,
+        } => {
+            let task = run_job(core, number, shard, (job, rank), outbox);
+            tasks.extend(task.map(|task| (number, task)));
         }
         JobFrame::Cancel { number } => {
             tasks.remove(&number);
@@ -164,3 +156,38 @@
         JobFrame::InputsRead { .. } | JobFrame::Made { .. } | JobFrame::Failed { .. } => {}
     }
 }
+
+/// Runs a job of a peer in the background, or gives it back if this entry takes no jobs for the
+/// shard.
+fn run_job(
+    core: &Rc<RelayCore>,
+    number: u64,
+    shard: ServiceId,
+    (job, rank): (StageJob, JobRank),
+    outbox: &mpsc::UnboundedSender<PeerMessage>,
+) -> Option<PeerTask> {
+    let (core, outbox) = (Rc::clone(core), outbox.clone());
+    if !takes_jobs(&core, &shard, Instant::now()) {
+        let outcome = PieceOutcome::Moved;
+        // The peer may be gone; its jobs are cancelled when the connection ends.
+        let _ = outbox.send(PeerMessage::Job(JobFrame::Failed { number, outcome }));
+        return None;
+    }
+    let inputs_read_outbox = outbox.clone();
+    let on_inputs_read = Rc::new(move || {
+        // The peer may be gone; its jobs are cancelled when the connection ends.
+        let _ = inputs_read_outbox.send(PeerMessage::Job(JobFrame::InputsRead { number }));
+    });
+    let task = actix_rt::spawn(async move {
+        let running = core
+            .batch_service
+            .run_own_job(&shard, job, rank, on_inputs_read);
+        let frame = match running.await {
+            Ok(results) => JobFrame::Made { number, results },
+            Err(outcome) => JobFrame::Failed { number, outcome },
+        };
+        // The peer may be gone; its jobs are cancelled when the connection ends.
+        let _ = outbox.send(PeerMessage::Job(frame));
+    });
+    Some(PeerTask(task))
+}
--- a/crates/relay/src/stage/pool_wait.rs
+++ b/crates/relay/src/stage/pool_wait.rs
@@ -15,16 +15,16 @@
     pub queue_end: Duration,
 }
 
-/// Returns the expected waits now at that shard of the pool where timely work waits shortest.
-pub fn pool_wait(core: &RelayCore, pool: &str, now: Instant) -> PoolWait {
+/// Returns the expected waits of work of this urgency now at that shard of the pool where timely
+/// work waits shortest.
+pub fn pool_wait(core: &RelayCore, pool: &str, urgency: u8, now: Instant) -> PoolWait {
     core.batch_service
-        .min_wait(pool, |shard| shard_wait(core, shard, now))
+        .min_wait(pool, |shard| shard_wait(core, shard, urgency, now))
 }
 
-/// Returns the expected waits at a shard now.
-pub fn shard_wait(core: &RelayCore, shard: &str, now: Instant) -> PoolWait {
+/// Returns the expected waits of work of this urgency at a shard now.
+pub fn shard_wait(core: &RelayCore, shard: &str, urgency: u8, now: Instant) -> PoolWait {
     let hosts = core.hosts.borrow();
-    let hash = id_hash(shard);
     let owner = pick_owner(shard, hosts.owner_candidates(now));
     let pool_loads = match owner {
         Some(owner) if owner != hosts.own_record().host => {
@@ -33,11 +33,20 @@
                 .map(|record| record.pools.clone())
                 .unwrap_or_default()
         }
-        _ => core.batch_service.own_pool_loads(now),
+        _ => core
+            .batch_service
+            .own_pool_loads(&core.urgencies.borrow(), now),
     };
-    let load = pool_loads.iter().find(|load| load.pool == hash);
+    let find_load = |pool: u64| pool_loads.iter().find(|load| load.pool == pool);
+    // An owner that does not tell waits by urgency tells that of the least urgent work.
+    let load = find_load(urgency_hash(shard, urgency)).or_else(|| find_load(id_hash(shard)));
     load.map_or_else(PoolWait::default, |load| PoolWait {
         timely: Duration::from_millis(u64::from(load.wait_ms)),
         queue_end: Duration::from_millis(u64::from(load.last_wait_ms)),
     })
 }
+
+/// Returns the hash that stands for the work of one urgency at a shard in the loads of an entry.
+pub fn urgency_hash(shard: &str, urgency: u8) -> u64 {
+    id_hash(&format!("{shard}/{urgency}"))
+}
--- a/crates/relay/src/stage/shard_owner.rs
+++ b/crates/relay/src/stage/shard_owner.rs
@@ -3,12 +3,13 @@
         shared::RelayCore,
         stage::{
             BatchService,
+            job_frame::RANK_SCHEMA,
             owner_link::OwnerLink,
             shard_state::{InputsReadHook, JobOutcome},
         },
     },
     board::{HostTable, pick_owner, rank_hosts},
-    piece::StageJob,
+    piece::{JobRank, StageJob},
     slog::Logger,
     std::{
         collections::BTreeSet,
@@ -99,10 +100,12 @@
         core: &RelayCore,
         link: &Rc<OwnerLink>,
         shard: &str,
-        job: StageJob,
+        (job, rank): (StageJob, JobRank),
         on_inputs_read: &InputsReadHook,
     ) -> Option<JobOutcome> {
-        let mut remote_job = link.submit(shard, job, Rc::clone(on_inputs_read));
+        let schema = core.hosts.borrow().peer_schema(link.host());
+        let rank = Some(rank).filter(|_| schema >= RANK_SCHEMA);
+        let mut remote_job = link.submit(shard, job, rank, Rc::clone(on_inputs_read));
         loop {
             tokio::select! {
                 outcome = remote_job.wait() => return outcome,
--- a/crates/relay/src/stage/stage_run.rs
+++ b/crates/relay/src/stage/stage_run.rs
@@ -57,6 +57,7 @@
         loop {
             for stage in self.start_ready(draft) {
                 let job = self.stage_job(stage, draft);
+                let rank = draft.job_rank(&core.urgencies.borrow());
                 let (core, pool) = (&core, self.services[usize::from(stage)].clone());
                 let sender = inputs_read_sender.clone();
                 let on_inputs_read = Rc::new(move || {
@@ -66,7 +67,7 @@
                 running.push(async move {
                     let outcome = core
                         .batch_service
-                        .run_job(core, &pool, job, on_inputs_read)
+                        .run_job(core, &pool, job, rank, on_inputs_read)
                         .await;
                     (stage, outcome)
                 });
@@ -118,9 +119,10 @@
 
     /// Returns the expected time of each stage, including the wait at its pool.
     fn stage_times(&self, draft: &RelayDraft, now: Instant) -> Vec<Duration> {
+        let urgency = draft.urgency(&self.core.urgencies.borrow());
         let stages = (0..).zip(&self.services);
         let times = stages.map(|(stage, service)| {
-            let wait = pool_wait(&self.core, service, now).timely;
+            let wait = pool_wait(&self.core, service, urgency, now).timely;
             wait + self.call_time(stage, draft)
         });
         times.collect()
