Prefer stage targets whose machines are not busy with others' work

Cause: targets state how long work takes on their machine at the moment; it was not read.

Measured without a network: four targets that take turns at taking 2.5 times as long cost as much time as four that never do, within 5 %; without the figures more.

--- a/crates/piece/src/batch_scheduler.rs
+++ b/crates/piece/src/batch_scheduler.rs
@@ -207,7 +207,7 @@
             let room = (target.room(&spec, now) as f64 * ROOM_SHARE) as u64;
             target
                 .can_start_call(&spec, now)
-                .then(|| (id.clone(), room, target.slowness))
+                .then(|| (id.clone(), room, target.slowness_now(now)))
         });
         let mut targets: Vec<_> = targets.collect();
         // Fastest targets first; among equally fast ones, those with the most room.
--- a/crates/piece/src/batch_target.rs
+++ b/crates/piece/src/batch_target.rs
@@ -1,4 +1,5 @@
 use {
+    crate::MachinePace,
     plan::{PieceSpec, TargetRow},
     std::{
         collections::BTreeMap,
@@ -51,6 +52,8 @@
     /// Start time of the target's process in milliseconds since the Unix epoch; 0 if unknown.
     pub started_ms: u64,
     consecutive_failures: u32,
+    /// What the target said last of its machine; `None` if it says nothing.
+    pace: Option<MachinePace>,
 }
 
 impl BatchTarget {
@@ -70,9 +73,20 @@
             room_cap: None,
             backoff_until: None,
             consecutive_failures: 0,
+            pace: None,
         }
     }
 
+    /// Records what the target said of its machine.
+    pub fn set_pace(&mut self, pace: MachinePace) {
+        self.pace = Some(pace);
+    }
+
+    /// Returns the factor by which a call takes longer here now than at a target of average speed.
+    pub fn slowness_now(&self, now: Instant) -> f64 {
+        self.slowness * self.pace.map_or(1.0, |pace| pace.factor(now))
+    }
+
     /// True if the target has a free slot and takes calls.
     pub fn can_start_call(&self, spec: &PieceSpec, now: Instant) -> bool {
         self.running_calls < spec.slots && self.takes_calls(now)
@@ -127,7 +141,7 @@
     pub fn start_call(&mut self, bytes: u64, expected_time: Duration, now: Instant) {
         self.running_calls += 1;
         self.reserved_bytes += bytes;
-        self.busy_until = now + expected_time.mul_f64(self.slowness);
+        self.busy_until = now + expected_time.mul_f64(self.slowness_now(now));
     }
 
     /// Records that a call succeeded after `elapsed`.
--- a/crates/piece/src/batch_targets.rs
+++ b/crates/piece/src/batch_targets.rs
@@ -1,5 +1,5 @@
 use {
-    crate::{BatchScheduler, batch_target::BatchTarget},
+    crate::{BatchScheduler, MachinePace, batch_target::BatchTarget},
     plan::{PieceSpec, TargetRow},
     std::time::Instant,
 };
@@ -32,6 +32,13 @@
         }
     }
 
+    /// Records what a target said of its machine; ignores targets of other shards.
+    pub fn set_pace(&mut self, target: &str, pace: MachinePace) {
+        if let Some(target) = self.targets.get_mut(target) {
+            target.set_pace(pace);
+        }
+    }
+
     /// Sends a target nothing until this time, or as usual again if there is none; ignores targets
     /// of other shards.
     pub fn hold_target(&mut self, target: &str, until: Option<Instant>) {
--- a/crates/piece/src/lib.rs
+++ b/crates/piece/src/lib.rs
@@ -9,6 +9,7 @@
 mod batch_targets;
 mod job_order;
 mod job_rank;
+mod machine_pace;
 mod pending_job;
 mod pool_shards;
 mod stage_graph;
@@ -18,6 +19,7 @@
     batch_action::{BatchAction, CallId},
     batch_scheduler::BatchScheduler,
     job_rank::JobRank,
+    machine_pace::MachinePace,
     pool_shards::{PoolShard, PoolShards},
     stage_graph::{StageGraph, StageState},
     stage_job::{JobId, PieceInput, PieceOutcome, PieceWork, StageJob, StageResult},
--- a/crates/piece/tests/batch_scheduler/main.rs
+++ b/crates/piece/tests/batch_scheduler/main.rs
@@ -3,4 +3,5 @@
 mod batches;
 mod common;
 mod loads;
+mod pace;
 mod urgency;
--- a/crates/relay/src/dialect/target_dialect.rs
+++ b/crates/relay/src/dialect/target_dialect.rs
@@ -78,6 +78,10 @@
     /// Parses what a target says of the calls that it takes in the head of any reply.
     fn read_word(&self, headers: &HeaderList) -> TargetWord;
 
+    /// Parses how long work takes on the target's machine at this moment, in percent of the usual
+    /// time, from the head of any reply; `None` if it says nothing that is a number.
+    fn read_pace(&self, headers: &HeaderList) -> Option<f64>;
+
     /// Returns the call that makes pieces of stages.
     fn write_pieces(&self, target: &str, work: &[PieceWork]) -> WireCall;
 
--- a/crates/relay/src/shared/relay_metrics.rs
+++ b/crates/relay/src/shared/relay_metrics.rs
@@ -44,6 +44,8 @@
     pub limited_calls: Counter,
     /// Calls to cold targets that were turned away and went elsewhere or were refused.
     pub cold_calls_denied: Counter,
+    /// Answers with a figure of the target's machine that is of no use.
+    pub unusable_paces: Counter,
     /// Number of data centres to whose targets nothing more may be sent.
     pub evacuated_centres: Gauge,
     /// Requests for the rest of a stream.
@@ -87,6 +89,7 @@
             target_limits: Counter::default(),
             limited_calls: Counter::default(),
             cold_calls_denied: Counter::default(),
+            unusable_paces: Counter::default(),
             evacuated_centres: Gauge::default(),
             resumptions: Counter::default(),
             resumptions_refused: Counter::default(),
@@ -154,6 +157,11 @@
                 "Calls turned away by a target's being cold",
                 &metrics.cold_calls_denied,
             ),
+            (
+                "unusable_paces",
+                "Unusable figures of the machines of targets",
+                &metrics.unusable_paces,
+            ),
             (
                 "resumptions",
                 "Requests of callers for the rest of a stream",
--- a/crates/relay/src/stage/batch_calls.rs
+++ b/crates/relay/src/stage/batch_calls.rs
@@ -1,12 +1,13 @@
 use {
     crate::{
+        dialect::HeaderList,
         link::{CallRepeat, await_answer, record_call_fault},
         permit::pass_limit,
         shared::RelayCore,
         stage::BatchService,
         target::CallFault,
     },
-    piece::{CallId, PieceOutcome, PieceWork},
+    piece::{CallId, MachinePace, PieceOutcome, PieceWork},
     slog::{debug, info},
     std::{
         rc::Rc,
@@ -158,6 +159,7 @@
     let notice = core.dialects.target.read_notice(status, &headers);
     core.record_notice(target, notice, Instant::now());
     if status != MISDIRECTED_STATUS {
+        record_pace(core, target, &headers);
         let word = core.dialects.target.read_word(&headers);
         core.record_limit(target, word, called_at);
     }
@@ -172,3 +174,16 @@
         PieceCallFault::Broken
     })
 }
+
+/// Records how long work takes on the machine of a target that has answered, if it says so.
+fn record_pace(core: &RelayCore, target: &str, headers: &HeaderList) {
+    let Some(percent) = core.dialects.target.read_pace(headers) else {
+        return;
+    };
+    match MachinePace::from_percent(percent, Instant::now()) {
+        Some(pace) => core.batch_service.set_pace(target, pace),
+        None => {
+            core.metrics.unusable_paces.inc();
+        }
+    }
+}
--- a/crates/relay/src/stage/batch_service.rs
+++ b/crates/relay/src/stage/batch_service.rs
@@ -7,7 +7,7 @@
         },
     },
     board::PoolLoad,
-    piece::{BatchAction, BatchScheduler, PoolShards},
+    piece::{BatchAction, BatchScheduler, MachinePace, PoolShards},
     plan::{PieceSpec, ServiceId, TargetRow},
     rand::Rng,
     route::{NoticeStanding, id_hash},
@@ -105,6 +105,13 @@
         self.wake.notify_one();
     }
 
+    /// Records what a target said of its machine.
+    pub fn set_pace(&self, target: &str, pace: MachinePace) {
+        for state in self.shard_states.borrow_mut().values_mut() {
+            state.scheduler.set_pace(target, pace);
+        }
+    }
+
     /// Sends a target nothing until this time, or as usual again if there is none.
     pub fn hold_target(&self, target: &str, until: Option<Instant>) {
         for state in self.shard_states.borrow_mut().values_mut() {
