Keep rounds of gossip short enough to be sent

Cause: waits by urgency and the mark of each host made the heartbeats of the hosts that can own shards longer than a datagram. Nothing more could be left out, so no round was sent; after a loss of all hosts several of them called the targets of each shard for as long as the load lasted.

Change: the mark of a host travels in its heartbeat only while the host lacks the store; waits by urgency are told where they differ by 30 ms or more, under a short hash, and are left out before anything that keeps owners in view; heartbeats can all be left out.

--- a/crates/board/src/gossip_round.rs
+++ b/crates/board/src/gossip_round.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        AgedHostRecord, GossipMessage, HostHeartbeat, HostRecord, HostTable,
+        AgedHostRecord, GossipMessage, HostHeartbeat, HostTable,
         host_row::{HostRow, is_large},
     },
     rand::seq::{IndexedRandom, SliceRandom},
@@ -169,12 +169,8 @@
                 continue;
             };
             row.relay_count += 1;
-            let record = HostRecord {
-                loads: Vec::new(),
-                ..row.record.clone()
-            };
             records.push(AgedHostRecord {
-                record,
+                record: row.relayed_record(),
                 age: row.age(now),
             });
         }
--- a/crates/board/src/host_mark.rs
+++ b/crates/board/src/host_mark.rs
@@ -37,9 +37,14 @@
         }
     }
 
+    /// Returns true if the load stands for a mark.
+    pub fn is_mark(load: &PoolLoad) -> bool {
+        load.pool == MARK_POOL
+    }
+
     /// Returns the mark among the loads of a record; that of the oldest schema if there is none.
     pub fn find(loads: &[PoolLoad]) -> Self {
-        let mark = loads.iter().find(|load| load.pool == MARK_POOL);
+        let mark = loads.iter().find(|load| Self::is_mark(load));
         let schema = mark.and_then(|mark| SchemaNumber::try_from(mark.wait_ms).ok());
         Self {
             schema: schema.unwrap_or(OLDEST_SCHEMA),
--- a/crates/board/src/host_row.rs
+++ b/crates/board/src/host_row.rs
@@ -1,6 +1,7 @@
 use {
-    crate::{HostHeartbeat, HostRecord},
+    crate::{HostHeartbeat, HostMark, HostRecord, PoolLoad},
     std::time::{Duration, Instant},
+    wire::SchemaNumber,
 };
 
 /// What this host knows of another host.
@@ -11,6 +12,8 @@
     pub process: u32,
     /// Time at which the host wrote the latest known version of the record, by the local clock.
     pub written_at: Instant,
+    /// Schema that the process reads. Records and heartbeats that older builds pass on may lack it.
+    pub schema: SchemaNumber,
     /// Number of times that the record was relayed since the process was first heard of.
     pub relay_count: u32,
 }
@@ -20,6 +23,7 @@
     pub fn new(record: HostRecord, written_at: Instant, relay_count: u32) -> Self {
         Self {
             process: record.process_hash(),
+            schema: record.mark().schema,
             record,
             written_at,
             relay_count,
@@ -36,7 +40,23 @@
         !self.record.crashes.is_empty()
     }
 
-    /// Returns the short form of the record.
+    /// Returns the record as it is passed on, with the mark of its host.
+    pub fn relayed_record(&self) -> HostRecord {
+        let mark = HostMark {
+            schema: self.schema,
+            ..self.record.mark()
+        };
+        let mut record = self.record.clone();
+        record.pools.retain(|load| !HostMark::is_mark(load));
+        record.pools.push(mark.to_load());
+        HostRecord {
+            loads: Vec::new(),
+            ..record
+        }
+    }
+
+    /// Returns the short form of the record. It has room for the mark of a host only while the host
+    /// lacks the store; the schema does not change.
     pub fn heartbeat(&self, now: Instant) -> HostHeartbeat {
         HostHeartbeat {
             process: self.process,
@@ -48,10 +68,19 @@
             leaving: self.record.leaving,
             settled: self.record.settled,
             plan_version: self.record.plan_version,
-            pools: self.record.pools.clone(),
+            pools: self.heartbeat_pools(),
         }
     }
 
+    fn heartbeat_pools(&self) -> Vec<PoolLoad> {
+        let lacks_store = self.record.mark().lacks_store;
+        let pools = self.record.pools.iter();
+        pools
+            .filter(|load| lacks_store || !HostMark::is_mark(load))
+            .copied()
+            .collect()
+    }
+
     /// Applies a later heartbeat of the same process. Returns true if it changes whether the host
     /// is ready or leaving.
     pub fn apply_heartbeat(&mut self, heartbeat: HostHeartbeat, now: Instant) -> bool {
--- a/crates/board/src/host_table.rs
+++ b/crates/board/src/host_table.rs
@@ -213,13 +213,14 @@
     /// Returns the schema that another host reads; the oldest one if the host is unknown.
     pub fn peer_schema(&self, host: &str) -> SchemaNumber {
         let row = self.rows.get(host);
-        row.map_or(OLDEST_SCHEMA, |row| row.record.mark().schema)
+        row.map_or(OLDEST_SCHEMA, |row| row.schema)
     }
 
     /// Returns the lowest schema of this host and all live ones. What all of them must decide alike
     /// goes by it.
     pub fn fleet_schema(&self, now: Instant) -> SchemaNumber {
-        let schemas = self.live_peers(now).map(|record| record.mark().schema);
+        let hosts = self.live_peers(now).map(|record| record.host.as_str());
+        let schemas = hosts.map(|host| self.peer_schema(host));
         schemas.min().unwrap_or(NEWEST_SCHEMA).min(NEWEST_SCHEMA)
     }
 
@@ -244,7 +245,9 @@
                 self.last_new_process_round = self.round_count;
             }
         }
-        let row = HostRow::new(record, written_at, relay_count);
+        let known_schema = known.filter(|_| !is_new_process).map(|row| row.schema);
+        let mut row = HostRow::new(record, written_at, relay_count);
+        row.schema = row.schema.max(known_schema.unwrap_or(OLDEST_SCHEMA));
         if is_new_process {
             self.processes.retain(|_, host| *host != row.record.host);
             self.processes.insert(row.process, row.record.host.clone());
--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -15,6 +15,7 @@
 mod host_row;
 mod host_table;
 mod owner_choice;
+mod round_seal;
 
 pub use {
     address_sample::address_sample,
@@ -32,4 +33,5 @@
     },
     host_table::HostTable,
     owner_choice::{pick_owner, rank_hosts},
+    round_seal::seal_shortened,
 };
--- a/crates/relay/src/peer/gossip_loop.rs
+++ b/crates/relay/src/peer/gossip_loop.rs
@@ -7,9 +7,13 @@
             },
         },
         shared::{RelayCore, boot_time},
+        stage::is_urgency_load,
         state::{LagAdvice, PeerPosition},
     },
-    board::{EvidenceAnswer, EvidenceRefresher, EvidenceRequest, GossipDatagram, GossipMessage},
+    board::{
+        EvidenceAnswer, EvidenceRefresher, EvidenceRequest, GossipDatagram, GossipMessage,
+        seal_shortened,
+    },
     slog::{debug, info},
     std::{
         net::SocketAddr,
@@ -17,12 +21,9 @@
         time::{Duration, Instant},
     },
     tokio::net::UdpSocket,
-    wire::{DatagramSeal, MAX_DATAGRAM_BYTES, WireError},
+    wire::{DatagramSeal, MAX_DATAGRAM_BYTES},
 };
 
-/// Once a datagram that is too long has only one record of another host left, heartbeats are left
-/// out while there are more than this, and then that record.
-const MIN_HEARTBEATS: usize = 24;
 /// Delay after a socket error.
 const ERROR_DELAY: Duration = Duration::from_millis(50);
 
@@ -82,7 +83,7 @@
     core.connections.close_expired(now);
     core.control_connections.close_expired(now);
     let round = core.hosts.borrow_mut().next_round(now);
-    let Some(bytes) = seal_shortened(seal, round.message) else {
+    let Some(bytes) = seal_shortened(seal, round.message, is_urgency_load) else {
         return;
     };
     for address in round.recipients {
@@ -154,43 +155,6 @@
     }
 }
 
-/// Returns the sealed datagram of a round, or `None` if it cannot be encoded. Until it is short
-/// enough, records of other hosts and heartbeats are left out, then loads of this entry, whose
-/// record is the first one.
-fn seal_shortened(seal: &DatagramSeal, message: GossipMessage) -> Option<Vec<u8>> {
-    let mut datagram = GossipDatagram::Round(message);
-    loop {
-        let sealed = seal.seal(&datagram);
-        let GossipDatagram::Round(message) = &mut datagram else {
-            return None;
-        };
-        match sealed {
-            Ok(bytes) => return Some(bytes),
-            Err(WireError::TooLong { .. }) if message.records.len() > 2 => {
-                message.records.pop();
-            }
-            Err(WireError::TooLong { .. }) if message.heartbeats.len() > MIN_HEARTBEATS => {
-                message
-                    .heartbeats
-                    .truncate(message.heartbeats.len() * 3 / 4);
-            }
-            Err(WireError::TooLong { .. }) if message.records.len() > 1 => {
-                message.records.pop();
-            }
-            Err(WireError::TooLong { .. }) => {
-                let loads = &mut message.records[0].record.loads;
-                loads.sort_by_key(|load| std::cmp::Reverse((load.unread_tokens, load.running)));
-                let half_count = loads.len() / 2;
-                if loads.is_empty() {
-                    return None;
-                }
-                loads.truncate(half_count);
-            }
-            Err(WireError::Codec { .. }) => return None,
-        }
-    }
-}
-
 /// Handles a datagram of another entry and returns the replies to it.
 fn handle_datagram(
     core: &RelayCore,
--- a/crates/relay/src/stage/batch_service.rs
+++ b/crates/relay/src/stage/batch_service.rs
@@ -25,6 +25,9 @@
 
 /// Longest sleep of the loop that carries out the schedulers' actions.
 const MAX_IDLE_SLEEP: Duration = Duration::from_secs(1);
+/// Difference from the wait of the least urgent work, in milliseconds, from which on that of more
+/// urgent work is told.
+const MIN_WAIT_GAIN_MS: u32 = 30;
 /// Interval of checks whether this process has heard of the other hosts.
 const SETTLE_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -171,6 +174,18 @@
         waits.min_by_key(|wait| wait.timely).unwrap_or_default()
     }
 
+    /// Returns the expected waits of new work of this urgency at a shard of this entry; zero while it
+    /// has no jobs.
+    pub fn own_wait(&self, shard: &str, urgency: u8, now: Instant) -> PoolWait {
+        let states = self.shard_states.borrow();
+        let state = states.get(shard);
+        let busy = state.filter(|state| !state.waiters.is_empty());
+        busy.map_or_else(PoolWait::default, |state| PoolWait {
+            timely: state.scheduler.timely_wait_of(urgency, now),
+            queue_end: state.scheduler.queue_end_wait_of(urgency, now),
+        })
+    }
+
     /// Returns the expected waits of new work at the shards for which this entry has jobs: of the
     /// least urgent work, and of that of each given urgency.
     pub fn own_pool_loads(&self, urgencies: &BTreeSet<u8>, now: Instant) -> Vec<PoolLoad> {
@@ -259,6 +274,13 @@
         wait_ms: millis(scheduler.timely_wait_of(*urgency, now)),
         last_wait_ms: millis(scheduler.queue_end_wait_of(*urgency, now)),
     });
+    // Messages are short of room, so what the wait of the least urgent work tells is left out.
+    let is_news = |load: &PoolLoad| {
+        let timely_gain = least_urgent.wait_ms.saturating_sub(load.wait_ms);
+        let late_gain = least_urgent.last_wait_ms.saturating_sub(load.last_wait_ms);
+        timely_gain.max(late_gain) >= MIN_WAIT_GAIN_MS
+    };
+    let by_urgency = by_urgency.filter(is_news);
     std::iter::once(least_urgent).chain(by_urgency).collect()
 }
 
--- a/crates/relay/src/stage/mod.rs
+++ b/crates/relay/src/stage/mod.rs
@@ -19,7 +19,7 @@
     owner_link::OwnerLink,
     peer_message::PeerMessage,
     peer_server::serve_peers,
-    pool_wait::{PoolWait, pool_wait, shard_wait},
+    pool_wait::{PoolWait, is_urgency_load, pool_wait, shard_wait},
     shard_owner::{JobPlace, takes_jobs},
     stage_run::StageRun,
 };
--- a/crates/relay/src/stage/pool_wait.rs
+++ b/crates/relay/src/stage/pool_wait.rs
@@ -1,10 +1,13 @@
 use {
     crate::shared::RelayCore,
-    board::pick_owner,
+    board::{HostMark, HostRecord, PoolLoad, pick_owner},
     route::id_hash,
     std::time::{Duration, Instant},
 };
 
+/// Bits of the hash that are used: it takes up half of the bytes in messages that are short of room.
+const URGENCY_HASH_MASK: u64 = 0x0fff_ffff;
+
 /// Expected waits of new work for a shard, as last reported by the owner of the shard; zero if
 /// unknown.
 #[derive(Debug, Clone, Copy, Default)]
@@ -26,16 +29,17 @@
 pub fn shard_wait(core: &RelayCore, shard: &str, urgency: u8, now: Instant) -> PoolWait {
     let hosts = core.hosts.borrow();
     let owner = pick_owner(shard, hosts.owner_candidates(now));
-    let pool_loads = match owner {
+    let record = match owner {
         Some(owner) if owner != hosts.own_record().host => {
-            let record = hosts.live_peers(now).find(|record| record.host == owner);
-            record
-                .map(|record| record.pools.clone())
-                .unwrap_or_default()
+            hosts.live_peers(now).find(|record| record.host == owner)
         }
-        _ => core
-            .batch_service
-            .own_pool_loads(&core.urgencies.borrow(), now),
+        _ => return core.batch_service.own_wait(shard, urgency, now),
+    };
+    let Some(HostRecord {
+        pools: pool_loads, ..
+    }) = record
+    else {
+        return PoolWait::default();
     };
     let find_load = |pool: u64| pool_loads.iter().find(|load| load.pool == pool);
     // An owner that does not tell waits by urgency tells that of the least urgent work.
@@ -48,5 +52,10 @@
 
 /// Returns the hash that stands for the work of one urgency at a shard in the loads of an entry.
 pub fn urgency_hash(shard: &str, urgency: u8) -> u64 {
-    id_hash(&format!("{shard}/{urgency}"))
+    id_hash(&format!("{shard}/{urgency}")) & URGENCY_HASH_MASK
+}
+
+/// Returns true if the load is that of one urgency at a shard.
+pub fn is_urgency_load(load: &PoolLoad) -> bool {
+    !HostMark::is_mark(load) && load.pool <= URGENCY_HASH_MASK
 }
