Let late work in only as far as timely work leaves it room

Cause: late jobs are served after all timely ones, also those that arrive after them, while their wait counted only what stood before them now.

Change: the wait of late work is divided by the share of the pool that timely arrivals of the last second leave.

--- a/crates/piece/src/batch_queue.rs
+++ b/crates/piece/src/batch_queue.rs
@@ -11,6 +11,9 @@
 /// A job counts as large if its results need more than a target's result memory divided by this.
 const LARGE_JOB_DIVISOR: u64 = 20;
 
+/// Share of a pool that counts as left for work that is overtaken, at the least.
+const MIN_SHARE_LEFT: f64 = 0.05;
+
 /// The queue of jobs: their order, the choice of pieces for a call, and which jobs fail as
 /// hopeless.
 ///
@@ -34,7 +37,7 @@
             let is_timely = pending.goal_at >= earliest_done;
             pending.is_started() || (is_timely && pending.rank.urgency <= urgency)
         };
-        self.wait_behind(precedes, now)
+        self.wait_behind(precedes, 0, now)
     }
 
     /// Returns the expected time until a call includes a new job at the end of the queue.
@@ -50,12 +53,29 @@
             let is_timely = pending.goal_at >= earliest_done;
             pending.is_started() || is_timely || pending.rank.urgency <= urgency
         };
-        self.wait_behind(precedes, now)
+        let overtaking = self.arrivals.pieces(now);
+        self.wait_behind(precedes, overtaking, now)
     }
 
-    fn wait_behind(&self, precedes: impl Fn(&PendingJob) -> bool, now: Instant) -> Duration {
+    /// Returns the expected time until a call includes a piece behind the jobs that `precedes`
+    /// accepts, while `overtaking` pieces a second go on to arrive that are served before it.
+    fn wait_behind(
+        &self,
+        precedes: impl Fn(&PendingJob) -> bool,
+        overtaking: usize,
+        now: Instant,
+    ) -> Duration {
         let preceding = self.jobs.values().filter(|pending| precedes(pending));
-        self.queue_time(preceding.map(|pending| pending.waiting.len()).sum(), now)
+        let pieces = preceding.map(|pending| pending.waiting.len()).sum();
+        let share_left = 1.0 - overtaking as f64 / self.pieces_per_second(now);
+        self.queue_time(pieces, now)
+            .div_f64(share_left.max(MIN_SHARE_LEFT))
+    }
+
+    /// Returns the number of pieces that all targets together make in a second in full calls.
+    fn pieces_per_second(&self, now: Instant) -> f64 {
+        let call_time = self.call_time(self.spec.batch).as_secs_f64().max(0.001);
+        self.working_targets(now) as f64 * self.spec.batch.max(1) as f64 / call_time
     }
 
     /// Returns the data centres that have a target which is not in backoff.
--- a/crates/piece/src/batch_scheduler.rs
+++ b/crates/piece/src/batch_scheduler.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        BatchAction, CallId, JobId, JobRank, PieceOutcome, PieceWork, StageJob,
+        BatchAction, CallId, JobId, JobRank, PieceOutcome, PieceWork, RecentArrivals, StageJob,
         batch_target::BatchTarget,
         pending_job::{BatchCall, PendingJob},
     },
@@ -37,6 +37,8 @@
     pub(super) freed_results: BTreeMap<String, Vec<String>>,
     /// Time at which the targets are told of `freed_results`; `None` if there are none.
     pub(super) flush_at: Option<Instant>,
+    /// Jobs that arrived lately in time to meet their goal.
+    pub(super) arrivals: RecentArrivals,
     /// Number of calls started so far.
     pub(super) call_count: u64,
     /// True while another entry may still be calling the same targets.
@@ -56,6 +58,7 @@
             actions: Vec::new(),
             freed_results: BTreeMap::new(),
             flush_at: None,
+            arrivals: RecentArrivals::default(),
             call_count: 0,
             is_shared: false,
             last_id: 0,
@@ -96,6 +99,9 @@
     pub fn submit_ranked(&mut self, job: StageJob, rank: JobRank, now: Instant) -> JobId {
         let id = self.next_id();
         let pending = PendingJob::new(job, rank, now);
+        if pending.goal_at >= now + self.call_time(1) {
+            self.arrivals.record(pending.waiting.len(), now);
+        }
         self.jobs.insert(id, pending);
         id
     }
--- a/crates/piece/src/lib.rs
+++ b/crates/piece/src/lib.rs
@@ -12,6 +12,7 @@
 mod machine_pace;
 mod pending_job;
 mod pool_shards;
+mod recent_arrivals;
 mod stage_graph;
 mod stage_job;
 
@@ -21,6 +22,7 @@
     job_rank::JobRank,
     machine_pace::MachinePace,
     pool_shards::{PoolShard, PoolShards},
+    recent_arrivals::RecentArrivals,
     stage_graph::{StageGraph, StageState},
     stage_job::{JobId, PieceInput, PieceOutcome, PieceWork, StageJob, StageResult},
 };
