--- a/crates/piece/src/job_order.rs
+++ b/crates/piece/src/job_order.rs
@@ -10,11 +10,27 @@
 /// waits for ever.
 const EVEN_CALL_INTERVAL: u64 = 12;
 
-/// Sort key of a job: whether it has not started, whether it will miss its latency goal, its
-/// urgency, whether its customer has had its fair share, the time of the goal, and its number.
-type QueueKey = (bool, bool, u8, bool, Instant, JobId);
+/// Place of a job in the order; the fields are compared from the first to the last.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct JobPlace {
+    /// True if none of its pieces has been started.
+    is_unstarted: bool,
+    group: JobGroup,
+    /// True if its customer has had its fair share.
+    is_excess: bool,
+    goal_at: Instant,
+    id: JobId,
+}
+
+/// Jobs among which customers get fair shares.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct JobGroup {
+    /// True if they will miss their latency goal.
+    is_late: bool,
+    urgency: u8,
+}
 
-/// Pieces of one urgency that customers have waiting, as they are put in order.
+/// Pieces that customers have waiting in one group, as they are put in order.
 #[derive(Default)]
 struct CustomerShares {
     /// Customers with waiting jobs.
@@ -44,12 +60,16 @@
         let waiting = waiting
             .filter(|(_, pending)| !pending.waiting.is_empty())
             .filter(|(_, pending)| is_wanted(pending));
-        let mut queue: Vec<QueueKey> = waiting
-            .map(|(id, pending)| {
-                let is_late = pending.goal_at < earliest_done;
-                let urgency = self.rank_in_force(pending).urgency;
-                let is_waiting = !pending.is_started();
-                (is_waiting, is_late, urgency, false, pending.goal_at, *id)
+        let mut queue: Vec<JobPlace> = waiting
+            .map(|(id, pending)| JobPlace {
+                is_unstarted: !pending.is_started(),
+                group: JobGroup {
+                    is_late: pending.goal_at < earliest_done,
+                    urgency: self.rank_in_force(pending).urgency,
+                },
+                is_excess: false,
+                goal_at: pending.goal_at,
+                id: *id,
             })
             .collect();
         queue.sort_unstable();
@@ -57,31 +77,29 @@
             self.mark_excess(&mut queue, now);
             queue.sort_unstable();
         }
-        queue.into_iter().map(|(.., id)| id).collect()
+        queue.into_iter().map(|place| place.id).collect()
     }
 
     /// Marks the jobs that are beyond their customer's fair share. The queue is in order without
     /// the marks.
-    fn mark_excess(&self, queue: &mut [QueueKey], now: Instant) {
-        let mut shares: BTreeMap<(bool, u8), CustomerShares> = BTreeMap::new();
-        for (is_waiting, is_late, urgency, _, _, id) in queue.iter() {
-            if *is_waiting {
-                let group = shares.entry((*is_late, *urgency)).or_default();
-                group.customers.insert(self.jobs[id].rank.customer);
-            }
+    fn mark_excess(&self, queue: &mut [JobPlace], now: Instant) {
+        let mut shares: BTreeMap<JobGroup, CustomerShares> = BTreeMap::new();
+        for place in queue.iter().filter(|place| place.is_unstarted) {
+            let group = shares.entry(place.group).or_default();
+            group.customers.insert(self.jobs[&place.id].rank.customer);
         }
-        for (is_waiting, is_late, urgency, is_excess, goal_at, id) in queue.iter_mut() {
-            let Some(group) = shares.get_mut(&(*is_late, *urgency)) else {
+        for place in queue.iter_mut().filter(|place| place.is_unstarted) {
+            let Some(group) = shares.get_mut(&place.group) else {
                 continue;
             };
-            if !*is_waiting || group.customers.len() < 2 {
+            if group.customers.len() < 2 {
                 continue;
             }
-            let pending = &self.jobs[id];
-            let capacity = self.capacity_until(*goal_at, now);
+            let pending = &self.jobs[&place.id];
+            let capacity = self.capacity_until(place.goal_at, now);
             let fair_share = capacity.div_ceil(group.customers.len());
             let taken = group.taken.entry(pending.rank.customer).or_default();
-            *is_excess = *taken >= fair_share;
+            place.is_excess = *taken >= fair_share;
             *taken += pending.waiting.len();
         }
     }
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -4,6 +4,7 @@
 mod feed_server;
 mod held_targets;
 mod peer_feed;
+mod read_phase;
 mod state_view;
 mod store_contents;
 mod store_peers;
--- a/crates/relay/src/state/store_contents.rs
+++ b/crates/relay/src/state/store_contents.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         dialect::{StoreChanges, StoreItem},
-        state::{AnswerOrigin, ChangeLog, StoreReplica, store_replica::ReadPhase},
+        state::{AnswerOrigin, ChangeLog, StoreReplica, read_phase::ReadPhase},
     },
     plan::{BootTime, FleetPlan, PlanVersion, StoreEra, StorePosition, TargetRow},
     std::{
--- a/crates/relay/src/state/store_peers.rs
+++ b/crates/relay/src/state/store_peers.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         dialect::{StoreChanges, StoreItem},
-        state::{AnswerOrigin, StoreReplica, store_replica::ReadPhase},
+        state::{AnswerOrigin, StoreReplica, read_phase::ReadPhase},
     },
     plan::{BootTime, PlanEvidence, PlanVersion, StoreEra, StorePosition},
     std::time::{Duration, Instant},
--- a/crates/relay/src/state/store_replica.rs
+++ b/crates/relay/src/state/store_replica.rs
@@ -1,8 +1,9 @@
 use {
     crate::{
-        dialect::{StoreChanges, StoreItem, StorePage, WireFault},
+        dialect::{StoreChanges, StorePage, WireFault},
         state::{
-            AnswerOrigin, StateView, StoreRequest, change_log::ChangeLog, held_targets::HeldTargets,
+            AnswerOrigin, StateView, StoreRequest, change_log::ChangeLog,
+            held_targets::HeldTargets, read_phase::ReadPhase,
         },
     },
     plan::{PlanVersion, StorePosition},
@@ -32,22 +33,6 @@
 /// with it.
 const MAX_LOST_ANSWERS: u32 = 1;
 
-/// How the store is read at present.
-#[derive(Debug)]
-pub(super) enum ReadPhase {
-    /// All items are read, page by page.
-    Reading {
-        /// Items of the pages read so far.
-        items: Vec<StoreItem>,
-        /// Key after which the next page begins; `None` for the first page.
-        after: Option<String>,
-        /// Origin of the first page; `None` until it is read.
-        first_origin: Option<AnswerOrigin>,
-    },
-    /// All items have been read, and the store is watched for changes.
-    Watching,
-}
-
 /// Local copy of the store's contents, which outlasts outages of the store and gaps in its history.
 ///
 /// It does no I/O: it is given answers and faults, and returns the next request and its time. A
@@ -288,14 +273,3 @@
         !expired.is_empty()
     }
 }
-
-impl ReadPhase {
-    /// Returns the phase in which the first page is read.
-    pub(super) fn start() -> Self {
-        Self::Reading {
-            items: Vec::new(),
-            after: None,
-            first_origin: None,
-        }
-    }
-}
