Put customers back only beyond a max-min fair share, and urgency first only where a pool is short

Cause: a customer's jobs beyond an equal share went after others even while all fitted, so those of large customers became late; urgent work with time to spare went before other work that had none.

Change: shares are filled up to a level at which together they are what can be made until the latest goal; ranks count only while waiting work takes up half of the time left for it or a job is late, and for 2 s more.

The load patterns without a network pass as before, and one more: with time for all, the earliest goal goes first.

--- a/crates/piece/src/batch_queue.rs
+++ b/crates/piece/src/batch_queue.rs
@@ -32,10 +32,12 @@
     /// Returns the expected time until a call includes a new job of this urgency that can still meet
     /// its latency goal.
     pub fn timely_wait_of(&self, urgency: u8, now: Instant) -> Duration {
+        let is_short = self.is_short(now);
         let earliest_done = now + self.next_call_time();
         let precedes = |pending: &PendingJob| {
             let is_timely = pending.goal_at >= earliest_done;
-            pending.is_started() || (is_timely && pending.rank.urgency <= urgency)
+            let goes_first = !is_short || pending.rank.urgency <= urgency;
+            pending.is_started() || (is_timely && goes_first)
         };
         self.wait_behind(precedes, 0, now)
     }
--- a/crates/piece/src/batch_scheduler.rs
+++ b/crates/piece/src/batch_scheduler.rs
@@ -39,6 +39,8 @@
     pub(super) flush_at: Option<Instant>,
     /// Jobs that arrived lately in time to meet their goal.
     pub(super) arrivals: RecentArrivals,
+    /// Time until which the pool counts as short of targets; `None` if it never did.
+    pub(super) short_until: Option<Instant>,
     /// Number of calls started so far.
     pub(super) call_count: u64,
     /// True while another entry may still be calling the same targets.
@@ -59,6 +61,7 @@
             freed_results: BTreeMap::new(),
             flush_at: None,
             arrivals: RecentArrivals::default(),
+            short_until: None,
             call_count: 0,
             is_shared: false,
             last_id: 0,
@@ -117,6 +120,7 @@
     /// Fails jobs that would miss their deadline, starts calls, and returns all actions that have
     /// come up since the last time.
     pub fn take_actions(&mut self, now: Instant) -> Vec<BatchAction> {
+        self.update_shortage(now);
         self.drop_hopeless_jobs(now);
         while self.start_next_call(now) {}
         self.report_inputs_read(now);
--- a/crates/piece/src/job_order.rs
+++ b/crates/piece/src/job_order.rs
@@ -1,7 +1,7 @@
 use {
-    crate::{BatchScheduler, JobId, JobRank, pending_job::PendingJob},
+    crate::{BatchScheduler, CustomerShares, JobId, pending_job::PendingJob},
     std::{
-        collections::{BTreeMap, BTreeSet},
+        collections::BTreeMap,
         time::{Duration, Instant},
     },
 };
@@ -10,6 +10,12 @@
 /// waits for ever.
 const EVEN_CALL_INTERVAL: u64 = 12;
 
+/// A pool counts as short once work that waits takes up what can be made in the time that is left for
+/// it, divided by this: more urgent work that comes then would find it before itself.
+const SHORTAGE_DIVISOR: usize = 2;
+/// Time for which a pool counts as short after the last sign of it.
+const SHORTAGE_TIME: Duration = Duration::from_secs(2);
+
 /// Place of a job in the order; the fields are compared from the first to the last.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct JobPlace {
@@ -30,21 +36,13 @@
     urgency: u8,
 }
 
-/// Pieces that customers have waiting in one group, as they are put in order.
-#[derive(Default)]
-struct CustomerShares {
-    /// Customers with waiting jobs.
-    customers: BTreeSet<u64>,
-    /// Pieces that stand before, by customer.
-    taken: BTreeMap<u64, usize>,
-}
-
 /// The order in which jobs are served.
 ///
 /// Started jobs come first, since half-made jobs hold room. Then come those that can still meet
-/// their goal, the most urgent first. Within an urgency a customer's jobs beyond its fair share of
-/// what can be made until their goal come after those of the others; what the others do not use is
-/// left to it. Among equals the earliest goal goes first. Jobs that will miss their goal come last.
+/// their goal, and last those that cannot. While all can be made in time, the earliest goal goes
+/// first, since that order keeps most goals. Where the pool is short, the most urgent ones go first;
+/// within an urgency a customer's jobs beyond its fair share of what can be made until their goal
+/// come after those of the others, and what the others do not use is left to it.
 ///
 /// It answers these load patterns: urgent requests, or the least urgent ones, come several times as
 /// often for some seconds; one customer sends ten times as much as before; both at once.
@@ -55,6 +53,44 @@
         now: Instant,
         is_wanted: impl Fn(&PendingJob) -> bool,
     ) -> Vec<JobId> {
+        let is_even_call = self.call_count.is_multiple_of(EVEN_CALL_INTERVAL);
+        let goes_by_rank = self.is_short(now) && !is_even_call;
+        let mut queue = self.job_places(now, goes_by_rank, is_wanted);
+        if goes_by_rank && self.has_several_customers() {
+            self.mark_excess(&mut queue, now);
+            queue.sort_unstable();
+        }
+        queue.into_iter().map(|place| place.id).collect()
+    }
+
+    /// Finds out whether the pool is short: whether a job that waits will miss its goal, or would in
+    /// the order of the goals. It then counts as short for a while, since urgent work that still
+    /// comes would find less urgent work before it.
+    pub(super) fn update_shortage(&mut self, now: Instant) {
+        let mut pieces_before = 0;
+        let is_short = self.job_places(now, false, |_| true).iter().any(|place| {
+            pieces_before += self.jobs[&place.id].waiting.len();
+            let max_pieces = self.capacity_until(place.goal_at, now) / SHORTAGE_DIVISOR;
+            place.is_unstarted && (place.group.is_late || pieces_before > max_pieces)
+        });
+        if is_short {
+            self.short_until = Some(now + SHORTAGE_TIME);
+        }
+    }
+
+    /// True while the pool counts as short.
+    pub(super) fn is_short(&self, now: Instant) -> bool {
+        self.short_until.is_some_and(|until| until > now)
+    }
+
+    /// Returns the places of the jobs that `is_wanted` accepts, in order; urgencies count only if
+    /// `has_urgencies`.
+    fn job_places(
+        &self,
+        now: Instant,
+        has_urgencies: bool,
+        is_wanted: impl Fn(&PendingJob) -> bool,
+    ) -> Vec<JobPlace> {
         let earliest_done = now + self.next_call_time();
         let waiting = self.jobs.iter();
         let waiting = waiting
@@ -65,7 +101,11 @@
                 is_unstarted: !pending.is_started(),
                 group: JobGroup {
                     is_late: pending.goal_at < earliest_done,
-                    urgency: self.rank_in_force(pending).urgency,
+                    urgency: if has_urgencies {
+                        pending.rank.urgency
+                    } else {
+                        0
+                    },
                 },
                 is_excess: false,
                 goal_at: pending.goal_at,
@@ -73,11 +113,7 @@
             })
             .collect();
         queue.sort_unstable();
-        if self.has_several_customers() {
-            self.mark_excess(&mut queue, now);
-            queue.sort_unstable();
-        }
-        queue.into_iter().map(|place| place.id).collect()
+        queue
     }
 
     /// Marks the jobs that are beyond their customer's fair share. The queue is in order without
@@ -86,21 +122,16 @@
         let mut shares: BTreeMap<JobGroup, CustomerShares> = BTreeMap::new();
         for place in queue.iter().filter(|place| place.is_unstarted) {
             let group = shares.entry(place.group).or_default();
-            group.customers.insert(self.jobs[&place.id].rank.customer);
+            let pending = &self.jobs[&place.id];
+            group.add_demand(pending.rank.customer, pending.waiting.len());
+            // The last one has the latest goal.
+            group.set_capacity(self.capacity_until(place.goal_at, now));
         }
         for place in queue.iter_mut().filter(|place| place.is_unstarted) {
-            let Some(group) = shares.get_mut(&place.group) else {
-                continue;
-            };
-            if group.customers.len() < 2 {
-                continue;
-            }
             let pending = &self.jobs[&place.id];
-            let capacity = self.capacity_until(place.goal_at, now);
-            let fair_share = capacity.div_ceil(group.customers.len());
-            let taken = group.taken.entry(pending.rank.customer).or_default();
-            place.is_excess = *taken >= fair_share;
-            *taken += pending.waiting.len();
+            if let Some(group) = shares.get_mut(&place.group) {
+                place.is_excess = group.take(pending.rank.customer, pending.waiting.len());
+            }
         }
     }
 
@@ -115,14 +146,6 @@
         (calls * self.spec.batch as f64).max(self.spec.batch as f64) as usize
     }
 
-    /// Returns the rank by which a job is served now.
-    fn rank_in_force(&self, pending: &PendingJob) -> JobRank {
-        match self.call_count.is_multiple_of(EVEN_CALL_INTERVAL) {
-            true => JobRank::default(),
-            false => pending.rank,
-        }
-    }
-
     fn has_several_customers(&self) -> bool {
         let mut customers = self.jobs.values().map(|pending| pending.rank.customer);
         let first = customers.next();
--- a/crates/piece/src/lib.rs
+++ b/crates/piece/src/lib.rs
@@ -7,6 +7,7 @@
 mod batch_scheduler;
 mod batch_target;
 mod batch_targets;
+mod customer_shares;
 mod job_order;
 mod job_rank;
 mod machine_pace;
@@ -19,6 +20,7 @@
 pub use {
     batch_action::{BatchAction, CallId},
     batch_scheduler::BatchScheduler,
+    customer_shares::CustomerShares,
     job_rank::JobRank,
     machine_pace::MachinePace,
     pool_shards::{PoolShard, PoolShards},
--- a/crates/piece/tests/batch_scheduler/urgency.rs
+++ b/crates/piece/tests/batch_scheduler/urgency.rs
@@ -267,3 +267,20 @@
         assert!(share.unwrap() > 0.5, "customer {customer}: {share:?}");
     }
 }
+
+/// While the pool has time for all, urgent jobs with time to spare do not make others late.
+#[test]
+fn the_earliest_goal_goes_first_while_all_can_be_made_in_time() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(&[("t1", "a")], now);
+    for _ in 0..3 {
+        scheduler.submit_ranked(job(8, 1_000, 5_000, 9_000), JobRank::default(), now);
+    }
+    let less_urgent = JobRank {
+        urgency: 1,
+        customer: 0,
+    };
+    let tight = scheduler.submit_ranked(job(8, 1_000, 900, 9_000), less_urgent, now);
+    let first = calls(scheduler.take_actions(now));
+    assert!(first[0].2.iter().all(|piece| piece.job == tight));
+}
