--- a/crates/relay/src/dialect/mod.rs
+++ b/crates/relay/src/dialect/mod.rs
@@ -10,7 +10,7 @@
     caller_dialect::{AddressQuery, CallerDialect, HopRequest},
     caller_head::{CallerHead, HeadFault, HeaderList, header_value},
     relay_refusal::RelayRefusal,
-    store_dialect::{StoreChanges, StoreDialect, StoreItem, StorePage},
+    store_dialect::{ALL_ITEMS_SCHEMA, StoreChanges, StoreDialect, StoreItem, StorePage},
     target_dialect::{ReplyHead, ReplyOutcome, TargetDialect, TargetRequest},
     wire_call::WireCall,
     wire_fault::WireFault,
--- a/crates/relay/src/dialect/store_dialect.rs
+++ b/crates/relay/src/dialect/store_dialect.rs
@@ -6,6 +6,10 @@
     wire::{OLDEST_SCHEMA, SchemaNumber},
 };
 
+/// Schema from which on an entry passes on evacuations and cold targets. Who knows of them follows
+/// only such an entry.
+pub const ALL_ITEMS_SCHEMA: SchemaNumber = 2;
+
 /// One item of the platform's store, or a change to one.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum StoreItem {
@@ -35,8 +39,8 @@
         match self {
             Self::Plan(_) | Self::Target(..) | Self::TargetGone(_) => OLDEST_SCHEMA,
             Self::Unreadable(..) | Self::Other => OLDEST_SCHEMA,
-            Self::Evacuated(_) | Self::EvacuationEnded(_) => 2,
-            Self::Cold(..) | Self::ColdRates(..) => 2,
+            Self::Evacuated(_) | Self::EvacuationEnded(_) => ALL_ITEMS_SCHEMA,
+            Self::Cold(..) | Self::ColdRates(..) => ALL_ITEMS_SCHEMA,
         }
     }
 }
--- a/crates/relay/src/permit/permit_frame.rs
+++ b/crates/relay/src/permit/permit_frame.rs
@@ -7,6 +7,9 @@
     wire::{OLDEST_SCHEMA, SchemaNumber},
 };
 
+/// Schema from which on permits for calls to cold targets are asked for.
+const COLD_SCHEMA: SchemaNumber = 2;
+
 /// What a permit allows. Of each subject one entry gives out the permits for the whole fleet.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PermitSubject {
@@ -52,7 +55,7 @@
     pub fn schema(&self) -> SchemaNumber {
         match self {
             Self::Trial { .. } | Self::Call { .. } | Self::Room { .. } => OLDEST_SCHEMA,
-            Self::Cold { .. } => 2,
+            Self::Cold { .. } => COLD_SCHEMA,
         }
     }
 }
--- a/crates/relay/src/state/feed_frame.rs
+++ b/crates/relay/src/state/feed_frame.rs
@@ -1,15 +1,11 @@
 use {
-    crate::dialect::StoreItem,
+    crate::dialect::{ALL_ITEMS_SCHEMA, StoreItem},
     plan::StorePosition,
     serde::{Deserialize, Serialize},
     std::time::Duration,
     wire::{OLDEST_SCHEMA, SchemaNumber},
 };
 
-/// Schema from which on an entry passes on evacuations and cold targets. Who knows of them follows
-/// only such an entry.
-pub const FULL_FEED_SCHEMA: SchemaNumber = 2;
-
 /// A message of the feed by which an entry that watches the store passes its contents on to the
 /// other entries.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -53,7 +49,7 @@
     pub fn schema(&self) -> SchemaNumber {
         match self {
             Self::Changes { items, .. } | Self::Snapshot { items, .. } => items_schema(items),
-            Self::FollowAll { .. } => FULL_FEED_SCHEMA,
+            Self::FollowAll { .. } => ALL_ITEMS_SCHEMA,
             Self::Follow { .. } | Self::Alive => OLDEST_SCHEMA,
         }
     }
--- a/crates/relay/src/state/peer_feed.rs
+++ b/crates/relay/src/state/peer_feed.rs
@@ -1,12 +1,9 @@
 use {
     crate::{
-        dialect::StoreChanges,
+        dialect::{ALL_ITEMS_SCHEMA, StoreChanges},
         shared::RelayCore,
         stage::{PeerMessage, read_frames, write_frames},
-        state::{
-            FeedFrame, StoreReplica, feed_frame::FULL_FEED_SCHEMA, feed_server::ALIVE_INTERVAL,
-            store_reader::publish_view,
-        },
+        state::{FeedFrame, StoreReplica, feed_server::ALIVE_INTERVAL, store_reader::publish_view},
         target::{PEER_PATIENCE, configure_socket},
     },
     board::store_checkers,
@@ -52,7 +49,7 @@
     if checkers.contains(&own.host.as_str()) && preferred.is_none() {
         return None;
     }
-    let reads_all = |host: &&str| hosts.peer_schema(host) >= FULL_FEED_SCHEMA;
+    let reads_all = |host: &&str| hosts.peer_schema(host) >= ALL_ITEMS_SCHEMA;
     let others = checkers.into_iter().filter(|host| *host != own.host);
     let sources: Vec<&str> = others.filter(reads_all).collect();
     if sources.is_empty() {
--- a/crates/relay/tests/message_schemas.rs
+++ b/crates/relay/tests/message_schemas.rs
@@ -3,15 +3,15 @@
 
 use {
     board::{GossipDatagram, GossipMessage, HostHeartbeat, HostMark, PoolLoad},
-    piece::{PieceInput, PieceOutcome, StageJob, StageResult},
-    plan::StorePosition,
+    piece::{JobRank, PieceInput, PieceOutcome, StageJob, StageResult},
+    plan::{ColdRate, StorePosition},
     proptest::prelude::*,
     relay::{
         FeedFrame, JobFrame, OriginFrame, PeerMessage, PermitAnswer, PermitFrame, PermitSubject,
         PlaceFrame, StoreItem,
     },
     route::{ServiceOutcome, StreamOrigin},
-    std::time::Duration,
+    std::{collections::BTreeMap, time::Duration},
     wire::{DatagramSeal, FrameSeal, NEWEST_SCHEMA, OLDEST_SCHEMA},
 };
 
@@ -146,6 +146,24 @@
                 interval: Duration::from_millis(150),
             },
         }),
+        PeerMessage::Job(JobFrame::SubmitRanked {
+            number: 1,
+            shard: String::from("pieces#0"),
+            job: job(),
+            rank: JobRank {
+                urgency: 2,
+                customer: 77,
+            },
+        }),
+        PeerMessage::Feed(FeedFrame::Changes {
+            from: position(),
+            to: position(),
+            items: vec![StoreItem::ColdRates(
+                4,
+                BTreeMap::from([(String::from("models"), ColdRate { per_second: 8.5 })]),
+            )],
+            returned_ago: None,
+        }),
     ]
 }
 
