Show that a rejection of another request has a posting run twice

Cause: a reply that says the request was not run is believed whatever request id it bears. An extra response to an earlier request, which comes late, has the next posting sent to a second replica.

Nothing of the product changes.

--- a/review/stand/src/cases/mod.rs
+++ b/review/stand/src/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases, one for each script.
 
+mod foreign_refusal;
 mod late_pieces;
 mod no_keys_left;
 
@@ -30,6 +31,7 @@
 /// Fails if the case could not run.
 pub fn run(case: &str, record: &RunRecord, has_trouble: bool) -> io::Result<CaseEnd> {
     match case {
+        "foreign-refusal" => foreign_refusal::run(record, has_trouble),
         "late-pieces" => late_pieces::run(record, has_trouble),
         "no-keys-left" => no_keys_left::run(record, has_trouble),
         _ => Err(io::Error::other(format!("unknown case {case}"))),
