Show that a planned stop cuts answers that are being written

Cause: a request that is not streamed counts as running only until its handler returns, not until its answer is written. The process exits while callers on slow links still read.

Nothing of the product changes.

--- a/review/stand/src/cases/mod.rs
+++ b/review/stand/src/cases/mod.rs
@@ -3,6 +3,7 @@
 mod foreign_refusal;
 mod late_pieces;
 mod no_keys_left;
+mod slow_answer_at_stop;
 
 use {crate::run_record::RunRecord, std::io};
 
@@ -34,6 +35,7 @@
         "foreign-refusal" => foreign_refusal::run(record, has_trouble),
         "late-pieces" => late_pieces::run(record, has_trouble),
         "no-keys-left" => no_keys_left::run(record, has_trouble),
+        "slow-answer-at-stop" => slow_answer_at_stop::run(record, has_trouble),
         _ => Err(io::Error::other(format!("unknown case {case}"))),
     }
 }
