--- a/review/stand/src/cases/mod.rs
+++ b/review/stand/src/cases/mod.rs
@@ -4,6 +4,7 @@
 mod late_pieces;
 mod no_keys_left;
 mod slow_answer_at_stop;
+mod unseen_version;
 mod wide_watch;
 
 use {crate::run_record::RunRecord, std::io};
@@ -37,6 +38,7 @@
         "late-pieces" => late_pieces::run(record, has_trouble),
         "no-keys-left" => no_keys_left::run(record, has_trouble),
         "slow-answer-at-stop" => slow_answer_at_stop::run(record, has_trouble),
+        "unseen-version" => unseen_version::run(record, has_trouble),
         "wide-watch" => wide_watch::run(record, has_trouble),
         _ => Err(io::Error::other(format!("unknown case {case}"))),
     }
