--- a/review/stand/src/cases/foreign_refusal.rs
+++ b/review/stand/src/cases/foreign_refusal.rs
@@ -5,6 +5,7 @@
     super::CaseEnd,
     crate::{
         edge_fleet::EdgeFleet,
+        garble_dose::GarbleDose,
         http_text::{HttpMessage, answer_bytes},
         plan_text::{RouteText, plain_service, plan, tenant},
         run_record::RunRecord,
@@ -15,21 +16,16 @@
     std::{
         collections::BTreeMap,
         io::{self, Write},
-        sync::{
-            Arc, Mutex,
-            atomic::{AtomicU32, Ordering},
-        },
+        sync::{Arc, Mutex},
         thread,
         time::{Duration, Instant},
     },
 };
 
-/// One answer in this many of the faulty replica is followed by a second one.
-const ANSWERS_PER_COPY: u32 = 34;
 /// Time that a request takes at a replica.
 const WORK_TIME: Duration = Duration::from_millis(60);
 /// Time for which requests are sent.
-const LOAD_TIME: Duration = Duration::from_secs(20);
+const LOAD_TIME: Duration = Duration::from_secs(25);
 /// Interval between the requests of one caller.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(250);
 const CALLER_COUNT: u32 = 10;
@@ -41,7 +37,7 @@
     /// Replicas at which each request has run, by its id.
     runs: Arc<Mutex<BTreeMap<String, Vec<String>>>>,
     is_faulty: bool,
-    answer_count: AtomicU32,
+    dose: Arc<GarbleDose>,
 }
 
 impl ReplicaWork for LedgerWork {
@@ -64,8 +60,7 @@
         }
         thread::sleep(WORK_TIME);
         link.stream.write_all(&sealed_answer(request, b"posted"))?;
-        let answered = self.answer_count.fetch_add(1, Ordering::Relaxed) + 1;
-        if self.is_faulty && answered.is_multiple_of(ANSWERS_PER_COPY) {
+        if self.is_faulty && self.dose.take_answer() {
             let headers = [("X-Not-Executed", "1"), ("X-Request-Id", id)];
             link.late_copy = Some(answer_bytes(503, &headers, b""));
         }
@@ -75,13 +70,14 @@
 
 pub fn run(record: &RunRecord, has_trouble: bool) -> io::Result<CaseEnd> {
     let store = StandStore::start()?;
+    let dose = Arc::new(GarbleDose::default());
     let runs = Arc::new(Mutex::new(BTreeMap::new()));
     for number in 1..=3 {
         let work = LedgerWork {
             record: record.clone(),
             runs: Arc::clone(&runs),
             is_faulty: has_trouble && number == 1,
-            answer_count: AtomicU32::new(0),
+            dose: Arc::clone(&dose),
         };
         let zone = format!("zone-{number}");
         let id = format!("ledger-{number}");
@@ -107,6 +103,7 @@
     // A process gets no repeats before a window of the budget has passed.
     thread::sleep(Duration::from_secs(10));
     let fronts: Vec<_> = fleet.edges.iter().map(|edge| edge.front).collect();
+    dose.start();
     let callers = (0..CALLER_COUNT).map(|caller| {
         let (record, fronts) = (record.clone(), fronts.clone());
         thread::spawn(move || {
--- a/review/stand/src/cases/late_pieces.rs
+++ b/review/stand/src/cases/late_pieces.rs
@@ -5,6 +5,7 @@
     super::CaseEnd,
     crate::{
         edge_fleet::EdgeFleet,
+        garble_dose::GarbleDose,
         http_text::{HttpMessage, answer_bytes, read_head, write_chunk},
         plan_text::{RouteText, engine_service, piece_service, plan, tenant},
         run_record::RunRecord,
@@ -24,8 +25,6 @@
     },
 };
 
-/// One answer in this many of a faulty replica is sent a second time.
-const ANSWERS_PER_COPY: u32 = 34;
 /// Replicas of the stage, and how many of them are faulty.
 const MAKER_COUNT: u32 = 5;
 const FAULTY_COUNT: u32 = 3;
@@ -55,7 +54,7 @@
     record: RunRecord,
     results: ResultTable,
     is_faulty: bool,
-    answer_count: AtomicU32,
+    dose: Arc<GarbleDose>,
     handle_count: AtomicU32,
 }
 
@@ -95,8 +94,7 @@
         headers.extend(echoed.map(|id| ("X-Request-Id", id)));
         let answer = answer_bytes(200, &headers, body.as_bytes());
         link.stream.write_all(&answer)?;
-        let answered = self.answer_count.fetch_add(1, Ordering::Relaxed) + 1;
-        if self.is_faulty && answered.is_multiple_of(ANSWERS_PER_COPY) {
+        if self.is_faulty && self.dose.take_answer() {
             link.late_copy = Some(answer);
         }
         Ok(())
@@ -185,6 +183,7 @@
 
 pub fn run(record: &RunRecord, has_trouble: bool) -> io::Result<CaseEnd> {
     let store = StandStore::start()?;
+    let dose = Arc::new(GarbleDose::default());
     let results = ResultTable::default();
     let mixed = Arc::new(Mutex::new(Vec::new()));
     for number in 0..MAKER_COUNT {
@@ -192,7 +191,7 @@
             record: record.clone(),
             results: Arc::clone(&results),
             is_faulty: has_trouble && number < FAULTY_COUNT,
-            answer_count: AtomicU32::new(0),
+            dose: Arc::clone(&dose),
             handle_count: AtomicU32::new(number << 16),
         };
         let zone = format!("zone-{}", number % 3 + 1);
@@ -228,6 +227,7 @@
     let fleet = EdgeFleet::start(3, store.address)?;
     thread::sleep(Duration::from_secs(3));
     let fronts: Vec<_> = fleet.edges.iter().map(|edge| edge.front).collect();
+    dose.start();
     let callers = (0..CALLER_COUNT).map(|caller| {
         let (record, fronts) = (record.clone(), fronts.clone());
         thread::spawn(move || {
--- a/review/stand/src/main.rs
+++ b/review/stand/src/main.rs
@@ -7,6 +7,7 @@
 mod base64;
 mod cases;
 mod edge_fleet;
+mod garble_dose;
 mod http_text;
 mod link_proxy;
 mod plan_text;
