Give each request a place and one end by name

A stop of a process said how many requests were unfinished, not which, where they stood or what became of their callers, so the hypotheses on LOST could not be told apart. Each request now has an entry in a ledger from its head to the moment at which the last byte of its answer was passed to the socket. The metrics count requests read whole and their ends: answered, refused, caller_left, cut_by_target, cut_at_deadline, cut_at_exit, unfinished, panicked. Their sum is the number read. An end that is neither an answer nor a refusal is logged with its place, as is each request that is open when the process ends.

No decision has changed: the shutdown waits for requests whose answer is not known, as before.

--- a/crates/relay/src/caller/auxiliary_server.rs
+++ b/crates/relay/src/caller/auxiliary_server.rs
@@ -59,6 +59,8 @@
             )
             .unwrap_or(i64::MAX);
             core.metrics.dials.set(dials);
+            let open_count = i64::try_from(core.ledger.open_count()).unwrap_or(i64::MAX);
+            core.metrics.open_requests.set(open_count);
             text_reply(StatusCode::OK, core.metrics.encode_text())
         }
         _ => text_reply(StatusCode::NOT_FOUND, "paths: GET /metrics\n"),
--- a/crates/relay/src/caller/caller_server.rs
+++ b/crates/relay/src/caller/caller_server.rs
@@ -3,8 +3,9 @@
         caller::RelayDraft,
         dialect::{HeaderList, RelayRefusal},
         filters::FilterChain,
+        ledger::{OpenRequest, RequestEnd, RequestGuard, RequestPlace},
         run::run_request,
-        shared::{RelayCore, RunningGuard},
+        shared::RelayCore,
     },
     actix_http::{
         HttpMessage, Request, Response, StatusCode,
@@ -14,7 +15,7 @@
     base::FailureReason,
     bytes::Bytes,
     rand::Rng,
-    setup::{HttpReply, close_unread, read_body},
+    setup::{HttpReply, OpenConnection, close_unread, follow_reply, read_body},
     slog::{info, warn},
     std::{
         rc::Rc,
@@ -37,15 +38,32 @@
     Peer,
 }
 
-/// Answers one request of a caller, which may have come by way of another entry.
+/// Answers one request of a caller, which may have come by way of another entry. The request is open
+/// until the answer was written.
 pub async fn answer_caller(
     core: Rc<RelayCore>,
     chain: Rc<FilterChain>,
     sender: RequestSender,
+    request: Request,
+) -> HttpReply {
+    let connection = OpenConnection::of(&request);
+    let mut guard = RequestGuard::open(&core, Instant::now());
+    let reply = answer_request(&core, &chain, sender, request, &mut guard).await;
+    match connection {
+        Some(connection) => follow_reply(reply, &connection, guard),
+        None => reply,
+    }
+}
+
+async fn answer_request(
+    core: &Rc<RelayCore>,
+    chain: &FilterChain,
+    sender: RequestSender,
     mut request: Request,
+    guard: &mut RequestGuard,
 ) -> HttpReply {
-    let arrived = Instant::now();
-    let guard = RunningGuard::new(&core);
+    let open = Rc::clone(guard.request());
+    let arrived = open.arrived();
     let headers = read_headers(&request);
     let path = request
         .uri()
@@ -57,32 +75,34 @@
         Err(fault) => {
             let detail = fault.to_string();
             let refusal = RelayRefusal::not_run(FailureReason::BadRequest, detail);
-            return close_unread(refuse(&core, "", refusal), request.take_payload());
+            return close_unread(refuse(core, &open, refusal), request.take_payload());
         }
     };
+    open.set_id(&head.request_id);
     let mut payload = request.take_payload();
     let Some(body) = read_body(&mut payload, MAX_BODY_BYTES, BODY_TIMEOUT).await else {
         let refusal = RelayRefusal::not_run(
             FailureReason::BodyTooLarge,
             "body truncated, too slow or too long",
         );
-        return close_unread(refuse(&core, &head.request_id, refusal), payload);
+        return close_unread(refuse(core, &open, refusal), payload);
     };
-    let id = head.request_id.clone();
-    let mut draft = match create_draft(&core, head, body, arrived) {
+    guard.record_read();
+    let mut draft = match create_draft(core, head, body, arrived) {
         Ok(draft) => draft,
-        Err(refusal) => return refuse(&core, &id, refusal),
+        Err(refusal) => return refuse(core, &open, refusal),
     };
     if sender == RequestSender::Peer {
         core.metrics.taken_hops.inc();
         draft.is_hop = true;
     }
-    match chain.apply(&core, draft) {
-        Ok(draft) => match run_request(&core, draft, guard).await {
-            Ok(reply) => reply,
-            Err(refusal) => refuse(&core, &id, refusal),
-        },
-        Err(refusal) => refuse(&core, &id, refusal),
+    let draft = match chain.apply(core, draft) {
+        Ok(draft) => draft,
+        Err(refusal) => return refuse(core, &open, refusal),
+    };
+    match run_request(core, draft, Rc::clone(&open)).await {
+        Ok(reply) => reply,
+        Err(refusal) => refuse(core, &open, refusal),
     }
 }
 
@@ -111,14 +131,16 @@
     RelayDraft::new(head, body, &plan, rule, arrived, draw)
 }
 
-fn refuse(core: &RelayCore, request: &str, refusal: RelayRefusal) -> HttpReply {
+fn refuse(core: &RelayCore, request: &OpenRequest, refusal: RelayRefusal) -> HttpReply {
+    request.set_place(RequestPlace::Writing);
+    request.set_end(RequestEnd::Refused);
     let reason = refusal.reason.name();
     core.metrics
         .requests
         .get_or_create(&[("outcome", refusal.verdict.to_string()), ("reason", reason)])
         .inc();
     info!(core.log, "request refused";
-        "request" => request,
+        "request" => request.id(),
         "verdict" => refusal.verdict.to_string(),
         "reason" => refusal.reason.name(),
         "detail" => &refusal.detail,
--- a/crates/relay/src/hop/send_hop.rs
+++ b/crates/relay/src/hop/send_hop.rs
@@ -42,6 +42,7 @@
     core.metrics.hops.inc();
     info!(core.log, "request handed over"; "request" => &head.request_id, "peer" => slot.host(),
         "after" => last_event_id);
+    run.open.record_sent();
     let answering = core.control_connections.call(slot.address(), call);
     tokio::pin!(answering);
     let result = loop {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,6 +9,7 @@
 mod dialect;
 mod filters;
 mod hop;
+mod ledger;
 mod link;
 mod origin;
 mod peer;
--- a/crates/relay/src/run/relay_run.rs
+++ b/crates/relay/src/run/relay_run.rs
@@ -3,8 +3,9 @@
         caller::RelayDraft,
         dialect::RelayRefusal,
         hop::HopSlot,
+        ledger::{OpenRequest, RequestPlace},
         run::{call_slot::CallSlot, crash_watch::CrashWatch, part_gate::pass_part_gate},
-        shared::{RelayCore, RunningGuard},
+        shared::RelayCore,
         stage::StageRun,
     },
     base::{FailureReason, RunVerdict},
@@ -35,13 +36,13 @@
     pub(super) tried_targets: Vec<String>,
     /// Time of a loss that may be a fault of this entry's own links.
     pub(super) unproven_loss: Option<Instant>,
-    _running: RunningGuard,
+    /// The request's entry in the ledger.
+    pub open: Rc<OpenRequest>,
 }
 
 impl RelayRun {
-    /// Creates the run of a request that was not sent yet. `running` counts the request as running
-    /// until the run is dropped.
-    pub fn new(core: &Rc<RelayCore>, draft: RelayDraft, running: RunningGuard) -> Self {
+    /// Creates the run of a request that was not sent yet.
+    pub fn new(core: &Rc<RelayCore>, draft: RelayDraft, open: Rc<OpenRequest>) -> Self {
         let rule = &draft.rule;
         let may_repeat = rule.repeat.may_repeat();
         Self {
@@ -50,7 +51,7 @@
             stages: None,
             tried_targets: Vec::new(),
             unproven_loss: None,
-            _running: running,
+            open,
             draft,
         }
     }
@@ -60,6 +61,7 @@
         if !self.draft.has_stages() {
             return Ok(());
         }
+        self.open.set_place(RequestPlace::Stages);
         let mut failed_run_count = 0;
         if self.draft.data_centre.is_none() {
             self.draft.data_centre = self.expected_centre();
@@ -96,6 +98,7 @@
     /// Chooses a target and takes a slot there. Refuses the request if a part of its prompt is
     /// suspect, or as [`Self::choose_target`] does.
     pub async fn take_slot(&mut self) -> Result<(CallSlot, ServicePick), RelayRefusal> {
+        self.open.set_place(RequestPlace::Choice);
         let gate = pass_part_gate(&self.core, &self.draft).await;
         let is_trial = gate.map_err(|refusal| self.with_verdict(refusal))?;
         let chosen = self.choose_target().await?;
@@ -130,6 +133,8 @@
                 .borrow_mut()
                 .take_repeat(service, entry_count, now)
         });
+        self.open.set_verdict(self.tracker.verdict());
+        self.open.set_place(RequestPlace::Choice);
         self.tried_targets.push(target.to_string());
         if fault == SendFault::Lost {
             self.unproven_loss = Some(now);
--- a/crates/relay/src/run/run_request.rs
+++ b/crates/relay/src/run/run_request.rs
@@ -2,6 +2,7 @@
     crate::{
         caller::{RelayDraft, build_reply},
         dialect::RelayRefusal,
+        ledger::{OpenRequest, RequestEnd, RequestPlace},
         origin::bind_resumption,
         run::{
             answer_source::AnswerSource,
@@ -11,7 +12,7 @@
             send_once::fault_outcome,
             stream_pump::StreamPump,
         },
-        shared::{RelayCore, RunningGuard},
+        shared::RelayCore,
         target::CallReply,
     },
     actix_http::body::BoxBody,
@@ -46,10 +47,10 @@
 pub async fn run_request(
     core: &Rc<RelayCore>,
     mut draft: RelayDraft,
-    running: RunningGuard,
+    open: Rc<OpenRequest>,
 ) -> Result<HttpReply, RelayRefusal> {
     bind_resumption(core, &mut draft).await?;
-    let mut run = RelayRun::new(core, draft, running);
+    let mut run = RelayRun::new(core, draft, open);
     loop {
         let due = run.draft.first_event_deadline;
         let (source, reply) = match send_next(&mut run, due, None).await? {
@@ -136,8 +137,10 @@
     Err(run.with_verdict(refusal))
 }
 
-/// Logs an answered request and counts it in the metrics.
+/// Logs an answered request and counts it in the metrics. It ends once its answer was written.
 pub fn log_answer(run: &RelayRun, source: &AnswerSource, status: u16) {
+    run.open.set_place(RequestPlace::Writing);
+    run.open.set_end(RequestEnd::Answered);
     let draft = &run.draft;
     let elapsed = draft.arrived.elapsed();
     run.core
--- a/crates/relay/src/run/send_once.rs
+++ b/crates/relay/src/run/send_once.rs
@@ -43,6 +43,7 @@
         .borrow_mut()
         .on_request(&draft.service, Instant::now());
     let called_at = Instant::now();
+    run.open.record_sent();
     let answering = core.connections.call(pick.address, call);
     let repeat = match (draft.rule.repeat.may_repeat(), draft.is_hop) {
         (false, _) => CallRepeat::Never,
--- a/crates/relay/src/run/stream_pump.rs
+++ b/crates/relay/src/run/stream_pump.rs
@@ -2,6 +2,7 @@
     crate::{
         caller::{AnswerBody, BodyCut, build_reply},
         dialect::RelayRefusal,
+        ledger::{RequestEnd, RequestPlace},
         run::{
             answer_source::AnswerSource,
             pump_stop::{PumpStop, unless_stopped},
@@ -82,6 +83,7 @@
         let core = pump.run.core.clone();
         let elapsed = pump.run.draft.arrived.elapsed();
         core.metrics.first_byte.observe(elapsed.as_secs_f64());
+        pump.run.open.set_place(RequestPlace::Events);
         let (sender, receiver) = mpsc::channel(MAX_QUEUED_CHUNKS);
         let answer = build_reply(&core, status, &headers, AnswerBody::new(receiver));
         actix_rt::spawn(pump.forward(first_read, sender));
@@ -130,7 +132,8 @@
                     match resume_result {
                         Ok(Ok(())) => {}
                         Ok(Err(refusal)) => {
-                            return self.cut(&sender, &refusal.detail).await;
+                            let end = RequestEnd::CutByTarget;
+                            return self.cut(&sender, end, &refusal.detail).await;
                         }
                         Err(stop) => return self.on_stop(stop, &sender).await,
                     }
@@ -270,13 +273,22 @@
     async fn on_stop(self, stop: PumpStop, sender: &mpsc::Sender<Result<Bytes, BodyCut>>) {
         match stop {
             PumpStop::CallerLeft => self.on_caller_left(),
-            PumpStop::DeadlinePassed => self.cut(sender, "time is over").await,
+            PumpStop::DeadlinePassed => {
+                self.cut(sender, RequestEnd::CutAtDeadline, "time is over")
+                    .await;
+            }
         }
     }
 
     /// Closes the connection to the caller early, so that the caller does not take the stream for
     /// complete.
-    async fn cut(self, sender: &mpsc::Sender<Result<Bytes, BodyCut>>, reason: &str) {
+    async fn cut(
+        self,
+        sender: &mpsc::Sender<Result<Bytes, BodyCut>>,
+        end: RequestEnd,
+        reason: &str,
+    ) {
+        self.run.open.set_end(end);
         info!(self.run.core.log, "stream cut"; "request" => &self.run.draft.head.request_id,
             "target" => self.source.name(), "reason" => reason,
             "ms" => self.run.draft.arrived.elapsed().as_millis() as u64);
--- a/crates/relay/src/shared/mod.rs
+++ b/crates/relay/src/shared/mod.rs
@@ -7,7 +7,6 @@
 mod relay_core;
 mod relay_metrics;
 mod relay_phase;
-mod running_guard;
 
 pub use {
     boot_clock::boot_time,
@@ -16,5 +15,4 @@
     relay_core::{DialectSet, RelayCore},
     relay_metrics::RelayMetrics,
     relay_phase::RelayPhase,
-    running_guard::RunningGuard,
 };
--- a/crates/relay/src/shared/relay_core.rs
+++ b/crates/relay/src/shared/relay_core.rs
@@ -2,6 +2,7 @@
     crate::{
         RelaySettings,
         dialect::{CallerDialect, StoreDialect, TargetDialect},
+        ledger::RequestLedger,
         link::TargetChecks,
         shared::{RelayMetrics, RelayPhase, boot_time},
         stage::BatchService,
@@ -124,8 +125,8 @@
     pub hop_counts: RefCell<HashMap<String, u32>>,
     pub random: RefCell<ChaCha8Rng>,
     pub phase: Cell<RelayPhase>,
-    /// Number of requests whose answer has not been passed on whole.
-    pub running_requests: Cell<usize>,
+    /// Requests whose answer has not been written whole, and how the others have ended.
+    pub ledger: RequestLedger,
     /// Has the next round of gossip sent at once, since this entry saw a crash.
     pub crash_news: Notify,
     /// Crashes that peers have reported, oldest first, with the host of each report.
@@ -156,14 +157,16 @@
             lifetime: CRASH_RETENTION,
             ..CrashTrackerSettings::default()
         };
+        let ledger = RequestLedger::new();
         Rc::new(Self {
+            metrics: RelayMetrics::new(&ledger),
+            ledger,
             batch_service: BatchService::new(peer_key),
             connections: ConnectionPool::new(TARGET_PATIENCE, log.clone()),
             control_connections: ConnectionPool::new(PEER_PATIENCE, log.clone()),
             settings: RefCell::new(settings),
             dialects,
             log,
-            metrics: RelayMetrics::new(),
             state: RefCell::default(),
             replica: RefCell::new(StoreReplica::new(now)),
             check_wanted: Notify::new(),
@@ -196,7 +199,6 @@
             hop_counts: RefCell::default(),
             random: RefCell::new(ChaCha8Rng::seed_from_u64(incarnation)),
             phase: Cell::new(RelayPhase::Starting),
-            running_requests: Cell::new(0),
             crash_news: Notify::new(),
             seen_crashes: RefCell::default(),
             recent_crashes: RefCell::default(),
--- a/crates/relay/src/shared/relay_metrics.rs
+++ b/crates/relay/src/shared/relay_metrics.rs
@@ -1,12 +1,15 @@
-use prometheus_client::{
-    encoding::text::encode,
-    metrics::{
-        counter::Counter,
-        family::Family,
-        gauge::Gauge,
-        histogram::{Histogram, exponential_buckets},
+use {
+    crate::ledger::RequestLedger,
+    prometheus_client::{
+        encoding::text::encode,
+        metrics::{
+            counter::Counter,
+            family::Family,
+            gauge::Gauge,
+            histogram::{Histogram, exponential_buckets},
+        },
+        registry::Registry,
     },
-    registry::Registry,
 };
 
 /// Labels of the request counter: `outcome` and `reason`.
@@ -64,12 +67,14 @@
     pub dials: Gauge,
     /// Version of the configuration in force.
     pub plan_version: Gauge,
+    /// Requests whose answer has not been written whole.
+    pub open_requests: Gauge,
     registry: Registry,
 }
 
 impl RelayMetrics {
-    /// Creates the metrics, all zero.
-    pub fn new() -> Self {
+    /// Creates the metrics, all zero, with those of the ledger.
+    pub fn new(ledger: &RequestLedger) -> Self {
         // The buckets reach from 4 ms to 11 s.
         let latency_histogram = || Histogram::new(exponential_buckets(0.004, 1.7, 16));
         let mut registry = Registry::with_prefix("camphor");
@@ -99,6 +104,7 @@
             taken_hops: Counter::default(),
             dials: Gauge::default(),
             plan_version: Gauge::default(),
+            open_requests: Gauge::default(),
             registry: Registry::default(),
         };
         registry.register("requests", "Requests", metrics.requests.clone());
@@ -196,6 +202,22 @@
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
         }
+        registry.register("read_requests", "Requests read whole", ledger.read.clone());
+        registry.register(
+            "request_ends",
+            "Ends of requests read whole",
+            ledger.ends.clone(),
+        );
+        registry.register(
+            "unread_requests",
+            "Requests that ended before they were read whole",
+            ledger.unread.clone(),
+        );
+        registry.register(
+            "open_requests",
+            "Requests without a whole answer",
+            metrics.open_requests.clone(),
+        );
         registry.register(
             "evacuated_centres",
             "Evacuated data centres",
@@ -222,9 +244,3 @@
         }
     }
 }
-
-impl Default for RelayMetrics {
-    fn default() -> Self {
-        Self::new()
-    }
-}
--- a/crates/relay/src/start_relay.rs
+++ b/crates/relay/src/start_relay.rs
@@ -3,6 +3,7 @@
         RelaySettings,
         caller::{RequestSender, answer_addresses, answer_caller, answer_operator, answer_ready},
         filters::FilterChain,
+        ledger::RequestEnd,
         link::watch_link,
         peer::run_gossip,
         shared::{DialectSet, RelayCore, RelayPhase},
@@ -106,10 +107,21 @@
         () = async { serving.await; std::future::pending::<()>().await } => {}
         () = shut_down_gracefully(&core, &closing, grace) => {}
     }
-    info!(core.log, "stopped"; "unfinished" => core.running_requests.get());
+    record_unfinished(&core);
+    info!(core.log, "stopped"; "unfinished" => core.ledger.open_count());
     Ok(())
 }
 
+/// Names the requests that end with this process.
+fn record_unfinished(core: &RelayCore) {
+    for request in core.ledger.open_requests() {
+        request.set_end(RequestEnd::Unfinished);
+        warn!(core.log, "request unfinished"; "request" => request.id(),
+            "place" => request.place().to_string(), "verdict" => request.verdict().to_string(),
+            "ms" => request.arrived().elapsed().as_millis() as u64);
+    }
+}
+
 /// Serves one of the addresses other than the callers'; it stays open until the process exits.
 fn serve_auxiliary<Handler, Answer>(core: &Rc<RelayCore>, listener: TcpListener, answer: Handler)
 where
@@ -139,11 +151,11 @@
     terminate.recv().await;
     let terminated_at = Instant::now();
     core.phase.set(RelayPhase::Leaving);
-    info!(core.log, "leaving"; "running" => core.running_requests.get());
+    info!(core.log, "leaving"; "running" => core.ledger.running_count());
     actix_rt::time::sleep(grace.mul_f64(ACCEPT_SHARE)).await;
     closing.send_replace(true);
     while terminated_at.elapsed() < grace.mul_f64(EXIT_SHARE) {
-        if core.running_requests.get() == 0 {
+        if core.ledger.running_count() == 0 {
             // Lets answers that were just written leave the process.
             actix_rt::time::sleep(EXIT_CHECK_INTERVAL).await;
             return;
--- a/crates/setup/src/http_server.rs
+++ b/crates/setup/src/http/http_server.rs
@@ -1,10 +1,10 @@
 use {
+    crate::http::client_stream::ClientStream,
     actix_http::{
-        ConnectionType, HttpService, Payload, Request, Response, StatusCode,
+        ConnectionType, Extensions, HttpService, Payload, Request, Response, StatusCode,
         body::{BodySize, BoxBody, MessageBody},
         header::{CONTENT_TYPE, HeaderValue},
     },
-    actix_rt::net::TcpStream,
     actix_service::{Service, ServiceFactory},
     bytes::{Bytes, BytesMut},
     futures_util::StreamExt,
@@ -13,12 +13,16 @@
         cell::Cell,
         convert::Infallible,
         future::Future,
+        net::SocketAddr,
         pin::Pin,
         rc::Rc,
         task::{Context, Poll},
         time::{Duration, Instant},
     },
-    tokio::{net::TcpListener, sync::watch},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::watch,
+    },
 };
 
 /// Pause after a failed `accept`, for instance because no file descriptors are left.
@@ -92,7 +96,6 @@
     Handler: Fn(Request) -> Answer + Clone + 'static,
     Answer: Future<Output = HttpReply> + 'static,
 {
-    let open_count = Rc::new(Cell::new(0));
     let handler = move |request| {
         let answer = handler(request);
         async move { Ok::<_, Infallible>(answer.await) }
@@ -105,41 +108,57 @@
             let closing = closing.clone();
             move || wait_closing(closing.clone())
         })
-        .h1(handler)
-        .tcp();
+        .on_connect_ext(|stream: &ClientStream, extensions: &mut Extensions| {
+            extensions.insert(Rc::clone(stream.connection()));
+        })
+        .h1(handler);
     let Ok(service) = factory.new_service(()).await else {
         return;
     };
-    let service = Rc::new(service);
-    let accepting = accept_streams(&listener, &limits, &open_count, service);
+    let open_count = Rc::new(Cell::new(0));
+    let acceptor = StreamAcceptor {
+        listener,
+        limits,
+        open_count: Rc::clone(&open_count),
+        service: Rc::new(service),
+    };
     tokio::select! {
-        () = accepting => {}
+        () = acceptor.accept_streams() => {}
         () = wait_closing(closing) => {}
     }
-    drop(listener);
+    drop(acceptor);
     let deadline = Instant::now() + limits.close_timeout;
     while open_count.get() > 0 && Instant::now() < deadline {
         actix_rt::time::sleep(CLOSE_POLL_INTERVAL).await;
     }
 }
 
-async fn accept_streams<S: Service<TcpStream> + 'static>(
-    listener: &TcpListener,
-    limits: &HttpLimits,
-    open_count: &Rc<Cell<usize>>,
+/// Accepts connections and serves each in the background.
+struct StreamAcceptor<S> {
+    listener: TcpListener,
+    limits: HttpLimits,
+    open_count: Rc<Cell<usize>>,
     service: Rc<S>,
-) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            actix_rt::time::sleep(ACCEPT_RETRY_PAUSE).await;
-            continue;
-        };
-        if open_count.get() >= limits.max_connections {
-            drop(stream);
-            continue;
+}
+
+impl<S: Service<(ClientStream, Option<SocketAddr>)> + 'static> StreamAcceptor<S> {
+    async fn accept_streams(&self) {
+        loop {
+            match self.listener.accept().await {
+                Ok((stream, address)) => self.serve(stream, address),
+                Err(_) => actix_rt::time::sleep(ACCEPT_RETRY_PAUSE).await,
+            }
+        }
+    }
+
+    fn serve(&self, stream: TcpStream, address: SocketAddr) {
+        if self.open_count.get() >= self.limits.max_connections {
+            return;
         }
-        let guard = ConnectionGuard::register(open_count);
-        actix_rt::spawn(serve_stream(Rc::clone(&service), stream, guard));
+        let guard = ConnectionGuard::register(&self.open_count);
+        let stream = ClientStream::new(stream);
+        let service = Rc::clone(&self.service);
+        actix_rt::spawn(serve_stream(service, stream, address, guard));
     }
 }
 
@@ -150,13 +169,14 @@
     }
 }
 
-async fn serve_stream<S: Service<TcpStream>>(
+async fn serve_stream<S: Service<(ClientStream, Option<SocketAddr>)>>(
     service: Rc<S>,
-    stream: TcpStream,
+    stream: ClientStream,
+    address: SocketAddr,
     _guard: ConnectionGuard,
 ) {
-    let _ = stream.set_nodelay(true);
-    let _ = service.call(stream).await;
+    stream.set_nodelay();
+    let _ = service.call((stream, Some(address))).await;
 }
 
 /// Reads a whole body. Returns `None` if it has more than `limit` bytes, is cut off, or is not
--- a/crates/setup/src/lib.rs
+++ b/crates/setup/src/lib.rs
@@ -1,6 +1,6 @@
 //! Start-up parts that all programs share: settings, logs, metrics, an HTTP server and the ready line.
 
-mod http_server;
+mod http;
 mod log_setup;
 mod metric_registry;
 mod process_probe;
@@ -9,9 +9,9 @@
 mod start_error;
 
 pub use {
-    http_server::{
-        HttpBody, HttpLimits, HttpReply, close_unread, json_reply, read_body, serve_http,
-        text_reply,
+    http::{
+        HttpBody, HttpLimits, HttpReply, OpenConnection, ReplyFollower, close_unread, follow_reply,
+        json_reply, read_body, serve_http, text_reply,
     },
     log_setup::{LogLevel, LogOutput, open_log},
     metric_registry::MetricRegistry,
