Exit only once the answers of all requests were written

A request counted as running until its answer was known, and the process ended 25 ms after the last of them: what was still in the process was lost.

--- a/crates/relay/src/ledger/request_ledger.rs
+++ b/crates/relay/src/ledger/request_ledger.rs
@@ -1,5 +1,5 @@
 use {
-    crate::ledger::{OpenRequest, RequestEnd, RequestPlace},
+    crate::ledger::{OpenRequest, RequestEnd},
     prometheus_client::metrics::{counter::Counter, family::Family},
     std::{
         cell::{Cell, RefCell},
@@ -63,15 +63,6 @@
         self.open.borrow().len()
     }
 
-    /// Returns the number of open requests whose whole answer is not known.
-    pub fn running_count(&self) -> usize {
-        let open = self.open.borrow();
-        let running = open
-            .values()
-            .filter(|request| request.place() != RequestPlace::Writing);
-        running.count()
-    }
-
     /// Returns the open requests, oldest first.
     pub fn open_requests(&self) -> Vec<Rc<OpenRequest>> {
         self.open.borrow().values().map(Rc::clone).collect()
--- a/crates/relay/src/start_relay.rs
+++ b/crates/relay/src/start_relay.rs
@@ -138,7 +138,8 @@
 }
 
 /// Waits for SIGTERM. Then accepts requests for a while until callers have switched to other
-/// entries, and returns when all running requests have ended or little of the grace time is left.
+/// entries, and returns when the answers to all requests were written or little of the grace time is
+/// left.
 async fn shut_down_gracefully(core: &RelayCore, closing: &watch::Sender<bool>, grace: Duration) {
     let mut terminate = match signal(SignalKind::terminate()) {
         Ok(terminate) => terminate,
@@ -151,13 +152,11 @@
     terminate.recv().await;
     let terminated_at = Instant::now();
     core.phase.set(RelayPhase::Leaving);
-    info!(core.log, "leaving"; "running" => core.ledger.running_count());
+    info!(core.log, "leaving"; "running" => core.ledger.open_count());
     actix_rt::time::sleep(grace.mul_f64(ACCEPT_SHARE)).await;
     closing.send_replace(true);
     while terminated_at.elapsed() < grace.mul_f64(EXIT_SHARE) {
-        if core.ledger.running_count() == 0 {
-            // Lets answers that were just written leave the process.
-            actix_rt::time::sleep(EXIT_CHECK_INTERVAL).await;
+        if core.ledger.open_count() == 0 {
             return;
         }
         actix_rt::time::sleep(EXIT_CHECK_INTERVAL).await;
