Answer each request before its host ends, and refuse early what cannot end in time

The shutdown has times of its own now (ExitTimes). From SIGTERM on a new request is refused if it is not expected to end before the exit (ExitFilter), by what its stages have to wait and by how long the requests of its route have taken. A request that was not sent is refused at the last moment at which it could still end in time, with 503 and Retry-After 0; one that was sent is answered with 502 at 0.86 of the grace time, and streams are cut by name at 0.9.

--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -8,6 +8,7 @@
 mod queue_refusal;
 mod queue_settings;
 mod return_line;
+mod run_times;
 mod stage_estimate;
 mod target;
 mod waiting_call;
@@ -19,6 +20,7 @@
     queue_refusal::QueueRefusal,
     queue_settings::QueueSettings,
     return_line::ReturnLine,
+    run_times::RunTimes,
     stage_estimate::StageEstimate,
     target::{
         BrittleServices, LimitDesk, LimitNotice, LimitWord, RoomDesk, TargetLimits, TargetWord,
--- a/crates/relay/src/caller/caller_server.rs
+++ b/crates/relay/src/caller/caller_server.rs
@@ -2,6 +2,7 @@
     crate::{
         caller::RelayDraft,
         dialect::{HeaderList, RelayRefusal},
+        drain::until_exit_limit,
         filters::FilterChain,
         ledger::{OpenRequest, RequestEnd, RequestGuard, RequestPlace},
         run::run_request,
@@ -48,7 +49,12 @@
 ) -> HttpReply {
     let connection = OpenConnection::of(&request);
     let mut guard = RequestGuard::open(&core, Instant::now());
-    let reply = answer_request(&core, &chain, sender, request, &mut guard).await;
+    let open = Rc::clone(guard.request());
+    let reply = tokio::select! {
+        biased;
+        reply = answer_request(&core, &chain, sender, request, &mut guard) => reply,
+        refusal = until_exit_limit(&core, &open) => refuse(&core, &open, refusal),
+    };
     match connection {
         Some(connection) => follow_reply(reply, &connection, guard),
         None => reply,
--- /dev/null
+++ b/crates/relay/src/drain/shut_down.rs
@@ -0,0 +1,56 @@
+use {
+    crate::{
+        drain::ExitTimes,
+        ledger::RequestEnd,
+        shared::{RelayCore, RelayPhase},
+    },
+    slog::{error, info, warn},
+    std::time::{Duration, Instant},
+    tokio::{
+        signal::unix::{SignalKind, signal},
+        sync::watch,
+        time::{sleep_until, timeout_at},
+    },
+};
+
+/// Waits for SIGTERM. Then accepts requests for a while until callers have switched to other
+/// entries, and returns when all requests have got their final answers, or when the grace time is
+/// nearly over.
+pub async fn shut_down_gracefully(
+    core: &RelayCore,
+    closing: &watch::Sender<bool>,
+    grace: Duration,
+) {
+    let mut terminate = match signal(SignalKind::terminate()) {
+        Ok(terminate) => terminate,
+        Err(reason) => {
+            error!(core.log, "cannot handle SIGTERM, shutdown will not be graceful";
+                "reason" => %reason);
+            return std::future::pending().await;
+        }
+    };
+    terminate.recv().await;
+    let times = ExitTimes::new(Instant::now(), grace);
+    core.phase.set(RelayPhase::Leaving);
+    core.exit.begin(times);
+    info!(core.log, "leaving"; "running" => core.ledger.open_count(),
+        "grace_ms" => grace.as_millis() as u64);
+    sleep_until(times.accept_until.into()).await;
+    closing.send_replace(true);
+    // What has not ended by then is named below.
+    let _ = timeout_at(times.exit_at.into(), core.ledger.until_empty()).await;
+    record_unfinished(core);
+    info!(core.log, "stopped"; "unfinished" => core.ledger.open_count());
+}
+
+/// Names the requests that end with this process.
+fn record_unfinished(core: &RelayCore) {
+    for request in core.ledger.open_requests() {
+        if request.end().is_none_or(RequestEnd::is_whole) {
+            request.set_end(RequestEnd::Unfinished);
+        }
+        warn!(core.log, "request unfinished"; "request" => request.id(),
+            "place" => request.place().to_string(), "verdict" => request.verdict().to_string(),
+            "ms" => request.arrived().elapsed().as_millis() as u64);
+    }
+}
--- a/crates/relay/src/filters/admission_filter.rs
+++ b/crates/relay/src/filters/admission_filter.rs
@@ -80,6 +80,12 @@
     times.max().unwrap_or_default() * entry_count
 }
 
+/// Returns the time until all stages of a new request are expected to be done, behind all work that
+/// waits.
+pub fn expected_stages_time(core: &RelayCore, draft: &RelayDraft, now: Instant) -> Duration {
+    stages_time(core, draft, now, |wait| wait.queue_end)
+}
+
 /// Returns the time until all stages are expected to be done, that is the time of the slowest path
 /// through them. `select_wait` selects which of the waits at a pool counts.
 fn stages_time(
--- a/crates/relay/src/filters/filter_chain.rs
+++ b/crates/relay/src/filters/filter_chain.rs
@@ -2,8 +2,8 @@
     caller::RelayDraft,
     dialect::RelayRefusal,
     filters::{
-        admission_filter::AdmissionFilter, crash_filter::CrashFilter, key_filter::KeyFilter,
-        limit_filter::LimitFilter,
+        admission_filter::AdmissionFilter, crash_filter::CrashFilter, exit_filter::ExitFilter,
+        key_filter::KeyFilter, limit_filter::LimitFilter,
     },
     shared::RelayCore,
 };
@@ -29,6 +29,7 @@
             filters: vec![
                 Box::new(KeyFilter),
                 Box::new(CrashFilter),
+                Box::new(ExitFilter),
                 Box::new(AdmissionFilter),
                 Box::new(LimitFilter),
             ],
--- a/crates/relay/src/ledger/open_request.rs
+++ b/crates/relay/src/ledger/open_request.rs
@@ -3,7 +3,7 @@
     base::RunVerdict,
     std::{
         cell::{Cell, RefCell},
-        time::Instant,
+        time::{Duration, Instant},
     },
 };
 
@@ -19,6 +19,8 @@
     /// How it ends once its answer was written; how it was cut if that is known.
     end: Cell<Option<RequestEnd>>,
     arrived: Instant,
+    /// Time that it is expected to take from its sending to the end of its answer.
+    expected_run_time: Cell<Duration>,
 }
 
 impl OpenRequest {
@@ -30,6 +32,7 @@
             verdict: Cell::new(RunVerdict::NotRun),
             end: Cell::new(None),
             arrived,
+            expected_run_time: Cell::new(Duration::ZERO),
         }
     }
 
@@ -80,6 +83,17 @@
         self.end.set(Some(end));
     }
 
+    /// Returns the time that the request is expected to take from its sending to the end of its
+    /// answer.
+    pub fn expected_run_time(&self) -> Duration {
+        self.expected_run_time.get()
+    }
+
+    /// Sets the time that the request is expected to take from its sending to the end of its answer.
+    pub fn set_expected_run_time(&self, time: Duration) {
+        self.expected_run_time.set(time);
+    }
+
     /// Returns the time at which the head of the request had arrived.
     pub fn arrived(&self) -> Instant {
         self.arrived
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod caller;
 mod dialect;
+mod drain;
 mod filters;
 mod hop;
 mod ledger;
--- a/crates/relay/src/run/pump_stop.rs
+++ b/crates/relay/src/run/pump_stop.rs
@@ -1,5 +1,5 @@
 use {
-    crate::caller::BodyCut,
+    crate::{caller::BodyCut, drain::ExitPlan},
     bytes::Bytes,
     std::{future::Future, time::Instant},
     tokio::sync::mpsc,
@@ -9,11 +9,14 @@
 pub enum PumpStop {
     CallerLeft,
     DeadlinePassed,
+    /// This process exits.
+    Exiting,
 }
 
-/// Returns the output of the work, or the reason to stop if the caller leaves or the time `due`
-/// passes before the work is done.
+/// Returns the output of the work, or the reason to stop if the caller leaves, the time `due` passes or
+/// this process exits before the work is done.
 pub async fn unless_stopped<T>(
+    exit: &ExitPlan,
     sender: &mpsc::Sender<Result<Bytes, BodyCut>>,
     due: Instant,
     work: impl Future<Output = T>,
@@ -23,5 +26,6 @@
         outcome = work => Ok(outcome),
         () = sender.closed() => Err(PumpStop::CallerLeft),
         () = actix_rt::time::sleep_until(due.into()) => Err(PumpStop::DeadlinePassed),
+        () = exit.until_cut() => Err(PumpStop::Exiting),
     }
 }
--- a/crates/relay/src/run/run_request.rs
+++ b/crates/relay/src/run/run_request.rs
@@ -49,6 +49,8 @@
     mut draft: RelayDraft,
     open: Rc<OpenRequest>,
 ) -> Result<HttpReply, RelayRefusal> {
+    let run_time = core.run_times.borrow().expected(&draft.rule.name);
+    open.set_expected_run_time(run_time.unwrap_or_default());
     bind_resumption(core, &mut draft).await?;
     let mut run = RelayRun::new(core, draft, open);
     loop {
@@ -143,6 +145,10 @@
     run.open.set_end(RequestEnd::Answered);
     let draft = &run.draft;
     let elapsed = draft.arrived.elapsed();
+    run.core
+        .run_times
+        .borrow_mut()
+        .record(&draft.rule.name, source.elapsed());
     run.core
         .metrics
         .requests
--- a/crates/relay/src/run/stream_pump.rs
+++ b/crates/relay/src/run/stream_pump.rs
@@ -20,6 +20,7 @@
     route::ServiceOutcome,
     setup::HttpReply,
     slog::{debug, info},
+    std::rc::Rc,
     tokio::sync::mpsc,
 };
 
@@ -111,14 +112,22 @@
         sender: mpsc::Sender<Result<Bytes, BodyCut>>,
     ) {
         let due = self.run.draft.deadline;
+        let core = Rc::clone(&self.run.core);
         let mut read = first_read;
         loop {
             read = match read {
                 StreamRead::Events(events) => {
-                    if sender.send(Ok(events)).await.is_err() {
+                    let sent = tokio::select! {
+                        biased;
+                        sent = sender.send(Ok(events)) => sent,
+                        () = core.exit.until_cut() => {
+                            return self.on_stop(PumpStop::Exiting, &sender).await;
+                        }
+                    };
+                    if sent.is_err() {
                         return self.on_caller_left();
                     }
-                    match unless_stopped(&sender, due, self.read_before_stall()).await {
+                    match unless_stopped(&core.exit, &sender, due, self.read_before_stall()).await {
                         Ok(read) => {
                             self.record_read(&read);
                             read
@@ -128,7 +137,8 @@
                 }
                 StreamRead::End => return self.on_complete(),
                 StreamRead::Broken => {
-                    let resume_result = unless_stopped(&sender, due, self.resume()).await;
+                    let resume_result =
+                        unless_stopped(&core.exit, &sender, due, self.resume()).await;
                     match resume_result {
                         Ok(Ok(())) => {}
                         Ok(Err(refusal)) => {
@@ -137,7 +147,7 @@
                         }
                         Err(stop) => return self.on_stop(stop, &sender).await,
                     }
-                    match unless_stopped(&sender, due, self.read_events()).await {
+                    match unless_stopped(&core.exit, &sender, due, self.read_events()).await {
                         Ok(read) => {
                             self.record_read(&read);
                             self.run.free_inputs();
@@ -277,6 +287,10 @@
                 self.cut(sender, RequestEnd::CutAtDeadline, "time is over")
                     .await;
             }
+            PumpStop::Exiting => {
+                self.cut(sender, RequestEnd::CutAtExit, "this entry exits")
+                    .await;
+            }
         }
     }
 
--- a/crates/relay/src/shared/relay_core.rs
+++ b/crates/relay/src/shared/relay_core.rs
@@ -2,6 +2,7 @@
     crate::{
         RelaySettings,
         dialect::{CallerDialect, StoreDialect, TargetDialect},
+        drain::ExitPlan,
         ledger::RequestLedger,
         link::TargetChecks,
         shared::{RelayMetrics, RelayPhase, boot_time},
@@ -10,7 +11,7 @@
         target::{ConnectionPool, PEER_PATIENCE, TARGET_PATIENCE},
     },
     board::{CrashReport, GossipSettings, HostRecord, HostTable},
-    limit::{BrittleServices, LimitDesk, ReturnLine, RoomDesk, TargetLimits},
+    limit::{BrittleServices, LimitDesk, ReturnLine, RoomDesk, RunTimes, TargetLimits},
     plan::{FleetPlan, ServiceId, StorePosition},
     rand::SeedableRng,
     rand_chacha::ChaCha8Rng,
@@ -127,6 +128,10 @@
     pub phase: Cell<RelayPhase>,
     /// Requests whose answer has not been written whole, and how the others have ended.
     pub ledger: RequestLedger,
+    /// Whether the process is shutting down.
+    pub exit: ExitPlan,
+    /// How long the requests of each route take.
+    pub run_times: RefCell<RunTimes>,
     /// Has the next round of gossip sent at once, since this entry saw a crash.
     pub crash_news: Notify,
     /// Crashes that peers have reported, oldest first, with the host of each report.
@@ -161,6 +166,8 @@
         Rc::new(Self {
             metrics: RelayMetrics::new(&ledger),
             ledger,
+            exit: ExitPlan::default(),
+            run_times: RefCell::default(),
             batch_service: BatchService::new(peer_key),
             connections: ConnectionPool::new(TARGET_PATIENCE, log.clone()),
             control_connections: ConnectionPool::new(PEER_PATIENCE, log.clone()),
--- a/crates/relay/src/start_relay.rs
+++ b/crates/relay/src/start_relay.rs
@@ -2,22 +2,22 @@
     crate::{
         RelaySettings,
         caller::{RequestSender, answer_addresses, answer_caller, answer_operator, answer_ready},
+        drain::shut_down_gracefully,
         filters::FilterChain,
-        ledger::RequestEnd,
         link::watch_link,
         peer::run_gossip,
-        shared::{DialectSet, RelayCore, RelayPhase},
+        shared::{DialectSet, RelayCore},
         stage::{BatchService, serve_peers},
         state::{check_store, read_store},
     },
     actix_http::Request,
     setup::{HttpLimits, HttpReply, LogOutput, StartError, open_log, serve_http},
-    slog::{error, info, warn},
+    slog::{info, warn},
     std::{
         future::Future,
         net::SocketAddr,
         rc::Rc,
-        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+        time::{Duration, SystemTime, UNIX_EPOCH},
     },
     tokio::{
         net::{TcpListener, UdpSocket},
@@ -32,13 +32,6 @@
 const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(300);
 /// Time-out for the arrival of a request's head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
-/// Share of the grace time in which requests are still accepted, since callers cache addresses.
-const ACCEPT_SHARE: f64 = 0.4;
-/// Share of the grace time after which the process exits even if requests are still running.
-const EXIT_SHARE: f64 = 0.93;
-/// Interval of checks for running requests before the process exits.
-const EXIT_CHECK_INTERVAL: Duration = Duration::from_millis(25);
-
 /// Runs an entry until SIGTERM. `reload` reads the settings again; it is called on SIGHUP.
 ///
 /// # Errors
@@ -107,21 +100,9 @@
         () = async { serving.await; std::future::pending::<()>().await } => {}
         () = shut_down_gracefully(&core, &closing, grace) => {}
     }
-    record_unfinished(&core);
-    info!(core.log, "stopped"; "unfinished" => core.ledger.open_count());
     Ok(())
 }
 
-/// Names the requests that end with this process.
-fn record_unfinished(core: &RelayCore) {
-    for request in core.ledger.open_requests() {
-        request.set_end(RequestEnd::Unfinished);
-        warn!(core.log, "request unfinished"; "request" => request.id(),
-            "place" => request.place().to_string(), "verdict" => request.verdict().to_string(),
-            "ms" => request.arrived().elapsed().as_millis() as u64);
-    }
-}
-
 /// Serves one of the addresses other than the callers'; it stays open until the process exits.
 fn serve_auxiliary<Handler, Answer>(core: &Rc<RelayCore>, listener: TcpListener, answer: Handler)
 where
@@ -137,32 +118,6 @@
     });
 }
 
-/// Waits for SIGTERM. Then accepts requests for a while until callers have switched to other
-/// entries, and returns when the answers to all requests were written or little of the grace time is
-/// left.
-async fn shut_down_gracefully(core: &RelayCore, closing: &watch::Sender<bool>, grace: Duration) {
-    let mut terminate = match signal(SignalKind::terminate()) {
-        Ok(terminate) => terminate,
-        Err(reason) => {
-            error!(core.log, "cannot handle SIGTERM, shutdown will not be graceful";
-                "reason" => %reason);
-            return std::future::pending().await;
-        }
-    };
-    terminate.recv().await;
-    let terminated_at = Instant::now();
-    core.phase.set(RelayPhase::Leaving);
-    info!(core.log, "leaving"; "running" => core.ledger.open_count());
-    actix_rt::time::sleep(grace.mul_f64(ACCEPT_SHARE)).await;
-    closing.send_replace(true);
-    while terminated_at.elapsed() < grace.mul_f64(EXIT_SHARE) {
-        if core.ledger.open_count() == 0 {
-            return;
-        }
-        actix_rt::time::sleep(EXIT_CHECK_INTERVAL).await;
-    }
-}
-
 /// Reloads the settings whenever the process gets SIGHUP. Invalid ones are ignored.
 async fn reload_on_hangup(core: Rc<RelayCore>, reload: impl Fn() -> anyhow::Result<RelaySettings>) {
     let mut hangups = match signal(SignalKind::hangup()) {
