Serve what has arrived before a connection or a listener closes, and close without resets

Callers got no answer to a request that they had sent before their connection was closed in a planned stop, and lost the end of an answer when another request of theirs crossed the close (LOST).

The server closed idle connections at a signal without reading them, and the listener with connections that waited to be accepted. A process with little processor time has both then. Waking from a pause it even learns of its timer first, and of arrived bytes later, so readiness that the runtime reports is not enough: the socket itself is asked. A connection that is closed with bytes unread is reset by the kernel, which drops what the caller has not read yet.

Connections of callers are now closed by ClientStream: one that is idle ends once its socket has nothing to read, and after the last answer it is read for up to a second. Waiting connections are accepted before the listener closes. The shutdown waits for the connections to end.

--- a/crates/relay/src/drain/shut_down.rs
+++ b/crates/relay/src/drain/shut_down.rs
@@ -5,7 +5,10 @@
         shared::{RelayCore, RelayPhase},
     },
     slog::{error, info, warn},
-    std::time::{Duration, Instant},
+    std::{
+        future::Future,
+        time::{Duration, Instant},
+    },
     tokio::{
         signal::unix::{SignalKind, signal},
         sync::watch,
@@ -14,12 +17,13 @@
 };
 
 /// Waits for SIGTERM. Then accepts requests for a while until callers have switched to other
-/// entries, and returns when all requests have got their final answers, or when the grace time is
-/// nearly over.
+/// entries, and returns when all requests have got their final answers and `serving` has ended with
+/// their connections, or when the grace time is nearly over.
 pub async fn shut_down_gracefully(
     core: &RelayCore,
-    closing: &watch::Sender<bool>,
+    closing: watch::Sender<bool>,
     grace: Duration,
+    serving: impl Future<Output = ()>,
 ) {
     let mut terminate = match signal(SignalKind::terminate()) {
         Ok(terminate) => terminate,
@@ -38,7 +42,7 @@
     sleep_until(times.accept_until.into()).await;
     closing.send_replace(true);
     // What has not ended by then is named below.
-    let _ = timeout_at(times.exit_at.into(), core.ledger.until_empty()).await;
+    let _ = timeout_at(times.exit_at.into(), serving).await;
     record_unfinished(core);
     info!(core.log, "stopped"; "unfinished" => core.ledger.open_count());
 }
--- a/crates/relay/src/ledger/request_ledger.rs
+++ b/crates/relay/src/ledger/request_ledger.rs
@@ -7,7 +7,6 @@
         rc::Rc,
         time::Instant,
     },
-    tokio::sync::Notify,
 };
 
 /// Label of the counters of ends: `end`.
@@ -20,8 +19,6 @@
 pub struct RequestLedger {
     open: RefCell<BTreeMap<u64, Rc<OpenRequest>>>,
     next_number: Cell<u64>,
-    /// Wakes who waits for the last open request to end.
-    emptied: Notify,
     /// Requests that were read whole.
     pub read: Counter,
     /// Ends of the requests that were read whole.
@@ -59,9 +56,6 @@
             Some(end) => drop(self.ends.get_or_create(&[("end", end.name())]).inc()),
             None => drop(self.unread.inc()),
         }
-        if self.open.borrow().is_empty() {
-            self.emptied.notify_waiters();
-        }
     }
 
     /// Returns the number of open requests.
@@ -73,15 +67,4 @@
     pub fn open_requests(&self) -> Vec<Rc<OpenRequest>> {
         self.open.borrow().values().map(Rc::clone).collect()
     }
-
-    /// Waits until no request is open.
-    pub async fn until_empty(&self) {
-        loop {
-            let emptied = self.emptied.notified();
-            if self.open.borrow().is_empty() {
-                return;
-            }
-            emptied.await;
-        }
-    }
 }
--- a/crates/relay/src/start_relay.rs
+++ b/crates/relay/src/start_relay.rs
@@ -87,19 +87,24 @@
         let (core, chain) = (Rc::clone(&core), Rc::clone(&chain));
         move |request| answer_caller(Rc::clone(&core), Rc::clone(&chain), sender, request)
     };
-    let serving = serve_http(
-        callers,
-        limits,
-        closing_inbox.clone(),
-        handler(RequestSender::Caller),
-    );
+    let caller_handler = handler(RequestSender::Caller);
     let hop_handler = handler(RequestSender::Peer);
-    actix_rt::spawn(serve_http(hops, limits, closing_inbox, hop_handler));
-    // Ends with the shutdown only, also if serving ends before.
-    tokio::select! {
-        () = async { serving.await; std::future::pending::<()>().await } => {}
-        () = shut_down_gracefully(&core, &closing, grace) => {}
-    }
+    let servers = [
+        actix_rt::spawn(serve_http(
+            callers,
+            limits,
+            closing_inbox.clone(),
+            caller_handler,
+        )),
+        actix_rt::spawn(serve_http(hops, limits, closing_inbox, hop_handler)),
+    ];
+    shut_down_gracefully(&core, closing, grace, async {
+        for server in servers {
+            // A server that has failed has nothing left to wait for.
+            let _ = server.await;
+        }
+    })
+    .await;
     Ok(())
 }
 
--- a/crates/setup/src/http/client_stream.rs
+++ b/crates/setup/src/http/client_stream.rs
@@ -1,28 +1,50 @@
 use {
     crate::http::OpenConnection,
+    futures_util::future::LocalBoxFuture,
+    socket2::SockRef,
     std::{
+        future::Future,
         io,
+        mem::MaybeUninit,
         pin::Pin,
         rc::Rc,
         task::{Context, Poll, ready},
+        time::Duration,
     },
     tokio::{
         io::{AsyncRead, AsyncWrite, ReadBuf},
         net::TcpStream,
+        time::Sleep,
     },
 };
 
-/// The socket of a client's connection. It tells the connection what was read and written.
+/// Longest time for which a connection is read after its last reply. A connection that is closed with
+/// bytes unread is reset, and the client may lose the end of the reply.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+/// Size of the buffer for bytes that are read and dropped.
+const DISCARD_BUFFER_BYTES: usize = 4_096;
+
+/// The socket of a client's connection.
+///
+/// While the server closes, an idle connection ends once all that has arrived on it was read, so that
+/// a request that crosses the close is still served. After the last reply the socket is read for a
+/// while before it is closed.
 pub(super) struct ClientStream {
     stream: TcpStream,
     connection: Rc<OpenConnection>,
+    /// Resolves when the server closes; `None` once it has.
+    closing: Option<LocalBoxFuture<'static, ()>>,
+    /// Ends the reading after the last reply; `None` before it.
+    linger: Option<Pin<Box<Sleep>>>,
 }
 
 impl ClientStream {
-    pub(super) fn new(stream: TcpStream) -> Self {
+    pub(super) fn new(stream: TcpStream, closing: LocalBoxFuture<'static, ()>) -> Self {
         Self {
             stream,
             connection: Rc::default(),
+            closing: Some(closing),
+            linger: None,
         }
     }
 
@@ -36,6 +58,41 @@
     pub(super) fn connection(&self) -> &Rc<OpenConnection> {
         &self.connection
     }
+
+    fn is_closing(&mut self, context: &mut Context<'_>) -> bool {
+        let Some(closing) = &mut self.closing else {
+            return true;
+        };
+        let is_closing = closing.as_mut().poll(context).is_ready();
+        if is_closing {
+            self.closing = None;
+        }
+        is_closing
+    }
+
+    /// Returns true if bytes have arrived, or the end of the connection, of which the runtime may not
+    /// know yet.
+    fn has_waiting_bytes(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        SockRef::from(&self.stream).peek(&mut byte).is_ok()
+    }
+
+    /// Reads and drops what still arrives, until the client closes or the time is over.
+    fn poll_linger(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let mut bytes = [0; DISCARD_BUFFER_BYTES];
+        loop {
+            let mut buffer = ReadBuf::new(&mut bytes);
+            match Pin::new(&mut self.stream).poll_read(context, &mut buffer) {
+                Poll::Ready(Ok(())) if !buffer.filled().is_empty() => {}
+                Poll::Ready(_) => return Poll::Ready(()),
+                Poll::Pending => break,
+            }
+        }
+        match &mut self.linger {
+            Some(linger) => linger.as_mut().poll(context),
+            None => Poll::Ready(()),
+        }
+    }
 }
 
 impl AsyncRead for ClientStream {
@@ -44,7 +101,20 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let known_bytes = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if buffer.filled().len() > known_bytes {
+            self.connection.record_read();
+        }
+        if read.is_ready() || !self.is_closing(context) {
+            return read;
+        }
+        if self.connection.is_idle() && !self.has_waiting_bytes() {
+            // No bytes stand for the end of the connection.
+            return Poll::Ready(Ok(()));
+        }
+        self.connection.wake_when_idle(context.waker());
+        Poll::Pending
     }
 }
 
@@ -65,6 +135,10 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        if self.linger.is_none() {
+            ready!(Pin::new(&mut self.stream).poll_shutdown(context))?;
+            self.linger = Some(Box::pin(tokio::time::sleep(LINGER_TIME)));
+        }
+        self.poll_linger(context).map(Ok)
     }
 }
--- a/crates/setup/src/http/http_server.rs
+++ b/crates/setup/src/http/http_server.rs
@@ -1,5 +1,5 @@
 use {
-    crate::http::client_stream::ClientStream,
+    crate::http::{OpenConnection, client_stream::ClientStream, follow_reply},
     actix_http::{
         ConnectionType, Extensions, HttpService, Payload, Request, Response, StatusCode,
         body::{BodySize, BoxBody, MessageBody},
@@ -7,8 +7,9 @@
     },
     actix_service::{Service, ServiceFactory},
     bytes::{Bytes, BytesMut},
-    futures_util::StreamExt,
+    futures_util::{FutureExt, StreamExt},
     serde::Serialize,
+    socket2::SockRef,
     std::{
         cell::Cell,
         convert::Infallible,
@@ -85,8 +86,8 @@
 }
 
 /// Serves HTTP/1.1 on the listener; every request runs on this thread. Once `closing` is true, it
-/// accepts no more connections, and returns when the open ones have ended after their current
-/// answers, or after `close_timeout`.
+/// accepts no more connections than wait then, and returns when the open ones have ended after their
+/// current answers, or after `close_timeout`. A request that has arrived by then is still answered.
 pub async fn serve_http<Handler, Answer>(
     listener: TcpListener,
     limits: HttpLimits,
@@ -96,18 +97,14 @@
     Handler: Fn(Request) -> Answer + Clone + 'static,
     Answer: Future<Output = HttpReply> + 'static,
 {
-    let handler = move |request| {
-        let answer = handler(request);
-        async move { Ok::<_, Infallible>(answer.await) }
+    let handler = {
+        let closing = closing.clone();
+        move |request| answer_request(&handler, closing.clone(), request)
     };
     let factory = HttpService::build()
         .client_request_timeout(limits.head_timeout)
         .keep_alive(limits.idle_timeout)
         .h1_allow_half_closed(limits.allows_half_closed)
-        .graceful_shutdown_signal({
-            let closing = closing.clone();
-            move || wait_closing(closing.clone())
-        })
         .on_connect_ext(|stream: &ClientStream, extensions: &mut Extensions| {
             extensions.insert(Rc::clone(stream.connection()));
         })
@@ -119,6 +116,7 @@
     let acceptor = StreamAcceptor {
         listener,
         limits,
+        closing: closing.clone(),
         open_count: Rc::clone(&open_count),
         service: Rc::new(service),
     };
@@ -126,6 +124,7 @@
         () = acceptor.accept_streams() => {}
         () = wait_closing(closing) => {}
     }
+    acceptor.accept_waiting();
     drop(acceptor);
     let deadline = Instant::now() + limits.close_timeout;
     while open_count.get() > 0 && Instant::now() < deadline {
@@ -133,10 +132,37 @@
     }
 }
 
+/// Passes a request to the handler. The reply is followed until it was written, and closes its
+/// connection once the server closes.
+fn answer_request<Handler, Answer>(
+    handler: &Handler,
+    closing: watch::Receiver<bool>,
+    request: Request,
+) -> impl Future<Output = Result<HttpReply, Infallible>> + use<Handler, Answer>
+where
+    Handler: Fn(Request) -> Answer,
+    Answer: Future<Output = HttpReply>,
+{
+    let connection = OpenConnection::of(&request);
+    let open_reply = connection.as_ref().map(OpenConnection::begin_request);
+    let answer = handler(request);
+    async move {
+        let mut reply = answer.await;
+        if *closing.borrow() {
+            reply.head_mut().set_connection_type(ConnectionType::Close);
+        }
+        Ok(match (connection, open_reply) {
+            (Some(connection), Some(open_reply)) => follow_reply(reply, &connection, open_reply),
+            _ => reply,
+        })
+    }
+}
+
 /// Accepts connections and serves each in the background.
 struct StreamAcceptor<S> {
     listener: TcpListener,
     limits: HttpLimits,
+    closing: watch::Receiver<bool>,
     open_count: Rc<Cell<usize>>,
     service: Rc<S>,
 }
@@ -151,12 +177,25 @@
         }
     }
 
+    /// Accepts the connections that wait: closing the listener would reset them. The runtime may not
+    /// know of them yet.
+    fn accept_waiting(&self) {
+        let listener = SockRef::from(&self.listener);
+        while let Ok((socket, address)) = listener.accept() {
+            let stream = socket.set_nonblocking(true);
+            let stream = stream.and_then(|()| TcpStream::from_std(socket.into()));
+            if let (Ok(stream), Some(address)) = (stream, address.as_socket()) {
+                self.serve(stream, address);
+            }
+        }
+    }
+
     fn serve(&self, stream: TcpStream, address: SocketAddr) {
         if self.open_count.get() >= self.limits.max_connections {
             return;
         }
         let guard = ConnectionGuard::register(&self.open_count);
-        let stream = ClientStream::new(stream);
+        let stream = ClientStream::new(stream, wait_closing(self.closing.clone()).boxed_local());
         let service = Rc::clone(&self.service);
         actix_rt::spawn(serve_stream(service, stream, address, guard));
     }
--- a/crates/setup/src/http/open_connection.rs
+++ b/crates/setup/src/http/open_connection.rs
@@ -1,6 +1,10 @@
 use {
     actix_http::Request,
-    std::{cell::RefCell, rc::Rc},
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+        task::Waker,
+    },
 };
 
 /// What is to be told when a reply has left.
@@ -15,8 +19,14 @@
 /// What is known of one connection of a client, shared by its socket and its requests.
 #[derive(Default)]
 pub struct OpenConnection {
+    /// Requests whose replies have not been passed to the socket whole.
+    open_replies: Cell<usize>,
+    /// True while bytes were read that belong to no request that has begun.
+    has_unparsed_bytes: Cell<bool>,
     /// Followers of replies whose last byte waits to be written.
     ending: RefCell<Vec<Box<dyn ReplyFollower>>>,
+    /// Wakes the reader of a closing connection once the connection is idle.
+    idle_waker: RefCell<Option<Waker>>,
 }
 
 impl OpenConnection {
@@ -26,6 +36,31 @@
         request.conn_data::<Rc<Self>>().cloned()
     }
 
+    /// Returns true if no request is open and none has begun to arrive.
+    pub(super) fn is_idle(&self) -> bool {
+        self.open_replies.get() == 0 && !self.has_unparsed_bytes.get()
+    }
+
+    /// Has the waker woken once the connection is idle.
+    pub(super) fn wake_when_idle(&self, waker: &Waker) {
+        self.idle_waker.replace(Some(waker.clone()));
+    }
+
+    /// Records that bytes have arrived.
+    pub(super) fn record_read(&self) {
+        self.has_unparsed_bytes.set(true);
+    }
+
+    /// Records that the head of a request was read, and counts the request as open until its reply
+    /// is over.
+    pub(super) fn begin_request(self: &Rc<Self>) -> OpenReply {
+        self.has_unparsed_bytes.set(false);
+        self.open_replies.set(self.open_replies.get() + 1);
+        OpenReply {
+            connection: Rc::clone(self),
+        }
+    }
+
     /// Records that the last byte of a reply waits to be written.
     pub(super) fn end_reply(&self, follower: Box<dyn ReplyFollower>) {
         self.ending.borrow_mut().push(follower);
@@ -37,5 +72,26 @@
         for mut follower in written {
             follower.on_written();
         }
+        if self.is_idle()
+            && let Some(waker) = self.idle_waker.take()
+        {
+            waker.wake();
+        }
+    }
+}
+
+/// Counts a request as open until dropped.
+pub(super) struct OpenReply {
+    connection: Rc<OpenConnection>,
+}
+
+impl ReplyFollower for OpenReply {
+    fn on_written(&mut self) {}
+}
+
+impl Drop for OpenReply {
+    fn drop(&mut self) {
+        let open_replies = &self.connection.open_replies;
+        open_replies.set(open_replies.get() - 1);
     }
 }
