Handle signals from the start, and take the grace time from the settings in force

SIGHUP ends a process that does not handle it yet. Both handlers are now installed before the settings are read.

--- a/crates/relay/src/drain/shut_down.rs
+++ b/crates/relay/src/drain/shut_down.rs
@@ -4,13 +4,10 @@
         ledger::RequestEnd,
         shared::{RelayCore, RelayPhase},
     },
-    slog::{error, info, warn},
-    std::{
-        future::Future,
-        time::{Duration, Instant},
-    },
+    slog::{info, warn},
+    std::{future::Future, time::Instant},
     tokio::{
-        signal::unix::{SignalKind, signal},
+        signal::unix::Signal,
         sync::watch,
         time::{sleep_until, timeout_at},
     },
@@ -21,19 +18,13 @@
 /// their connections, or when the grace time is nearly over.
 pub async fn shut_down_gracefully(
     core: &RelayCore,
+    mut terminations: Signal,
     closing: watch::Sender<bool>,
-    grace: Duration,
     serving: impl Future<Output = ()>,
 ) {
-    let mut terminate = match signal(SignalKind::terminate()) {
-        Ok(terminate) => terminate,
-        Err(reason) => {
-            error!(core.log, "cannot handle SIGTERM, shutdown will not be graceful";
-                "reason" => %reason);
-            return std::future::pending().await;
-        }
-    };
-    terminate.recv().await;
+    terminations.recv().await;
+    // The settings may have changed since the start.
+    let grace = core.settings.borrow().bounds.grace;
     let times = ExitTimes::new(Instant::now(), grace);
     core.phase.set(RelayPhase::Leaving);
     core.exit.begin(times);
--- a/crates/relay/src/start_relay.rs
+++ b/crates/relay/src/start_relay.rs
@@ -21,7 +21,7 @@
     },
     tokio::{
         net::{TcpListener, UdpSocket},
-        signal::unix::{SignalKind, signal},
+        signal::unix::{Signal, SignalKind, signal},
         sync::watch,
     },
 };
@@ -32,16 +32,19 @@
 const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(300);
 /// Time-out for the arrival of a request's head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
-/// Runs an entry until SIGTERM. `reload` reads the settings again; it is called on SIGHUP.
+/// Runs an entry until SIGTERM. `load` reads the settings; it is called at the start and on SIGHUP.
 ///
 /// # Errors
 ///
-/// Fails if the peer key is invalid or an address cannot be bound.
+/// Fails if the settings or the peer key are invalid or an address cannot be bound.
 pub async fn run_relay(
-    settings: RelaySettings,
     dialects: DialectSet,
-    reload: impl Fn() -> anyhow::Result<RelaySettings> + 'static,
+    load: impl Fn() -> anyhow::Result<RelaySettings> + 'static,
 ) -> anyhow::Result<()> {
+    // A signal that comes before its handler would end the process at once.
+    let hangups = signal(SignalKind::hangup())?;
+    let terminations = signal(SignalKind::terminate())?;
+    let settings = load()?;
     let (log, _guard) = open_log(
         settings.log.level,
         PROGRAM,
@@ -70,7 +73,7 @@
     actix_rt::spawn(serve_peers(Rc::clone(&core), peers));
     actix_rt::spawn(BatchService::run(Rc::clone(&core)));
     actix_rt::spawn(watch_link(Rc::clone(&core)));
-    actix_rt::spawn(reload_on_hangup(Rc::clone(&core), reload));
+    actix_rt::spawn(reload_on_hangup(Rc::clone(&core), hangups, load));
     let (closing, closing_inbox) = watch::channel(false);
     serve_auxiliary(&core, ready, answer_ready);
     serve_auxiliary(&core, addresses, answer_addresses);
@@ -98,7 +101,7 @@
         )),
         actix_rt::spawn(serve_http(hops, limits, closing_inbox, hop_handler)),
     ];
-    shut_down_gracefully(&core, closing, grace, async {
+    shut_down_gracefully(&core, terminations, closing, async {
         for server in servers {
             // A server that has failed has nothing left to wait for.
             let _ = server.await;
@@ -124,17 +127,13 @@
 }
 
 /// Reloads the settings whenever the process gets SIGHUP. Invalid ones are ignored.
-async fn reload_on_hangup(core: Rc<RelayCore>, reload: impl Fn() -> anyhow::Result<RelaySettings>) {
-    let mut hangups = match signal(SignalKind::hangup()) {
-        Ok(hangups) => hangups,
-        Err(reason) => {
-            warn!(core.log, "cannot handle SIGHUP, settings will not be reloaded";
-                "reason" => %reason);
-            return;
-        }
-    };
+async fn reload_on_hangup(
+    core: Rc<RelayCore>,
+    mut hangups: Signal,
+    load: impl Fn() -> anyhow::Result<RelaySettings>,
+) {
     while hangups.recv().await.is_some() {
-        match reload() {
+        match load() {
             Ok(settings) => {
                 let seeds: Vec<_> = settings.peer_seeds().collect();
                 info!(core.log, "settings reloaded"; "seeds" => seeds.len());
