Cut a stream whose forwarding ends without saying that it is whole

Cause: the body of a streamed answer took the end of its channel for the end of the answer. The channel also ends when the task that forwards the stream dies, for instance by a panic. The body now ends as complete only if the sender has said so (`AnswerSender::finish`); whatever else drops the sender cuts the connection. Cutting needs no room in the channel any more.

--- a/crates/relay/src/caller/answer_body.rs
+++ b/crates/relay/src/caller/answer_body.rs
@@ -2,13 +2,18 @@
     actix_http::body::{BodySize, MessageBody},
     bytes::Bytes,
     std::{
+        cell::Cell,
         fmt,
         pin::Pin,
-        task::{Context, Poll},
+        rc::Rc,
+        task::{Context, Poll, ready},
     },
     tokio::sync::mpsc,
 };
 
+/// Maximum number of chunks of an answer that are buffered for a slow caller.
+const MAX_QUEUED_CHUNKS: usize = 16;
+
 /// Error that ends the body of an answer early: the caller's connection is closed, so that the
 /// answer does not look complete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -22,16 +27,58 @@
 
 impl std::error::Error for BodyCut {}
 
-/// Body of an answer that is passed on while it arrives.
-pub struct AnswerBody {
-    chunks: mpsc::Receiver<Result<Bytes, BodyCut>>,
+/// Passes an answer on to its caller while it arrives. The answer is cut when this is dropped, unless
+/// it was finished.
+pub struct AnswerSender {
+    chunks: mpsc::Sender<Bytes>,
+    is_finished: Rc<Cell<bool>>,
 }
 
-impl AnswerBody {
-    /// Creates a body that consists of the chunks received from the channel.
-    pub fn new(chunks: mpsc::Receiver<Result<Bytes, BodyCut>>) -> Self {
-        Self { chunks }
+impl AnswerSender {
+    /// Creates a sender and the body that consists of what it sends.
+    pub fn open() -> (Self, AnswerBody) {
+        let (sender, chunks) = mpsc::channel(MAX_QUEUED_CHUNKS);
+        let is_finished = Rc::new(Cell::new(false));
+        let body = AnswerBody {
+            chunks,
+            is_finished: Rc::clone(&is_finished),
+        };
+        let sender = Self {
+            chunks: sender,
+            is_finished,
+        };
+        (sender, body)
+    }
+
+    /// Sends a chunk once there is room for it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the caller has left.
+    pub async fn send(&self, chunk: Bytes) -> Result<(), CallerLeft> {
+        self.chunks.send(chunk).await.map_err(|_| CallerLeft)
+    }
+
+    /// Waits until the caller has left.
+    pub async fn until_caller_left(&self) {
+        self.chunks.closed().await;
     }
+
+    /// Ends the answer: what was sent is the whole of it.
+    pub fn finish(self) {
+        self.is_finished.set(true);
+    }
+}
+
+/// The caller has left before its answer was complete.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerLeft;
+
+/// Body of an answer that is passed on while it arrives.
+pub struct AnswerBody {
+    chunks: mpsc::Receiver<Bytes>,
+    /// True once the sender has said that the answer is complete.
+    is_finished: Rc<Cell<bool>>,
 }
 
 impl MessageBody for AnswerBody {
@@ -45,6 +92,11 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, BodyCut>>> {
-        self.chunks.poll_recv(context)
+        let chunk = ready!(self.chunks.poll_recv(context));
+        Poll::Ready(match chunk {
+            Some(chunk) => Some(Ok(chunk)),
+            None if self.is_finished.get() => None,
+            None => Some(Err(BodyCut)),
+        })
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -26,6 +26,7 @@
 mod target;
 
 pub use {
+    caller::{AnswerBody, AnswerSender, BodyCut, CallerLeft},
     dialect::{
         AddressQuery, CallerDialect, CallerHead, HeadFault, HeaderList, HopRequest, RelayRefusal,
         ReplyHead, ReplyOutcome, StoreChanges, StoreDialect, StoreItem, StorePage, TargetDialect,
--- a/crates/relay/src/run/pump_stop.rs
+++ b/crates/relay/src/run/pump_stop.rs
@@ -1,8 +1,6 @@
 use {
-    crate::{caller::BodyCut, drain::ExitPlan},
-    bytes::Bytes,
+    crate::{caller::AnswerSender, drain::ExitPlan},
     std::{future::Future, time::Instant},
-    tokio::sync::mpsc,
 };
 
 /// Why forwarding stops before the stream has ended.
@@ -17,14 +15,14 @@
 /// this process exits before the work is done.
 pub async fn unless_stopped<T>(
     exit: &ExitPlan,
-    sender: &mpsc::Sender<Result<Bytes, BodyCut>>,
+    sender: &AnswerSender,
     due: Instant,
     work: impl Future<Output = T>,
 ) -> Result<T, PumpStop> {
     tokio::select! {
         biased;
         outcome = work => Ok(outcome),
-        () = sender.closed() => Err(PumpStop::CallerLeft),
+        () = sender.until_caller_left() => Err(PumpStop::CallerLeft),
         () = actix_rt::time::sleep_until(due.into()) => Err(PumpStop::DeadlinePassed),
         () = exit.until_cut() => Err(PumpStop::Exiting),
     }
--- a/crates/relay/src/run/stream_pump.rs
+++ b/crates/relay/src/run/stream_pump.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        caller::{AnswerBody, BodyCut, build_reply},
+        caller::{AnswerSender, build_reply},
         dialect::RelayRefusal,
         ledger::{RequestEnd, RequestPlace},
         run::{
@@ -21,14 +21,11 @@
     setup::HttpReply,
     slog::{debug, info},
     std::rc::Rc,
-    tokio::sync::mpsc,
 };
 
 /// Share of the time for which a caller waits for an event, after which a stream without events is
 /// resumed elsewhere.
 const STALL_SHARE: f64 = 0.6;
-/// Maximum number of chunks of an answer that are buffered for a slow caller.
-const MAX_QUEUED_CHUNKS: usize = 16;
 
 /// Outcome of a read from a stream.
 enum StreamRead {
@@ -85,8 +82,8 @@
         let elapsed = pump.run.draft.arrived.elapsed();
         core.metrics.first_byte.observe(elapsed.as_secs_f64());
         pump.run.open.set_place(RequestPlace::Events);
-        let (sender, receiver) = mpsc::channel(MAX_QUEUED_CHUNKS);
-        let answer = build_reply(&core, status, &headers, AnswerBody::new(receiver));
+        let (sender, body) = AnswerSender::open();
+        let answer = build_reply(&core, status, &headers, body);
         actix_rt::spawn(pump.forward(first_read, sender));
         Ok(answer)
     }
@@ -106,11 +103,7 @@
     }
 
     /// Forwards the stream to its end, until the caller leaves or until the deadline.
-    async fn forward(
-        mut self,
-        first_read: StreamRead,
-        sender: mpsc::Sender<Result<Bytes, BodyCut>>,
-    ) {
+    async fn forward(mut self, first_read: StreamRead, sender: AnswerSender) {
         let due = self.run.draft.deadline;
         let core = Rc::clone(&self.run.core);
         let mut read = first_read;
@@ -119,9 +112,9 @@
                 StreamRead::Events(events) => {
                     let sent = tokio::select! {
                         biased;
-                        sent = sender.send(Ok(events)) => sent,
+                        sent = sender.send(events) => sent,
                         () = core.exit.until_cut() => {
-                            return self.on_stop(PumpStop::Exiting, &sender).await;
+                            return self.on_stop(PumpStop::Exiting);
                         }
                     };
                     if sent.is_err() {
@@ -132,20 +125,22 @@
                             self.record_read(&read);
                             read
                         }
-                        Err(stop) => return self.on_stop(stop, &sender).await,
+                        Err(stop) => return self.on_stop(stop),
                     }
                 }
-                StreamRead::End => return self.on_complete(),
+                StreamRead::End => {
+                    self.on_complete();
+                    return sender.finish();
+                }
                 StreamRead::Broken => {
                     let resume_result =
                         unless_stopped(&core.exit, &sender, due, self.resume()).await;
                     match resume_result {
                         Ok(Ok(())) => {}
                         Ok(Err(refusal)) => {
-                            let end = RequestEnd::CutByTarget;
-                            return self.cut(&sender, end, &refusal.detail).await;
+                            return self.cut(RequestEnd::CutByTarget, &refusal.detail);
                         }
-                        Err(stop) => return self.on_stop(stop, &sender).await,
+                        Err(stop) => return self.on_stop(stop),
                     }
                     match unless_stopped(&core.exit, &sender, due, self.read_events()).await {
                         Ok(read) => {
@@ -153,7 +148,7 @@
                             self.run.free_inputs();
                             read
                         }
-                        Err(stop) => return self.on_stop(stop, &sender).await,
+                        Err(stop) => return self.on_stop(stop),
                     }
                 }
             };
@@ -280,33 +275,20 @@
             "ms" => self.run.draft.arrived.elapsed().as_millis() as u64);
     }
 
-    async fn on_stop(self, stop: PumpStop, sender: &mpsc::Sender<Result<Bytes, BodyCut>>) {
+    fn on_stop(self, stop: PumpStop) {
         match stop {
             PumpStop::CallerLeft => self.on_caller_left(),
-            PumpStop::DeadlinePassed => {
-                self.cut(sender, RequestEnd::CutAtDeadline, "time is over")
-                    .await;
-            }
-            PumpStop::Exiting => {
-                self.cut(sender, RequestEnd::CutAtExit, "this entry exits")
-                    .await;
-            }
+            PumpStop::DeadlinePassed => self.cut(RequestEnd::CutAtDeadline, "time is over"),
+            PumpStop::Exiting => self.cut(RequestEnd::CutAtExit, "this entry exits"),
         }
     }
 
-    /// Closes the connection to the caller early, so that the caller does not take the stream for
-    /// complete.
-    async fn cut(
-        self,
-        sender: &mpsc::Sender<Result<Bytes, BodyCut>>,
-        end: RequestEnd,
-        reason: &str,
-    ) {
+    /// Records why the connection to the caller is closed early, so that the caller does not take the
+    /// stream for complete.
+    fn cut(self, end: RequestEnd, reason: &str) {
         self.run.open.set_end(end);
         info!(self.run.core.log, "stream cut"; "request" => &self.run.draft.head.request_id,
             "target" => self.source.name(), "reason" => reason,
             "ms" => self.run.draft.arrived.elapsed().as_millis() as u64);
-        // The caller may have left in the meantime.
-        let _ = sender.send(Err(BodyCut)).await;
     }
 }
