Cap the idle time that a target states, so that an endless one cannot end a request

Callers saw a connection that ended without an answer, for a request that a target had run (LOST).

Cause: the pool adds the time that a target's `Keep-Alive: timeout=` states to the clock. With u64::MAX / 2 seconds and more that overflows, and the panic takes the handler of the request and its connection with it, after the answer was read. The stated time is now at most 60 s.

`an_answer_whose_keep_alive_is_endless_reaches_its_caller` failed before: left (0, ""), right (200, "kept"), and "overflow when adding duration to instant" on the standard error of the process. It passes with the cap.

--- a/crates/relay/src/target/connection_pool.rs
+++ b/crates/relay/src/target/connection_pool.rs
@@ -31,6 +31,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time for which an idle connection is kept if the other side does not say how long it keeps it.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(900);
+/// Longest time for which an idle connection is kept, whatever the other side says.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Share of the other side's idle time-out after which a connection is no longer used, so that the
 /// other side does not close it first.
 const IDLE_TIMEOUT_SHARE: f64 = 0.7;
@@ -128,7 +130,7 @@
         let pool = Rc::clone(self);
         let expires_at = Instant::now()
             + idle_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |timeout| {
-                timeout.mul_f64(IDLE_TIMEOUT_SHARE)
+                timeout.min(MAX_IDLE_TIMEOUT).mul_f64(IDLE_TIMEOUT_SHARE)
             });
         actix_rt::spawn(async move {
             let mut connection = connection;
