Begin the tasks that serve all requests anew after a panic, and log panics

Callers would have seen requests that end by their deadlines only, or an entry that follows no configuration any more, until it is started again.

Cause: a panic in a task that serves all (the reader of the store, its checks, gossip, peers, the batches of stages, the watch of the links, the reload of the settings) ended that task for good and silently. `TaskSupervisor` logs the end, counts it (`camphor_task_failures_total` by task) and begins the task anew after 0.2 s. The sockets and the signal live outside of the tasks. The state lives in RefCells of the core, which a panic gives back. A state that was put in force halfway is put in force again (`is_state_applied`). A panic in a call for pieces or in a peer's job fails that job instead of leaving it open, and one in the task of a link to an owner closes the link, so that no one waits for it. Each panic is one line in the log, with message and place.

Left as it was: a panic in `BatchService::run_actions` loses the actions that it has taken and not carried out; their jobs end by their deadlines. The accept loops, which read no input, are not supervised.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -24,6 +24,7 @@
 mod start_relay;
 mod state;
 mod target;
+mod tasks;
 
 pub use {
     caller::{AnswerBody, AnswerSender, BodyCut, CallerLeft},
@@ -44,4 +45,5 @@
         StoreReplica, StoreRequest,
     },
     target::{EventSplitter, is_hop_header, keep_alive_timeout},
+    tasks::{PanicCaught, TaskLabel, TaskSupervisor, catch_panic},
 };
--- a/crates/relay/src/peer/gossip_loop.rs
+++ b/crates/relay/src/peer/gossip_loop.rs
@@ -29,7 +29,7 @@
 
 /// Exchanges gossip datagrams with the other entries for as long as the process lives: sends
 /// rounds, handles what arrives, and keeps the evidence of the configuration fresh.
-pub async fn run_gossip(core: Rc<RelayCore>, socket: UdpSocket, peer_key: [u8; 32]) {
+pub async fn run_gossip(core: Rc<RelayCore>, socket: Rc<UdpSocket>, peer_key: [u8; 32]) {
     let seal = DatagramSeal::new(peer_key);
     let mut next_round = Instant::now();
     let random_seed = core.hosts.borrow().own_record().incarnation;
--- a/crates/relay/src/shared/core_targets.rs
+++ b/crates/relay/src/shared/core_targets.rs
@@ -13,8 +13,10 @@
 impl RelayCore {
     /// Puts the configuration and targets that were read from the store in force.
     pub fn apply_state(&self, view: &StateView, now: Instant) {
+        let was_applied = self.is_state_applied.replace(false);
         let previous = self.state.replace(view.clone());
         let Some(plan) = &view.plan else {
+            self.is_state_applied.set(was_applied);
             return;
         };
         let previous_version = previous.plan.as_ref().map_or(0, |plan| plan.version);
@@ -36,10 +38,11 @@
             self.log_evacuations(&previous, view);
         }
         self.log_cold_targets(&previous, view, now);
-        if plan.version > previous_version || previous.targets != view.targets || evacuations_differ
-        {
+        let is_changed = plan.version > previous_version || previous.targets != view.targets;
+        if is_changed || evacuations_differ || !was_applied {
             self.apply_targets(plan, view, now);
         }
+        self.is_state_applied.set(true);
         if self.phase.get() == RelayPhase::Starting {
             self.phase.set(RelayPhase::Serving);
             info!(self.log, "serving"; "targets" => view.targets.len());
--- a/crates/relay/src/shared/relay_core.rs
+++ b/crates/relay/src/shared/relay_core.rs
@@ -9,6 +9,7 @@
         stage::BatchService,
         state::{FeedLag, StateView, StoreReplica},
         target::{ConnectionPool, PEER_PATIENCE, TARGET_PATIENCE},
+        tasks::TaskSupervisor,
     },
     board::{CrashReport, GossipSettings, HostRecord, HostTable},
     limit::{BrittleServices, LimitDesk, ReturnLine, RoomDesk, RunTimes, TargetLimits},
@@ -63,6 +64,8 @@
     pub control_connections: Rc<ConnectionPool>,
     /// Configuration, targets and evidence that are in force.
     pub state: RefCell<StateView>,
+    /// False while the state is being put in force, and if a panic has ended that halfway.
+    pub(super) is_state_applied: Cell<bool>,
     pub replica: RefCell<StoreReplica>,
     /// Wakes the task that checks whether the store has changed.
     pub check_wanted: Notify,
@@ -130,6 +133,8 @@
     pub ledger: RequestLedger,
     /// Whether the process is shutting down.
     pub exit: ExitPlan,
+    /// Runs the tasks that serve all requests.
+    pub tasks: TaskSupervisor,
     /// How long the requests of each route take.
     pub run_times: RefCell<RunTimes>,
     /// Has the next round of gossip sent at once, since this entry saw a crash.
@@ -163,8 +168,10 @@
             ..CrashTrackerSettings::default()
         };
         let ledger = RequestLedger::new();
+        let metrics = RelayMetrics::new(&ledger);
         Rc::new(Self {
-            metrics: RelayMetrics::new(&ledger),
+            tasks: TaskSupervisor::new(log.clone(), metrics.task_failures.clone()),
+            metrics,
             ledger,
             exit: ExitPlan::default(),
             run_times: RefCell::default(),
@@ -175,6 +182,7 @@
             dialects,
             log,
             state: RefCell::default(),
+            is_state_applied: Cell::new(true),
             replica: RefCell::new(StoreReplica::new(now)),
             check_wanted: Notify::new(),
             watch_restart: Notify::new(),
--- a/crates/relay/src/shared/relay_metrics.rs
+++ b/crates/relay/src/shared/relay_metrics.rs
@@ -1,5 +1,5 @@
 use {
-    crate::ledger::RequestLedger,
+    crate::{ledger::RequestLedger, tasks::TaskLabel},
     prometheus_client::{
         encoding::text::encode,
         metrics::{
@@ -69,6 +69,8 @@
     pub plan_version: Gauge,
     /// Requests whose answer has not been written whole.
     pub open_requests: Gauge,
+    /// Failures of tasks that serve all requests.
+    pub task_failures: Family<TaskLabel, Counter>,
     registry: Registry,
 }
 
@@ -105,6 +107,7 @@
             dials: Gauge::default(),
             plan_version: Gauge::default(),
             open_requests: Gauge::default(),
+            task_failures: Family::default(),
             registry: Registry::default(),
         };
         registry.register("requests", "Requests", metrics.requests.clone());
@@ -213,6 +216,11 @@
             "Requests that ended before they were read whole",
             ledger.unread.clone(),
         );
+        registry.register(
+            "task_failures",
+            "Failures of tasks that serve all requests",
+            metrics.task_failures.clone(),
+        );
         registry.register(
             "open_requests",
             "Requests without a whole answer",
--- a/crates/relay/src/stage/batch_calls.rs
+++ b/crates/relay/src/stage/batch_calls.rs
@@ -6,6 +6,7 @@
         shared::RelayCore,
         stage::BatchService,
         target::CallFault,
+        tasks::catch_panic,
     },
     piece::{CallId, MachinePace, PieceOutcome, PieceWork},
     slog::{debug, info},
@@ -41,7 +42,8 @@
         let shard = shard.to_string();
         actix_rt::spawn(async move {
             let started = Instant::now();
-            let outcome = call_target(&core, &target, &work).await;
+            let outcome = catch_panic(call_target(&core, &target, &work)).await;
+            let outcome = outcome.unwrap_or(Err(PieceCallFault::Panicked));
             let now = Instant::now();
             if let Some(state) = core.batch_service.shard_states.borrow_mut().get_mut(&shard) {
                 match outcome {
@@ -126,6 +128,8 @@
     Refused,
     /// The connection failed, or the answer could not be read.
     Broken,
+    /// A fault of this program has ended the call.
+    Panicked,
 }
 
 async fn call_target(
--- a/crates/relay/src/stage/owner_link.rs
+++ b/crates/relay/src/stage/owner_link.rs
@@ -63,18 +63,13 @@
             next_number: Cell::new(0),
             is_closed: Cell::new(false),
         });
-        let (running_link, log) = (Rc::clone(&link), log.clone());
+        let (running_link, log) = (RunningLink(Rc::clone(&link)), log.clone());
         actix_rt::spawn(async move {
-            let outcome = running_link.run(address, seal, inbox, &log).await;
-            running_link.is_closed.set(true);
-            running_link.waiters.borrow_mut().clear();
-            running_link.place_waiters.clear();
-            running_link.permit_waiters.clear();
-            running_link.origin_waiters.clear();
+            let outcome = running_link.0.run(address, seal, inbox, &log).await;
             let reason = outcome
                 .err()
                 .map_or(String::from("closed"), |error| error.to_string());
-            info!(log, "peer link lost"; "peer" => &running_link.host, "reason" => reason);
+            info!(log, "peer link lost"; "peer" => &running_link.0.host, "reason" => reason);
         });
         link
     }
@@ -234,6 +229,20 @@
     }
 }
 
+/// The task of a link. The link is closed and its waiters are told when the task ends.
+struct RunningLink(Rc<OwnerLink>);
+
+impl Drop for RunningLink {
+    fn drop(&mut self) {
+        let link = &self.0;
+        link.is_closed.set(true);
+        link.waiters.borrow_mut().clear();
+        link.place_waiters.clear();
+        link.permit_waiters.clear();
+        link.origin_waiters.clear();
+    }
+}
+
 /// A job at another entry; cancelled if it is dropped before it ends.
 pub struct RemoteJob {
     link: Rc<OwnerLink>,
--- a/crates/relay/src/stage/peer_server.rs
+++ b/crates/relay/src/stage/peer_server.rs
@@ -11,6 +11,7 @@
         },
         state::{FeedFrame, serve_feed},
         target::{PEER_PATIENCE, configure_socket},
+        tasks::{PanicCaught, catch_panic},
     },
     actix_rt::task::JoinHandle,
     piece::{JobRank, PieceOutcome, StageJob},
@@ -33,7 +34,7 @@
 
 /// Accepts connections of other entries, which submit jobs for the shards that this entry owns, or
 /// follow the store by way of this entry.
-pub async fn serve_peers(core: Rc<RelayCore>, listener: TcpListener) {
+pub async fn serve_peers(core: Rc<RelayCore>, listener: Rc<TcpListener>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -182,9 +183,13 @@
         let running = core
             .batch_service
             .run_own_job(&shard, job, rank, on_inputs_read);
-        let frame = match running.await {
-            Ok(results) => JobFrame::Made { number, results },
-            Err(outcome) => JobFrame::Failed { number, outcome },
+        let frame = match catch_panic(running).await {
+            Ok(Ok(results)) => JobFrame::Made { number, results },
+            Ok(Err(outcome)) => JobFrame::Failed { number, outcome },
+            Err(PanicCaught) => JobFrame::Failed {
+                number,
+                outcome: PieceOutcome::Failed,
+            },
         };
         // The peer may be gone; its jobs are cancelled when the connection ends.
         let _ = outbox.send(PeerMessage::Job(frame));
--- a/crates/relay/src/start_relay.rs
+++ b/crates/relay/src/start_relay.rs
@@ -11,7 +11,7 @@
         state::{check_store, read_store},
     },
     actix_http::Request,
-    setup::{HttpLimits, HttpReply, LogOutput, StartError, open_log, serve_http},
+    setup::{HttpLimits, HttpReply, LogOutput, StartError, log_panics, open_log, serve_http},
     slog::{info, warn},
     std::{
         future::Future,
@@ -22,7 +22,7 @@
     tokio::{
         net::{TcpListener, UdpSocket},
         signal::unix::{Signal, SignalKind, signal},
-        sync::watch,
+        sync::{Mutex, watch},
     },
 };
 
@@ -51,6 +51,7 @@
         &settings.host,
         LogOutput::Stdout,
     );
+    log_panics(&log);
     let listen = settings.listen.clone();
     let callers = bind("listen.callers", listen.callers).await?;
     let ready = bind("listen.ready", listen.ready).await?;
@@ -67,13 +68,21 @@
     let core = RelayCore::new(settings, dialects, peer_key, unix_time_us(), log);
     info!(core.log, "started"; "callers" => %listen.callers, "peers" => %listen.peers,
         "grace_ms" => grace.as_millis() as u64);
-    actix_rt::spawn(read_store(Rc::clone(&core)));
-    actix_rt::spawn(check_store(Rc::clone(&core)));
-    actix_rt::spawn(run_gossip(Rc::clone(&core), datagrams, peer_key));
-    actix_rt::spawn(serve_peers(Rc::clone(&core), peers));
-    actix_rt::spawn(BatchService::run(Rc::clone(&core)));
-    actix_rt::spawn(watch_link(Rc::clone(&core)));
-    actix_rt::spawn(reload_on_hangup(Rc::clone(&core), hangups, load));
+    let (peers, datagrams) = (Rc::new(peers), Rc::new(datagrams));
+    let (hangups, load) = (Rc::new(Mutex::new(hangups)), Rc::new(load));
+    keep_running(&core, "read_store", read_store);
+    keep_running(&core, "check_store", check_store);
+    keep_running(&core, "run_gossip", move |core| {
+        run_gossip(core, Rc::clone(&datagrams), peer_key)
+    });
+    keep_running(&core, "serve_peers", move |core| {
+        serve_peers(core, Rc::clone(&peers))
+    });
+    keep_running(&core, "run_batches", BatchService::run);
+    keep_running(&core, "watch_link", watch_link);
+    keep_running(&core, "reload_on_hangup", move |core| {
+        reload_on_hangup(core, Rc::clone(&hangups), Rc::clone(&load))
+    });
     let (closing, closing_inbox) = watch::channel(false);
     serve_auxiliary(&core, ready, answer_ready);
     serve_auxiliary(&core, addresses, answer_addresses);
@@ -111,6 +120,17 @@
     Ok(())
 }
 
+/// Runs a task that serves all requests for as long as the process runs.
+fn keep_running<Work: Future<Output = ()> + 'static>(
+    core: &Rc<RelayCore>,
+    task: &'static str,
+    begin: impl Fn(Rc<RelayCore>) -> Work + 'static,
+) {
+    let owner = Rc::clone(core);
+    core.tasks
+        .keep_running(task, move || begin(Rc::clone(&owner)));
+}
+
 /// Serves one of the addresses other than the callers'; it stays open until the process exits.
 fn serve_auxiliary<Handler, Answer>(core: &Rc<RelayCore>, listener: TcpListener, answer: Handler)
 where
@@ -129,9 +149,10 @@
 /// Reloads the settings whenever the process gets SIGHUP. Invalid ones are ignored.
 async fn reload_on_hangup(
     core: Rc<RelayCore>,
-    mut hangups: Signal,
-    load: impl Fn() -> anyhow::Result<RelaySettings>,
+    hangups: Rc<Mutex<Signal>>,
+    load: Rc<impl Fn() -> anyhow::Result<RelaySettings>>,
 ) {
+    let mut hangups = hangups.lock().await;
     while hangups.recv().await.is_some() {
         match load() {
             Ok(settings) => {
--- a/crates/setup/src/lib.rs
+++ b/crates/setup/src/lib.rs
@@ -3,6 +3,7 @@
 mod http;
 mod log_setup;
 mod metric_registry;
+mod panic_log;
 mod process_probe;
 mod ready_line;
 mod settings_file;
@@ -15,6 +16,7 @@
     },
     log_setup::{LogLevel, LogOutput, open_log},
     metric_registry::MetricRegistry,
+    panic_log::log_panics,
     process_probe::is_process_gone,
     ready_line::ReadyLine,
     settings_file::load_settings,
