Answer a request whose handling panics, and record it

Callers saw a connection that ended without an answer (LOST); the ledger counted it as the caller's leaving if the panic hit a stream.

Cause: a panic in the handler of a request ended the task of its connection, and all that was read on it. The handler is now contained: the request is refused, with 503 and a time to come back only if nothing of it was sent, else with 502, which promises nothing; the connection closes after it. The end is `panicked` in the ledger. Handlers of the other addresses answer 500.

--- a/crates/base/src/failure_report.rs
+++ b/crates/base/src/failure_report.rs
@@ -56,6 +56,8 @@
     /// A stream cannot go on: the software version that began it is not known, or no target of it
     /// takes calls.
     VersionLost,
+    /// A fault of the entry's own program.
+    InternalFault,
 }
 
 impl FailureReason {
--- a/crates/relay/src/caller/caller_server.rs
+++ b/crates/relay/src/caller/caller_server.rs
@@ -7,13 +7,14 @@
         ledger::{OpenRequest, RequestEnd, RequestGuard, RequestPlace},
         run::run_request,
         shared::RelayCore,
+        tasks::{PanicCaught, catch_panic},
     },
     actix_http::{
-        HttpMessage, Request, Response, StatusCode,
+        ConnectionType, HttpMessage, Request, Response, StatusCode,
         body::{BoxBody, MessageBody},
         header::{HeaderName, HeaderValue},
     },
-    base::FailureReason,
+    base::{FailureReason, RunVerdict},
     bytes::Bytes,
     rand::Rng,
     setup::{HttpReply, OpenConnection, close_unread, follow_reply, read_body},
@@ -30,6 +31,8 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time after which a caller should retry if this entry has no sufficiently recent configuration.
 const NO_PLAN_RETRY_DELAY: Duration = Duration::from_millis(400);
+/// Time after which a caller should retry if a fault of this entry has ended its request.
+const PANIC_RETRY_DELAY: Duration = Duration::from_millis(200);
 
 /// Who has sent a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -50,9 +53,12 @@
     let connection = OpenConnection::of(&request);
     let mut guard = RequestGuard::open(&core, Instant::now());
     let open = Rc::clone(guard.request());
+    let answering = answer_request(&core, &chain, sender, request, &mut guard);
     let reply = tokio::select! {
         biased;
-        reply = answer_request(&core, &chain, sender, request, &mut guard) => reply,
+        reply = catch_panic(answering) => {
+            reply.unwrap_or_else(|PanicCaught| refuse_after_panic(&core, &open))
+        }
         refusal = until_exit_limit(&core, &open) => refuse(&core, &open, refusal),
     };
     match connection {
@@ -112,6 +118,25 @@
     }
 }
 
+/// Refuses a request whose handling has panicked.
+fn refuse_after_panic(core: &RelayCore, request: &OpenRequest) -> HttpReply {
+    let detail = format!(
+        "a fault of this entry, the request was at {}",
+        request.place()
+    );
+    let verdict = request.verdict();
+    let refusal = RelayRefusal {
+        verdict,
+        retry_after: (verdict == RunVerdict::NotRun).then_some(PANIC_RETRY_DELAY),
+        ..RelayRefusal::not_run(FailureReason::InternalFault, detail)
+    };
+    let mut reply = refuse(core, request, refusal);
+    request.set_end(RequestEnd::Panicked);
+    // Its body may not have been read to the end.
+    reply.head_mut().set_connection_type(ConnectionType::Close);
+    reply
+}
+
 fn create_draft(
     core: &RelayCore,
     head: crate::dialect::CallerHead,
@@ -175,9 +200,7 @@
         }
     }
     if core.phase.get() == crate::shared::RelayPhase::Leaving {
-        reply
-            .head_mut()
-            .set_connection_type(actix_http::ConnectionType::Close);
+        reply.head_mut().set_connection_type(ConnectionType::Close);
     }
     reply
 }
--- a/crates/relay/src/run/stream_pump.rs
+++ b/crates/relay/src/run/stream_pump.rs
@@ -2,7 +2,7 @@
     crate::{
         caller::{AnswerSender, build_reply},
         dialect::RelayRefusal,
-        ledger::{RequestEnd, RequestPlace},
+        ledger::{PanicMark, RequestEnd, RequestPlace},
         run::{
             answer_source::AnswerSource,
             pump_stop::{PumpStop, unless_stopped},
@@ -104,6 +104,7 @@
 
     /// Forwards the stream to its end, until the caller leaves or until the deadline.
     async fn forward(mut self, first_read: StreamRead, sender: AnswerSender) {
+        let _mark = PanicMark::new(&self.run.open);
         let due = self.run.draft.deadline;
         let core = Rc::clone(&self.run.core);
         let mut read = first_read;
--- a/crates/setup/src/http/http_server.rs
+++ b/crates/setup/src/http/http_server.rs
@@ -15,6 +15,7 @@
         convert::Infallible,
         future::Future,
         net::SocketAddr,
+        panic::AssertUnwindSafe,
         pin::Pin,
         rc::Rc,
         task::{Context, Poll},
@@ -147,7 +148,8 @@
     let open_reply = connection.as_ref().map(OpenConnection::begin_request);
     let answer = handler(request);
     async move {
-        let mut reply = answer.await;
+        let answer = AssertUnwindSafe(answer).catch_unwind();
+        let mut reply = answer.await.unwrap_or_else(|_| panic_reply());
         if *closing.borrow() {
             reply.head_mut().set_connection_type(ConnectionType::Close);
         }
@@ -158,6 +160,13 @@
     }
 }
 
+/// Returns the reply to a request whose handler has panicked; its body may not have been read.
+fn panic_reply() -> HttpReply {
+    let mut reply = text_reply(StatusCode::INTERNAL_SERVER_ERROR, "internal fault\n");
+    reply.head_mut().set_connection_type(ConnectionType::Close);
+    reply
+}
+
 /// Accepts connections and serves each in the background.
 struct StreamAcceptor<S> {
     listener: TcpListener,
