--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -24,8 +24,10 @@
 mod start_relay;
 mod state;
 mod target;
+mod tasks;
 
 pub use {
+    caller::{AnswerBody, AnswerSender, BodyCut, CallerLeft},
     dialect::{
         AddressQuery, CallerDialect, CallerHead, HeadFault, HeaderList, HopRequest, RelayRefusal,
         ReplyHead, ReplyOutcome, StoreChanges, StoreDialect, StoreItem, StorePage, TargetDialect,
@@ -43,4 +45,5 @@
         StoreReplica, StoreRequest,
     },
     target::{EventSplitter, is_hop_header, keep_alive_timeout},
+    tasks::{PanicCaught, TaskLabel, TaskSupervisor, catch_panic},
 };
