Believe a refusal only if it shows which request it refuses

TWICE and REFUSED: a target that wrote an extra refusal late, on a kept connection, had the next request on it taken for one that had not run.

The id of a reply was compared only if it counted as run. A refusal, a 421 and a 409 were believed whatever id they bore. The dialect now tells which request a reply names (ReplyOwner), and one rule decides (ReplyHead::proven_outcome): a reply proves something if it has the request's own id, or none on a connection that has carried no other request. Anything else leaves open whether the request ran: 502 for one that may run once only. What such a reply says of its target is not applied either.

A second copy of a refusal bears the right id if the same request comes back to the same target. That could not happen, since a connection is closed after a refusal, but nothing said so or tested it.

--- a/crates/relay/src/dialect/mod.rs
+++ b/crates/relay/src/dialect/mod.rs
@@ -1,6 +1,7 @@
 mod caller_dialect;
 mod caller_head;
 mod relay_refusal;
+mod reply_owner;
 mod store_dialect;
 mod target_dialect;
 mod wire_call;
@@ -10,6 +11,7 @@
     caller_dialect::{AddressQuery, CallerDialect, HopRequest},
     caller_head::{CallerHead, HeadFault, HeaderList, header_value},
     relay_refusal::RelayRefusal,
+    reply_owner::ReplyOwner,
     store_dialect::{ALL_ITEMS_SCHEMA, StoreChanges, StoreDialect, StoreItem, StorePage},
     target_dialect::{ReplyHead, ReplyOutcome, TargetDialect, TargetRequest},
     wire_call::WireCall,
--- a/crates/relay/src/dialect/target_dialect.rs
+++ b/crates/relay/src/dialect/target_dialect.rs
@@ -1,5 +1,5 @@
 use {
-    crate::dialect::{CallerHead, HeaderList, WireCall, WireFault},
+    crate::dialect::{CallerHead, HeaderList, ReplyOwner, WireCall, WireFault},
     limit::TargetWord,
     piece::{PieceOutcome, PieceWork, StageResult},
     route::TargetNotice,
@@ -46,7 +46,9 @@
 /// Head of a target's reply.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReplyHead {
-    /// Whether the target ran the request.
+    /// Which request the reply answers.
+    pub owner: ReplyOwner,
+    /// Whether the target ran the request that the reply answers.
     pub outcome: ReplyOutcome,
     /// Time for which the target keeps the idle connection open, if it says so.
     pub keep_alive: Option<Duration>,
@@ -56,6 +58,21 @@
     pub word: TargetWord,
 }
 
+impl ReplyHead {
+    /// Returns what the reply shows of the request that waits for it. The answer to another request
+    /// shows nothing of it, and an answer that is passed on must have its id.
+    pub fn proven_outcome(&self, is_on_new_connection: bool) -> ReplyOutcome {
+        let is_proven = match self.outcome {
+            ReplyOutcome::Ran => self.owner == ReplyOwner::ThisCall,
+            _ => self.owner.is_this_call(is_on_new_connection),
+        };
+        match is_proven {
+            true => self.outcome,
+            false => ReplyOutcome::Unverified,
+        }
+    }
+}
+
 /// Translates between the HTTP messages of targets and the types of this crate: requests, pieces of
 /// stages, and the release of results.
 pub trait TargetDialect {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -28,8 +28,8 @@
 pub use {
     dialect::{
         AddressQuery, CallerDialect, CallerHead, HeadFault, HeaderList, HopRequest, RelayRefusal,
-        ReplyHead, ReplyOutcome, StoreChanges, StoreDialect, StoreItem, StorePage, TargetDialect,
-        TargetRequest, WireCall, WireFault, header_value,
+        ReplyHead, ReplyOutcome, ReplyOwner, StoreChanges, StoreDialect, StoreItem, StorePage,
+        TargetDialect, TargetRequest, WireCall, WireFault, header_value,
     },
     origin::OriginFrame,
     permit::{PermitAnswer, PermitFrame, PermitSubject},
--- a/crates/relay/src/run/send_once.rs
+++ b/crates/relay/src/run/send_once.rs
@@ -53,23 +53,10 @@
     let result = await_answer(core, &pick.target, pick.address, repeat, answering).await;
     let fault = match result {
         Ok(mut reply) => {
-            let mut link = core.link.borrow_mut();
-            match reply.is_on_new_connection() {
-                true => link.record_reached(Instant::now()),
-                false => link.record_answer(Instant::now()),
-            }
-            drop(link);
-            let reply_head = core.dialects.target.read_reply(
-                &draft.head.request_id,
-                reply.status,
-                &reply.headers,
-            );
-            reply.set_idle_timeout(reply_head.keep_alive);
-            core.record_notice(&pick.target, reply_head.notice, Instant::now());
-            if reply_head.outcome != ReplyOutcome::Misdirected {
-                core.record_limit(&pick.target, reply_head.word, called_at);
-            }
-            match reply_head.outcome {
+            let outcome = read_outcome(run, pick, &mut reply, called_at);
+            // Unless the request ran, the connection closes with the reply: the request may come
+            // back to this target, where a second copy of the reply would bear the right id.
+            match outcome {
                 ReplyOutcome::Ran => return Ok(reply),
                 ReplyOutcome::NotRun => SendFault::Refused,
                 ReplyOutcome::InputsGone => SendFault::InputsGone,
@@ -98,6 +85,39 @@
     Err(fault)
 }
 
+/// Returns what a reply shows of the request, and applies what the target says of itself.
+fn read_outcome(
+    run: &RelayRun,
+    pick: &ServicePick,
+    reply: &mut CallReply,
+    called_at: Instant,
+) -> ReplyOutcome {
+    let (core, request_id) = (&run.core, &run.draft.head.request_id);
+    let now = Instant::now();
+    let is_new = reply.is_on_new_connection();
+    let mut link = core.link.borrow_mut();
+    match is_new {
+        true => link.record_reached(now),
+        false => link.record_answer(now),
+    }
+    drop(link);
+    let target = &core.dialects.target;
+    let reply_head = target.read_reply(request_id, reply.status, &reply.headers);
+    reply.set_idle_timeout(reply_head.keep_alive);
+    let outcome = reply_head.proven_outcome(is_new);
+    if !reply_head.owner.is_this_call(is_new) {
+        info!(core.log, "answer to another request";
+            "request" => request_id, "target" => &pick.target, "status" => reply.status,
+            "owner" => ?reply_head.owner, "new_connection" => is_new);
+        return outcome;
+    }
+    core.record_notice(&pick.target, reply_head.notice, now);
+    if outcome != ReplyOutcome::Misdirected {
+        core.record_limit(&pick.target, reply_head.word, called_at);
+    }
+    outcome
+}
+
 /// Returns the outcome that is recorded at the target for a failed send.
 pub fn fault_outcome(fault: SendFault) -> ServiceOutcome {
     match fault {
