Pass on no promise of a target that does not say that it ran nothing

REFUSED: a target's own 408, 429 or 503 to a posting, without its word that nothing ran, reached the caller as it was.

Such an answer now ends a request that may run once only as a failure of the target: 502, without the target's seal, since an answer with another status than the target gave must not have it, and without a retry delay. Requests that may run again get the target's answer as before.

--- a/crates/relay/src/run/run_request.rs
+++ b/crates/relay/src/run/run_request.rs
@@ -27,7 +27,7 @@
 /// Longest answer that is not streamed, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
-/// Statuses of entries' answers that promise that the request was not run.
+/// Statuses of answers that promise the caller that the request was not run.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
 /// Outcome of a send that was answered.
@@ -101,6 +101,12 @@
     };
     if source.slot().is_none() {
         check_promise(run, reply.status)?;
+    } else if is_false_promise(run, reply.status) {
+        info!(run.core.log, "status of a target not passed on";
+            "request" => &run.draft.head.request_id, "target" => source.name(),
+            "status" => reply.status);
+        source.set_outcome(ServiceOutcome::Failed);
+        return Ok(Err(SendFault::Failed));
     }
     let has_failed = reply.status >= 500;
     if !has_failed {
@@ -128,6 +134,12 @@
     is_from_engine && reply.ends_with_connection && body.is_empty()
 }
 
+/// Returns true if a target that does not say that it ran nothing answers a request that may run once
+/// only with a status that would promise this to the caller.
+fn is_false_promise(run: &RelayRun, status: u16) -> bool {
+    NOT_RUN_STATUSES.contains(&status) && !run.draft.rule.repeat.may_repeat()
+}
+
 /// Refuses a request if another entry's answer promises that it was not run, while a target that
 /// this entry has called before may have run it.
 fn check_promise(run: &RelayRun, status: u16) -> Result<(), RelayRefusal> {
