--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -30,8 +30,8 @@
     caller::{AnswerBody, AnswerSender, BodyCut, CallerLeft},
     dialect::{
         AddressQuery, CallerDialect, CallerHead, HeadFault, HeaderList, HopRequest, RelayRefusal,
-        ReplyHead, ReplyOutcome, StoreChanges, StoreDialect, StoreItem, StorePage, TargetDialect,
-        TargetRequest, WireCall, WireFault, header_value,
+        ReplyHead, ReplyOutcome, ReplyOwner, StoreChanges, StoreDialect, StoreItem, StorePage,
+        TargetDialect, TargetRequest, WireCall, WireFault, header_value,
     },
     origin::OriginFrame,
     permit::{PermitAnswer, PermitFrame, PermitSubject},
