Take a stream up at the only version only once the store has confirmed it

What callers saw: during a release, streams that had begun at targets of the new version were taken up at an entry that was cut off from the others, and went on there at the old version (ORDER).

Cause: an entry that nobody told where a stream began went on with it at the service's only version, if its evidence of the list of targets was at most 1.8 s old. An entry that is cut off has such evidence for 1.8 s, and a list without the targets that joined since. It also took silence for ignorance: entries that remember a stream and do not answer in 150 ms counted as entries that do not know it, and so did those that had found its version to be in doubt.

Why it works: whoever concludes the version from the list waits until a read of the store that began after the request arrived has confirmed it, and looks again. The read of all who wait is one; without it in 0.7 s the request is refused with version_lost, and with when to come back, since another entry may know. If as many of the entries asked are silent as remember a stream (or all, if fewer were asked), they may be just those that know: refused likewise. A version in doubt is told and found as such, and refused. Weighed: evidence of a peer (always older than the request, so one would have to wait for the peer's next read, up to a second); asking more peers (a cut-off entry reaches none); no conclusion from the list at all (callers who name no try could never go on). Cost: nothing where an entry remembers the stream; else at most one short read of the store at a time and entry, about one round trip, and only where the service has had one version for long; after a read that failed, as before, none for 0.4 s and 15 ms for each entry.

--- a/crates/plan/src/plan_evidence.rs
+++ b/crates/plan/src/plan_evidence.rs
@@ -31,6 +31,21 @@
         self.confirmed_at = self.confirmed_at.max(Some(read_begun_at));
     }
 
+    /// Returns true if there is evidence of a read that began at this time or later.
+    ///
+    /// ```
+    /// use {plan::PlanEvidence, std::time::Duration};
+    ///
+    /// let mut evidence = PlanEvidence::default();
+    /// assert!(!evidence.is_since(Duration::ZERO));
+    /// evidence.confirm(Duration::from_secs(10));
+    /// assert!(evidence.is_since(Duration::from_secs(10)));
+    /// assert!(!evidence.is_since(Duration::from_secs(11)));
+    /// ```
+    pub fn is_since(&self, time: BootTime) -> bool {
+        self.confirmed_at >= Some(time)
+    }
+
     /// Returns the age of the evidence, or `None` if nothing was confirmed yet.
     pub fn age(&self, now: BootTime) -> Option<Duration> {
         self.confirmed_at
--- a/crates/relay/src/origin/bind_resumption.rs
+++ b/crates/relay/src/origin/bind_resumption.rs
@@ -2,7 +2,11 @@
     crate::{
         caller::RelayDraft,
         dialect::RelayRefusal,
-        origin::{find_origin::find_origin, tell_origin::draft_attempt},
+        origin::{
+            confirm_list::confirm_list,
+            find_origin::{FoundOrigin, OriginSearch, find_origin},
+            tell_origin::draft_attempt,
+        },
         shared::RelayCore,
     },
     base::FailureReason,
@@ -14,6 +18,8 @@
 
 /// A stream is no older than this multiple of its route's time-out, over all tries of its caller.
 const STREAM_AGE_FACTOR: u32 = 2;
+/// Time after which a caller should ask again, at an entry that may know more.
+const RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Added to the age of a stream, for callers that come back late.
 const STREAM_AGE_MARGIN: Duration = Duration::from_secs(5);
 
@@ -56,36 +62,59 @@
     core: &RelayCore,
     draft: &mut RelayDraft,
 ) -> Result<KnownVersion, RelayRefusal> {
-    if draft.head.resumes.is_some()
-        && let Some(found) = find_origin(core, draft_attempt(draft)).await
-        && let Some(version) = found.origin.version.clone()
-    {
-        let origin = found.origin;
-        let mut services = draft.rule.split.iter().map(|(service, _)| service);
-        if !services.any(|service| *service == origin.service) {
-            let detail = "the service that began the stream no longer has its route";
-            return Err(refusal(core, detail));
+    if draft.head.resumes.is_some() {
+        match find_origin(core, draft_attempt(draft)).await {
+            OriginSearch::Found(found) => return accept_origin(core, draft, found),
+            OriginSearch::Unknown => {}
+            OriginSearch::Unanswered => {
+                let detail = "the entries that may know the version do not answer";
+                return Err(refusal(core, detail).retry_after(RETRY_DELAY));
+            }
         }
-        draft.service = origin.service;
-        return Ok(KnownVersion {
-            version,
-            known_by: found.holder,
-        });
+    }
+    if sole_version(core, draft).is_none() {
+        let detail = "the version that began the stream is not known";
+        return Err(refusal(core, detail));
+    }
+    if !confirm_list(core).await {
+        let detail = "the store does not confirm that there is only one version";
+        return Err(refusal(core, detail).retry_after(RETRY_DELAY));
     }
     match sole_version(core, draft) {
         Some(version) => Ok(KnownVersion {
             version,
             known_by: String::from("the only version"),
         }),
-        None => Err(refusal(
-            core,
-            "the version that began the stream is not known",
-        )),
+        None => Err(refusal(core, "there is another version by now")),
+    }
+}
+
+/// Returns the version that an entry remembers, and has the request go to the service that began the
+/// stream.
+fn accept_origin(
+    core: &RelayCore,
+    draft: &mut RelayDraft,
+    found: FoundOrigin,
+) -> Result<KnownVersion, RelayRefusal> {
+    let origin = found.origin;
+    let Some(version) = origin.version else {
+        let detail = "the version that began the stream is in doubt";
+        return Err(refusal(core, detail));
+    };
+    let mut services = draft.rule.split.iter().map(|(service, _)| service);
+    if !services.any(|service| *service == origin.service) {
+        let detail = "the service that began the stream no longer has its route";
+        return Err(refusal(core, detail));
     }
+    draft.service = origin.service;
+    Ok(KnownVersion {
+        version,
+        known_by: found.holder,
+    })
 }
 
 /// Returns the version that the targets of the request's service have all had for longer than any
-/// stream lasts, if that is certain.
+/// stream lasts, as far as this entry knows their list.
 fn sole_version(core: &RelayCore, draft: &RelayDraft) -> Option<SoftwareVersion> {
     let has_one_service = draft.rule.split.len() == 1;
     if !has_one_service || !core.can_reject_unknown() {
@@ -101,7 +130,7 @@
     version.map(String::from)
 }
 
-/// Coming back does not help: the caller has to begin anew.
+/// Coming back does not help, unless the refusal says so: the caller has to begin anew.
 fn refusal(core: &RelayCore, detail: &str) -> RelayRefusal {
     core.metrics.resumptions_refused.inc();
     RelayRefusal::not_run(FailureReason::VersionLost, detail)
--- a/crates/relay/src/origin/mod.rs
+++ b/crates/relay/src/origin/mod.rs
@@ -1,4 +1,5 @@
 mod bind_resumption;
+mod confirm_list;
 mod find_origin;
 mod origin_frame;
 mod tell_origin;
--- a/crates/relay/src/origin/tell_origin.rs
+++ b/crates/relay/src/origin/tell_origin.rs
@@ -16,7 +16,7 @@
 };
 
 /// Number of other entries that remember where a stream began.
-const HOLDER_COUNT: usize = 3;
+pub(super) const HOLDER_COUNT: usize = 3;
 /// Time after its deadline for which it is remembered where a stream began, for callers that come
 /// back late.
 const KEEP_MARGIN: Duration = Duration::from_secs(5);
--- a/crates/relay/src/peer/gossip_loop.rs
+++ b/crates/relay/src/peer/gossip_loop.rs
@@ -246,7 +246,7 @@
         }
         PeerPosition::NotLater => {
             let evidence = core.replica.borrow().view().evidence;
-            core.state.borrow_mut().evidence = evidence;
+            core.record_evidence(evidence);
         }
     }
 }
--- a/crates/relay/src/run/version_bond.rs
+++ b/crates/relay/src/run/version_bond.rs
@@ -9,20 +9,19 @@
 };
 
 /// Binds a stream whose first event has arrived to the version that brought it, and has other entries
-/// remember it.
+/// remember it, or that it is in doubt: they may know of one version only.
 pub async fn bind_version(run: &mut RelayRun, source: &AnswerSource) {
     if run.draft.rule.repeat != RepeatRule::Resumable {
         return;
     }
-    let version = match source.slot() {
-        Some(slot) => slot.proven_version().await,
+    let Some(slot) = source.slot() else {
         // The entry that calls the target binds and tells it.
-        None => None,
+        run.draft.versions = VersionRule::Nowhere;
+        return;
     };
+    let version = slot.proven_version().await;
     run.draft.versions = VersionRule::begun_at(version.clone());
-    if version.is_some() {
-        tell_origin(&run.core, &run.draft, version);
-    }
+    tell_origin(&run.core, &run.draft, version);
 }
 
 /// Binds a stream to no version any more if the list of targets names another process by now: the
--- a/crates/relay/src/shared/core_peers.rs
+++ b/crates/relay/src/shared/core_peers.rs
@@ -70,7 +70,7 @@
         let latest_plan = hosts.latest_peer_plan(now);
         let mut replica = self.replica.borrow_mut();
         replica.on_peer_plan(latest_plan, now);
-        self.state.borrow_mut().evidence = replica.view().evidence;
+        self.record_evidence(replica.view().evidence);
         drop(replica);
         if !self.can_reject_unknown() {
             self.version_history.borrow_mut().interrupt(now);
--- a/crates/relay/src/shared/core_targets.rs
+++ b/crates/relay/src/shared/core_targets.rs
@@ -3,7 +3,7 @@
         shared::{RelayCore, RelayPhase},
         state::StateView,
     },
-    plan::FleetPlan,
+    plan::{FleetPlan, PlanEvidence},
     route::{EngineGroups, TargetNotice},
     slog::{info, warn},
     std::time::Instant,
@@ -14,6 +14,7 @@
     /// Puts the configuration and targets that were read from the store in force.
     pub fn apply_state(&self, view: &StateView, now: Instant) {
         let previous = self.state.replace(view.clone());
+        self.record_evidence(view.evidence);
         let Some(plan) = &view.plan else {
             return;
         };
@@ -46,6 +47,13 @@
         }
     }
 
+    /// Puts newer evidence that the configuration and the list of targets are the latest ones in
+    /// force.
+    pub fn record_evidence(&self, evidence: PlanEvidence) {
+        self.state.borrow_mut().evidence = evidence;
+        self.evidence_changed.send_replace(evidence);
+    }
+
     /// Returns the start time of the process that is listed under the target's id, in milliseconds
     /// since the Unix epoch; 0 if unknown.
     pub fn started_ms(&self, target: &str) -> u64 {
--- a/crates/relay/src/shared/relay_core.rs
+++ b/crates/relay/src/shared/relay_core.rs
@@ -12,7 +12,7 @@
     },
     board::{CrashReport, GossipSettings, HostRecord, HostTable},
     limit::{BrittleServices, LimitDesk, ReturnLine, RoomDesk, RunTimes, TargetLimits},
-    plan::{FleetPlan, ServiceId, StorePosition},
+    plan::{FleetPlan, PlanEvidence, ServiceId, StorePosition},
     rand::SeedableRng,
     rand_chacha::ChaCha8Rng,
     retry::{
@@ -63,6 +63,8 @@
     pub control_connections: Rc<ConnectionPool>,
     /// Configuration, targets and evidence that are in force.
     pub state: RefCell<StateView>,
+    /// The evidence in force; wakes those that wait for newer one.
+    pub evidence_changed: watch::Sender<PlanEvidence>,
     pub replica: RefCell<StoreReplica>,
     /// Wakes the task that checks whether the store has changed.
     pub check_wanted: Notify,
@@ -175,6 +177,7 @@
             dialects,
             log,
             state: RefCell::default(),
+            evidence_changed: watch::Sender::default(),
             replica: RefCell::new(StoreReplica::new(now)),
             check_wanted: Notify::new(),
             watch_restart: Notify::new(),
--- a/crates/route/src/versions/stream_origins.rs
+++ b/crates/route/src/versions/stream_origins.rs
@@ -94,11 +94,10 @@
         }
     }
 
-    /// Returns where the stream began whose first event the try brought; `None` if that is not known
-    /// or its version is in doubt.
+    /// Returns where the stream began whose first event the try brought; `None` if that is not known.
     pub fn find(&self, attempt: AttemptKey, now: Instant) -> Option<StreamOrigin> {
         let row = self.rows.get(&attempt);
-        let row = row.filter(|row| row.expires_at > now && row.version.is_some())?;
+        let row = row.filter(|row| row.expires_at > now)?;
         Some(StreamOrigin {
             attempt,
             service: row.service.clone(),
