--- a/crates/relay/src/shared/relay_core.rs
+++ b/crates/relay/src/shared/relay_core.rs
@@ -13,7 +13,7 @@
     },
     board::{CrashReport, GossipSettings, HostRecord, HostTable},
     limit::{BrittleServices, LimitDesk, ReturnLine, RoomDesk, RunTimes, TargetLimits},
-    plan::{FleetPlan, ServiceId, StorePosition},
+    plan::{FleetPlan, PlanEvidence, ServiceId, StorePosition},
     rand::SeedableRng,
     rand_chacha::ChaCha8Rng,
     retry::{
@@ -66,6 +66,8 @@
     pub state: RefCell<StateView>,
     /// False while the state is being put in force, and if a panic has ended that halfway.
     pub(super) is_state_applied: Cell<bool>,
+    /// The evidence in force; wakes those that wait for newer one.
+    pub evidence_changed: watch::Sender<PlanEvidence>,
     pub replica: RefCell<StoreReplica>,
     /// Wakes the task that checks whether the store has changed.
     pub check_wanted: Notify,
@@ -183,6 +185,7 @@
             log,
             state: RefCell::default(),
             is_state_applied: Cell::new(true),
+            evidence_changed: watch::Sender::default(),
             replica: RefCell::new(StoreReplica::new(now)),
             check_wanted: Notify::new(),
             watch_restart: Notify::new(),
