Bound the figures of others before they are added and multiplied

What callers would see: a request, a task or a whole process ends by a panic because of one figure of the configuration, a target, a caller or another host.

Cause: figures were added to clocks and multiplied as they came. A rate of cold targets of 1e-19 a second gave an interval of 1.3e19 s, which LimitDesk::try_take added to an Instant; one below 1e-20 gave none, that is no bound at all. "Keep-Alive: timeout=" panicked in the call. Stages that name themselves or each other overflowed the stack, which ends the process. The tokens of a prompt were summed in 32 bits, and so were the weights of a split and the size of a job's results in 64 bits, which panics in builds with overflow checks and wraps in the others.

Sums of others' figures saturate. The times of chains of stages are found round by round, without recursion, so that a cycle ends and many branches cost no more than stages times dependencies.

Not covered: figures of the settings file.

--- a/crates/limit/src/target/limit_desk.rs
+++ b/crates/limit/src/target/limit_desk.rs
@@ -8,6 +8,8 @@
 const GRANT_SHARE: f64 = 0.9;
 /// Time for which calls that were not used may be made up for.
 const BURST_TIME: Duration = Duration::from_millis(500);
+/// Longest interval between calls, longer than any target needs.
+const MAX_INTERVAL: Duration = Duration::from_secs(60);
 /// Maximum time by which callers that are turned away are spread.
 const MAX_SPREAD: Duration = Duration::from_secs(4);
 /// Time without calls after which a target's row is deleted.
@@ -60,7 +62,7 @@
     ) -> Result<(), Duration> {
         self.accounts
             .retain(|_, account| now.saturating_duration_since(account.used_at) < IDLE_TIMEOUT);
-        let interval = interval.div_f64(GRANT_SHARE);
+        let interval = interval.min(MAX_INTERVAL).div_f64(GRANT_SHARE);
         let account = self.accounts.entry(target.to_string());
         let account = account.or_insert_with(|| LimitAccount {
             paid_until: now + BURST_TIME + interval,
@@ -77,7 +79,7 @@
             return Ok(());
         }
         let spread = interval.saturating_mul(account.turned_away);
-        account.turned_away += 1;
+        account.turned_away = account.turned_away.saturating_add(1);
         Err(wait + spread.min(MAX_SPREAD))
     }
 
--- a/crates/limit/tests/target_limits.rs
+++ b/crates/limit/tests/target_limits.rs
@@ -97,3 +97,22 @@
         }
     }
 }
+
+#[test]
+fn an_interval_of_any_length_is_kept_to() {
+    let now = Instant::now();
+    let mut desk = LimitDesk::default();
+    for interval in [
+        Duration::MAX,
+        Duration::from_secs(u64::MAX / 2),
+        Duration::ZERO,
+    ] {
+        for _ in 0..3 {
+            let taken = desk.try_take("t1", interval, now);
+            assert!(
+                taken.is_ok() == interval.is_zero() || interval.is_zero(),
+                "{interval:?}"
+            );
+        }
+    }
+}
--- a/crates/piece/src/batch_queue.rs
+++ b/crates/piece/src/batch_queue.rs
@@ -167,7 +167,8 @@
     /// A large job needs room for all its results, or for half a target's room if that is less, so
     /// that it does not hold a part of the room while it waits for the rest.
     fn may_start(&self, pending: &PendingJob, room: u64) -> bool {
-        let needed = pending.job.result_bytes * pending.waiting.len() as u64;
+        let pieces = pending.waiting.len() as u64;
+        let needed = pending.job.result_bytes.saturating_mul(pieces);
         let is_large = needed > self.spec.result_memory_bytes / LARGE_JOB_DIVISOR;
         let max_needed = self.spec.result_memory_bytes / 2;
         pending.is_started() || !is_large || needed.min(max_needed) <= room
--- a/crates/piece/src/pending_job.rs
+++ b/crates/piece/src/pending_job.rs
@@ -6,6 +6,9 @@
     },
 };
 
+/// Longest time left that a job can have, longer than any caller waits.
+const MAX_TIME_LEFT: Duration = Duration::from_secs(86_400);
+
 /// A job some of whose pieces are not made yet.
 #[derive(Debug)]
 pub struct PendingJob {
@@ -35,8 +38,8 @@
     pub fn new(job: StageJob, rank: JobRank, now: Instant) -> Self {
         Self {
             rank,
-            goal_at: now + job.aim_left,
-            due_at: now + job.time_left,
+            goal_at: now + job.aim_left.min(MAX_TIME_LEFT),
+            due_at: now + job.time_left.min(MAX_TIME_LEFT),
             waiting: (0..job.pieces).collect(),
             results: vec![None; usize::from(job.pieces)],
             inputs_read_at: None,
--- a/crates/piece/src/stage_graph.rs
+++ b/crates/piece/src/stage_graph.rs
@@ -148,17 +148,8 @@
     /// assert_eq!(graph.time_after(0, &time), Duration::from_millis(10));
     /// ```
     pub fn time_after(&self, stage: u16, stage_time: &impl Fn(u16) -> Duration) -> Duration {
-        let dependents = (0..)
-            .zip(&self.dependencies)
-            .filter(|(_, dependencies)| dependencies.contains(&stage));
-        let paths = dependents.map(|(next, _)| {
-            let own_time = match self.piece_count(next) {
-                0 => Duration::ZERO,
-                _ => stage_time(next),
-            };
-            own_time + self.time_after(next, stage_time)
-        });
-        paths.max().unwrap_or_default()
+        let times = self.times_after(stage_time);
+        times.get(usize::from(stage)).copied().unwrap_or_default()
     }
 
     /// True if every stage is done.
@@ -207,6 +198,35 @@
         !read.is_empty() && read.into_iter().all(|is_read| is_read)
     }
 
+    /// Returns for each stage what [`Self::time_after`] returns.
+    ///
+    /// Each round follows the chains by one stage. No chain is longer than there are stages, unless
+    /// stages need each other; those never start, and their times are not followed further.
+    fn times_after(&self, stage_time: &impl Fn(u16) -> Duration) -> Vec<Duration> {
+        let own_times = (0..).zip(&self.piece_counts);
+        let own_times = own_times.map(|(stage, pieces)| match pieces {
+            0 => Duration::ZERO,
+            _ => stage_time(stage),
+        });
+        let own_times: Vec<Duration> = own_times.collect();
+        let mut times = vec![Duration::ZERO; own_times.len()];
+        for _ in 0..own_times.len() {
+            let before = times.clone();
+            for (next, dependencies) in self.dependencies.iter().enumerate() {
+                let time = own_times[next] + before[next];
+                for stage in dependencies {
+                    if let Some(after) = times.get_mut(usize::from(*stage)) {
+                        *after = time.max(*after);
+                    }
+                }
+            }
+            if times == before {
+                break;
+            }
+        }
+        times
+    }
+
     fn has_read_inputs(&self, stage: usize) -> bool {
         self.inputs_read[stage] || matches!(self.states[stage], StageState::Done(_))
     }
@@ -225,14 +245,18 @@
         now: Instant,
         stage_time: &impl Fn(u16) -> Duration,
     ) -> Duration {
-        let own_time = stage_time(stage) + self.time_after(stage, stage_time) + START_MARGIN;
+        let times_after = self.times_after(stage_time);
+        let own_time = stage_time(stage) + times_after[usize::from(stage)] + START_MARGIN;
         let others = (0..).zip(&self.states).filter(|(other, _)| *other != stage);
-        let times_left = others.map(|(other, state)| match state {
-            StageState::Done(_) => Duration::ZERO,
-            StageState::Waiting => stage_time(other) + self.time_after(other, stage_time),
-            StageState::Running { started_at } => {
-                let elapsed = now.saturating_duration_since(*started_at);
-                stage_time(other).saturating_sub(elapsed) + self.time_after(other, stage_time)
+        let times_left = others.map(|(other, state)| {
+            let time_after = times_after[usize::from(other)];
+            match state {
+                StageState::Done(_) => Duration::ZERO,
+                StageState::Waiting => stage_time(other) + time_after,
+                StageState::Running { started_at } => {
+                    let elapsed = now.saturating_duration_since(*started_at);
+                    stage_time(other).saturating_sub(elapsed) + time_after
+                }
             }
         });
         times_left
--- a/crates/piece/tests/batch_scheduler/batches.rs
+++ b/crates/piece/tests/batch_scheduler/batches.rs
@@ -187,3 +187,21 @@
     };
     assert_eq!(actions, vec![freed]);
 }
+
+#[test]
+fn jobs_with_any_time_left_and_any_size_are_queued() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(&[("t", "a")], now);
+    let endless = StageJob {
+        aim_left: Duration::MAX,
+        time_left: Duration::MAX,
+        result_bytes: u64::MAX,
+        ..job(u16::MAX, 1, 1, 1)
+    };
+    scheduler.submit(endless.clone(), now);
+    scheduler.submit(endless, now);
+    let sound = scheduler.submit(job(1, 1_000, 900, 5_000), now);
+    let started = calls(scheduler.take_actions(now));
+    let pieces: Vec<_> = started.iter().flat_map(|(_, _, work)| work).collect();
+    assert!(pieces.iter().any(|piece| piece.job == sound), "{pieces:?}");
+}
--- a/crates/piece/tests/stage_graph.rs
+++ b/crates/piece/tests/stage_graph.rs
@@ -107,3 +107,30 @@
         prop_assert!(graph.is_done());
     }
 }
+
+/// Stages that name themselves, later ones, ones that do not exist, and each other.
+#[test]
+fn stages_that_need_each_other_do_not_end_the_process() {
+    let now = Instant::now();
+    let all: Vec<u16> = (0..40).collect();
+    let odd_graphs = [
+        vec![(1, vec![0])],
+        vec![(1, vec![1]), (1, vec![0])],
+        vec![(1, vec![2]), (1, vec![0]), (1, vec![1, 7])],
+        all.iter().map(|_| (1, all.clone())).collect(),
+    ];
+    for stages in odd_graphs {
+        let mut graph = StageGraph::new(stages);
+        assert!(graph.time_after(0, &stage_time) >= stage_time(0));
+        assert_eq!(graph.start_ready(now, &stage_time, &|_| true), [0_u16; 0]);
+        assert!(!graph.is_done());
+    }
+}
+
+/// The time of the longest of many chains is found without following each of them.
+#[test]
+fn long_chains_with_many_branches_are_followed_in_time() {
+    let stages = (0..60_u16).map(|stage| (1, (0..stage).collect()));
+    let graph = StageGraph::new(stages);
+    assert_eq!(graph.time_after(0, &stage_time), stage_time(0) * 59);
+}
--- a/crates/plan/src/cold_rate.rs
+++ b/crates/plan/src/cold_rate.rs
@@ -6,6 +6,8 @@
 /// Share of the rate of a cold target that is used. The rest is for calls that are on their way for
 /// longer than others, and for the moment in which two entries give out its calls.
 const USED_SHARE: f64 = 0.75;
+/// Longest interval between two calls, as long as a target can be cold.
+const MAX_CALL_INTERVAL: Duration = Duration::from_secs(60);
 
 /// What a cold target of a service bears: one that has just started, or has lost its caches.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
@@ -15,8 +17,8 @@
 }
 
 impl ColdRate {
-    /// Returns the mean interval between calls to a cold target; `None` if the rate is not a
-    /// positive number, which bounds nothing.
+    /// Returns the mean interval between calls to a cold target, at most 60 s; `None` if the rate is
+    /// not a positive number, or too large to bound anything.
     ///
     /// ```
     /// let rate = plan::ColdRate { per_second: 4.0 };
@@ -25,7 +27,8 @@
     /// ```
     pub fn call_interval(self) -> Option<Duration> {
         let used = self.per_second * USED_SHARE;
-        let interval = Duration::try_from_secs_f64(1.0 / used).ok();
-        interval.filter(|interval| used > 0.0 && !interval.is_zero())
+        let interval = Duration::try_from_secs_f64(1.0 / used).unwrap_or(MAX_CALL_INTERVAL);
+        let interval = interval.min(MAX_CALL_INTERVAL);
+        (used > 0.0 && !interval.is_zero()).then_some(interval)
     }
 }
--- a/crates/plan/src/route_rule.rs
+++ b/crates/plan/src/route_rule.rs
@@ -82,8 +82,8 @@
     /// assert_eq!(rule.pick_service(0.95), Some("b"));
     /// ```
     pub fn pick_service(&self, draw: f64) -> Option<&str> {
-        let total_weight: u32 = self.split.iter().map(|(_, weight)| weight).sum();
-        let mut remaining_weight = draw * f64::from(total_weight);
+        let weights = self.split.iter().map(|(_, weight)| f64::from(*weight));
+        let mut remaining_weight = draw * weights.sum::<f64>();
         for (service, weight) in &self.split {
             remaining_weight -= f64::from(*weight);
             if remaining_weight < 0.0 {
--- a/crates/plan/tests/routes.rs
+++ b/crates/plan/tests/routes.rs
@@ -63,3 +63,13 @@
     assert_eq!(registry.owner("k"), Some(&owner));
     assert_eq!(registry.owner(""), None);
 }
+
+#[test]
+fn weights_of_any_size_share_the_requests() {
+    let mut rule = rule("a", "/");
+    rule.split = ["s", "t"]
+        .map(|name| (String::from(name), u32::MAX))
+        .to_vec();
+    assert_eq!(rule.pick_service(0.4), Some("s"));
+    assert_eq!(rule.pick_service(0.6), Some("t"));
+}
--- a/crates/relay/src/permit/pass_limit.rs
+++ b/crates/relay/src/permit/pass_limit.rs
@@ -10,6 +10,9 @@
     },
 };
 
+/// Longest time for which a target gets no calls of this entry before another one asks again.
+const MAX_HOLD: Duration = Duration::from_secs(120);
+
 /// Leave to send one call to a target. Dropping it at the end of the call gives back what it holds.
 #[derive(Default)]
 pub struct CallPass {
@@ -66,5 +69,6 @@
     core.metrics.limited_calls.inc();
     debug!(core.log, "call turned away by a limit"; "target" => target,
         "retry_ms" => retry_in.as_millis() as u64);
+    let retry_in = retry_in.min(MAX_HOLD);
     core.hold_target(target, Some(Instant::now() + retry_in));
 }
--- a/crates/relay/src/shared/core_peers.rs
+++ b/crates/relay/src/shared/core_peers.rs
@@ -56,8 +56,8 @@
         for record in hosts.live_peers(now) {
             for load in record.loads.iter().filter(|_| has_loads) {
                 let work = work_by_target.entry(load.target).or_default();
-                work.running += load.running;
-                work.unread_tokens += load.unread_tokens;
+                work.running = work.running.saturating_add(load.running);
+                work.unread_tokens = work.unread_tokens.saturating_add(load.unread_tokens);
             }
             for crash in &record.crashes {
                 self.merge_crash(crash, now);
--- a/crates/relay/src/target/hop_headers.rs
+++ b/crates/relay/src/target/hop_headers.rs
@@ -17,6 +17,9 @@
     "upgrade",
 ];
 
+/// Longest idle time-out of the other side that is taken as it is.
+const MAX_KEEP_ALIVE: Duration = Duration::from_secs(3_600);
+
 /// Returns the headers without the hop-by-hop ones. `keep-alive` stays, since the pool needs it.
 pub fn end_to_end_headers(headers: &HeaderMap) -> HeaderList {
     let connection_values = headers.get_all(CONNECTION).iter();
@@ -50,5 +53,5 @@
         .trim()
         .parse()
         .ok()
-        .map(Duration::from_secs)
+        .map(|seconds| Duration::from_secs(seconds).min(MAX_KEEP_ALIVE))
 }
--- a/crates/route/src/prefix_cache.rs
+++ b/crates/route/src/prefix_cache.rs
@@ -33,10 +33,8 @@
             .iter()
             .take_while(|(key, _)| self.contains(*key, now));
         let cached_count = cached.count();
-        prefixes[cached_count..]
-            .iter()
-            .map(|(_, tokens)| tokens)
-            .sum()
+        let unread = prefixes[cached_count..].iter();
+        unread.fold(0, |sum, (_, tokens)| sum.saturating_add(*tokens))
     }
 
     /// Records that the engine reads the prompt and caches its prefixes. Evicts the least recently
--- a/crates/route/src/service_choice.rs
+++ b/crates/route/src/service_choice.rs
@@ -97,8 +97,7 @@
             (cost + jitter, id, target, work)
         });
         let (_, id, target, work) = costs.min_by_key(|(cost, ..)| *cost)?;
-        let queued_tokens =
-            target.own_work.unread_tokens + target.peer_work.unread_tokens + work.read_tokens;
+        let queued_tokens = target.queued_tokens().saturating_add(work.read_tokens);
         Some(ServicePick {
             target: id.clone(),
             data_centre: target.data_centre.clone(),
--- a/crates/route/src/service_pool.rs
+++ b/crates/route/src/service_pool.rs
@@ -167,7 +167,8 @@
         let capacity = (cache_tokens as f64 * CACHE_FILL_SHARE) as u64;
         if let Some(target) = self.targets.get_mut(&pick.target) {
             target.own_work.running += 1;
-            target.own_work.unread_tokens += pick.unread_tokens;
+            let unread_tokens = &mut target.own_work.unread_tokens;
+            *unread_tokens = unread_tokens.saturating_add(pick.unread_tokens);
             target.cache.record_prompt(prefixes, capacity, now);
         }
     }
--- a/crates/route/src/service_target.rs
+++ b/crates/route/src/service_target.rs
@@ -160,8 +160,13 @@
     /// Returns the time until the target would have read a prompt with this number of uncached
     /// tokens, including the tokens queued ahead.
     pub fn prompt_read_time(&self, unread_tokens: u32) -> Duration {
-        let queued_tokens = self.own_work.unread_tokens + self.peer_work.unread_tokens;
-        self.reading_time(queued_tokens + unread_tokens)
+        self.reading_time(self.queued_tokens().saturating_add(unread_tokens))
+    }
+
+    /// Returns the number of prompt tokens that the target has not read yet.
+    pub fn queued_tokens(&self) -> u32 {
+        let own_tokens = self.own_work.unread_tokens;
+        own_tokens.saturating_add(self.peer_work.unread_tokens)
     }
 
     /// Returns the time until a call to a service without an engine would be answered.
--- a/crates/route/tests/service_pool.rs
+++ b/crates/route/tests/service_pool.rs
@@ -200,3 +200,17 @@
         assert_ne!(pick(&pool, &[], &[], seed).target, first.target);
     }
 }
+
+#[test]
+fn prompts_of_any_length_are_placed() {
+    let now = Instant::now();
+    for has_engine in [true, false] {
+        let mut pool = pool_of(3, has_engine);
+        let prefixes = prefixes_of(&[("a", u32::MAX), ("b", u32::MAX), ("c", u32::MAX)]);
+        for seed in 0..5 {
+            let chosen = pick(&pool, &prefixes, &[], seed);
+            pool.record_start(&chosen, &prefixes, now);
+        }
+        assert!(pool.min_answer_time(&prefixes, now) > Some(Duration::ZERO));
+    }
+}
