Need a key wherever the configuration lists organisations

Cause: whether requests need a key was told from the set of keys, and an empty set was taken for "no rule".

Fix: the registry says by itself that keys are needed, by an entry that no request can carry, so that the messages between hosts stay as they are and older builds refuse as well.

--- a/crates/plan/src/key_registry.rs
+++ b/crates/plan/src/key_registry.rs
@@ -12,7 +12,21 @@
     pub priority: Option<u8>,
 }
 
+/// Stands among the keys of a registry that needs keys, whatever keys it has. No request carries it,
+/// since a header has no such character; builds that know nothing of it need keys because of it too.
+const KEYS_NEEDED: &str = "\0";
+
 /// API keys in force, with the organisation that owns each.
+///
+/// Whether requests need a key is said apart from the keys: once the last key is taken away, no
+/// request has one.
+///
+/// ```
+/// let mut registry = plan::KeyRegistry::default();
+/// assert!(!registry.needs_key());
+/// registry.require_keys();
+/// assert!(registry.needs_key() && registry.owner("k1").is_none());
+/// ```
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeyRegistry {
     owners: HashMap<String, KeyOwner>,
@@ -32,9 +46,19 @@
         self.owners.insert(key.into(), owner);
     }
 
-    /// Returns the owner of the key, or `None` if the key is unknown.
+    /// Records that requests need a key, even if there is none.
+    pub fn require_keys(&mut self) {
+        let nobody = KeyOwner {
+            organisation: String::new(),
+            priority: None,
+        };
+        self.insert(KEYS_NEEDED, nobody);
+    }
+
+    /// Returns the owner of the key, or `None` if the key is unknown. The empty key is nobody's.
     pub fn owner(&self, key: &str) -> Option<&KeyOwner> {
-        self.owners.get(key)
+        let is_key = !key.is_empty() && key != KEYS_NEEDED;
+        self.owners.get(key).filter(|_| is_key)
     }
 
     /// Returns the priorities that organisations have in place of those of the routes.
@@ -42,8 +66,8 @@
         self.owners.values().filter_map(|owner| owner.priority)
     }
 
-    /// Returns true if the configuration has no keys; requests then need none.
-    pub fn is_empty(&self) -> bool {
-        self.owners.is_empty()
+    /// Returns true if requests need a key.
+    pub fn needs_key(&self) -> bool {
+        !self.owners.is_empty()
     }
 }
--- a/crates/relay/src/filters/key_filter.rs
+++ b/crates/relay/src/filters/key_filter.rs
@@ -14,12 +14,12 @@
 
 /// Sets the organisation and priority of a request by its key in the configuration in force (the
 /// `FleetPlan` in `draft.plan`). Refuses requests whose key is unknown or may have been revoked. No
-/// key is needed on anonymous routes, or if the configuration has no keys.
+/// key is needed on anonymous routes, or if the configuration lists no organisations.
 pub struct KeyFilter;
 
 impl RequestFilter for KeyFilter {
     fn apply(&self, core: &RelayCore, mut draft: RelayDraft) -> FilterResult {
-        if draft.rule.anonymous || draft.plan.keys.is_empty() {
+        if draft.rule.anonymous || !draft.plan.keys.needs_key() {
             return Ok(draft);
         }
         if !core.keys_are_fresh() {
