Accept a stream late in a planned stop only if it surely ends before the exit

Callers of streams that were sent more than 3 s after SIGTERM saw them cut at 0.9 of the grace time (LOST; a stream that was sent by then may be cut).

Cause: a request that arrives while its host stops is accepted if the expected time of its route, the mean and twice the mean difference, ends before the exit. Connections are accepted until 3.2 of 8 s, and a stream that is longer than most is begun then and cannot be finished. Any mean has this fault; a stream that is under way cannot be taken back.

From 0.35 of the grace time on a stream is accepted only if the longest recent one of its route would end in time, and refused at once with 503 and Retry-After 0 otherwise, or if none has ended yet. Other requests are as before: they get an answer in any case.

--- a/crates/relay/src/drain/exit_limit.rs
+++ b/crates/relay/src/drain/exit_limit.rs
@@ -13,16 +13,16 @@
     let times = core.exit.until_begun().await;
     loop {
         let needed_time = match request.verdict() {
-            RunVerdict::NotRun => request.expected_run_time(),
+            RunVerdict::NotRun => request.needed_time(),
             // It may be answered at any moment.
             RunVerdict::MayHaveRun | RunVerdict::RanAndFailed => Duration::ZERO,
         };
-        let now = Instant::now();
-        if now + needed_time >= times.answer_by {
+        let time_left = times.answer_by.saturating_duration_since(Instant::now());
+        if time_left <= needed_time {
             return exit_refusal(request);
         }
-        let time_left = times.answer_by - needed_time - now;
-        actix_rt::time::sleep(time_left.min(CHECK_INTERVAL)).await;
+        let spare_time = time_left - needed_time;
+        actix_rt::time::sleep(spare_time.min(CHECK_INTERVAL)).await;
     }
 }
 
--- a/crates/relay/src/drain/exit_times.rs
+++ b/crates/relay/src/drain/exit_times.rs
@@ -1,5 +1,7 @@
 use std::time::{Duration, Instant};
 
+/// Share of the grace time after which a stream is accepted only if it surely ends in time.
+const LATE_SHARE: f64 = 0.35;
 /// Share of the grace time in which requests are still accepted, since callers cache addresses.
 const ACCEPT_SHARE: f64 = 0.4;
 /// Share of the grace time after which a request whose answer has not begun is refused.
@@ -12,6 +14,8 @@
 /// The times of a shutdown, in the order in which they come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ExitTimes {
+    /// Streams that arrive after this must surely end before they would be cut.
+    pub late_from: Instant,
     /// No connections are accepted after this.
     pub accept_until: Instant,
     /// Requests whose answers have not begun are refused at this time.
@@ -26,6 +30,7 @@
     /// Returns the times of a shutdown that begins now and has the time `grace`.
     pub fn new(now: Instant, grace: Duration) -> Self {
         Self {
+            late_from: now + grace.mul_f64(LATE_SHARE),
             accept_until: now + grace.mul_f64(ACCEPT_SHARE),
             answer_by: now + grace.mul_f64(ANSWER_SHARE),
             cut_at: now + grace.mul_f64(CUT_SHARE),
--- a/crates/relay/src/filters/exit_filter.rs
+++ b/crates/relay/src/filters/exit_filter.rs
@@ -2,6 +2,7 @@
     crate::{
         caller::RelayDraft,
         dialect::RelayRefusal,
+        drain::needed_time,
         filters::{FilterResult, RequestFilter, expected_stages_time},
         shared::RelayCore,
     },
@@ -20,8 +21,7 @@
         };
         let now = Instant::now();
         let stages_time = expected_stages_time(core, &draft, now);
-        let run_time = core.run_times.borrow().expected(&draft.rule.name);
-        let expected = stages_time + run_time.unwrap_or_default();
+        let expected = stages_time.saturating_add(needed_time(core, &draft));
         let time_left = times.answer_by.saturating_duration_since(now);
         if expected < time_left {
             return Ok(draft);
--- a/crates/relay/src/ledger/open_request.rs
+++ b/crates/relay/src/ledger/open_request.rs
@@ -19,8 +19,8 @@
     /// How it ends once its answer was written; how it was cut if that is known.
     end: Cell<Option<RequestEnd>>,
     arrived: Instant,
-    /// Time that it is expected to take from its sending to the end of its answer.
-    expected_run_time: Cell<Duration>,
+    /// Time that it needs from its sending to the end of its answer.
+    needed_time: Cell<Duration>,
 }
 
 impl OpenRequest {
@@ -32,7 +32,7 @@
             verdict: Cell::new(RunVerdict::NotRun),
             end: Cell::new(None),
             arrived,
-            expected_run_time: Cell::new(Duration::ZERO),
+            needed_time: Cell::new(Duration::ZERO),
         }
     }
 
@@ -83,15 +83,14 @@
         self.end.set(Some(end));
     }
 
-    /// Returns the time that the request is expected to take from its sending to the end of its
-    /// answer.
-    pub fn expected_run_time(&self) -> Duration {
-        self.expected_run_time.get()
+    /// Returns the time that the request needs from its sending to the end of its answer.
+    pub fn needed_time(&self) -> Duration {
+        self.needed_time.get()
     }
 
-    /// Sets the time that the request is expected to take from its sending to the end of its answer.
-    pub fn set_expected_run_time(&self, time: Duration) {
-        self.expected_run_time.set(time);
+    /// Sets the time that the request needs from its sending to the end of its answer.
+    pub fn set_needed_time(&self, time: Duration) {
+        self.needed_time.set(time);
     }
 
     /// Returns the time at which the head of the request had arrived.
--- a/crates/relay/src/run/run_request.rs
+++ b/crates/relay/src/run/run_request.rs
@@ -2,6 +2,7 @@
     crate::{
         caller::{RelayDraft, build_reply},
         dialect::RelayRefusal,
+        drain::needed_time,
         ledger::{OpenRequest, RequestEnd, RequestPlace},
         origin::bind_resumption,
         run::{
@@ -49,8 +50,7 @@
     mut draft: RelayDraft,
     open: Rc<OpenRequest>,
 ) -> Result<HttpReply, RelayRefusal> {
-    let run_time = core.run_times.borrow().expected(&draft.rule.name);
-    open.set_expected_run_time(run_time.unwrap_or_default());
+    open.set_needed_time(needed_time(core, &draft));
     bind_resumption(core, &mut draft).await?;
     let mut run = RelayRun::new(core, draft, open);
     loop {
