Believe an answer to a call for pieces only if it is that call's own

Calls for pieces and releases of results had no id, an answer was checked for its number of items only, and the connection was kept whatever came over it, so the shift stayed.

- Each call and each release now has an id of its own, which targets repeat.
An answer with another id is not used.
- A target that repeats no ids still works.
An answer without one is used if the connection has carried no other call, or if it has results that no earlier answer on the connection had: each result is made once, so a second copy is known by its names (AnswerMarks).
An answer without results can't be told from another, so it is used on a new connection only, and the connection is closed after it.
- A connection is kept only once its answer was found to be the call's own.
Whatever else came, it is closed, and the pieces count as lost and are made again.
So nothing that was shifted is ever used.

With targets that repeat ids this opens no connection that was not opened before, except after a foreign answer. With others, refusals and answers without results close theirs.

--- a/crates/relay/src/dialect/target_dialect.rs
+++ b/crates/relay/src/dialect/target_dialect.rs
@@ -86,6 +86,9 @@
     /// answer to a check; `None` if the answer does not state it.
     fn read_start(&self, body: &[u8]) -> Option<u64>;
 
+    /// Returns which call a reply answers; `call_id` is the id of the call that waits for it.
+    fn read_owner(&self, call_id: &str, headers: &HeaderList) -> ReplyOwner;
+
     /// Parses the head of a reply to the request with this id.
     fn read_reply(&self, request_id: &str, status: u16, headers: &HeaderList) -> ReplyHead;
 
@@ -99,8 +102,8 @@
     /// time, from the head of any reply; `None` if it says nothing that is a number.
     fn read_pace(&self, headers: &HeaderList) -> Option<f64>;
 
-    /// Returns the call that makes pieces of stages.
-    fn write_pieces(&self, target: &str, work: &[PieceWork]) -> WireCall;
+    /// Returns the call that makes pieces of stages, under an id of its own.
+    fn write_pieces(&self, call_id: &str, target: &str, work: &[PieceWork]) -> WireCall;
 
     /// Parses the outcomes of the pieces of a call, in the order of the pieces in the call.
     ///
@@ -109,6 +112,6 @@
     /// Fails if the body is malformed or has not exactly `count` pieces.
     fn read_pieces(&self, body: &[u8], count: usize) -> Result<Vec<PieceOutcome>, WireFault>;
 
-    /// Returns the call that frees results by their names.
-    fn write_free(&self, results: &[String]) -> WireCall;
+    /// Returns the call that frees results by their names, under an id of its own.
+    fn write_free(&self, call_id: &str, results: &[String]) -> WireCall;
 }
--- a/crates/relay/src/stage/batch_calls.rs
+++ b/crates/relay/src/stage/batch_calls.rs
@@ -4,7 +4,10 @@
         link::{CallRepeat, await_answer, record_call_fault},
         permit::pass_limit,
         shared::RelayCore,
-        stage::BatchService,
+        stage::{
+            BatchService,
+            piece_answer::{is_foreign, new_call_id, read_piece_answer},
+        },
         target::CallFault,
     },
     piece::{CallId, MachinePace, PieceOutcome, PieceWork},
@@ -90,17 +93,23 @@
         let (core, shard) = (Rc::clone(core), shard.to_string());
         actix_rt::spawn(async move {
             let called_at = Instant::now();
-            let call = core.dialects.target.write_free(&results);
+            let call_id = new_call_id(&core);
+            let call = core.dialects.target.write_free(&call_id, &results);
             let answer = core
                 .connections
-                .call_and_read_body(address, call, FREE_TIMEOUT, MAX_ANSWER_BYTES)
+                .call_and_read(address, call, FREE_TIMEOUT, MAX_ANSWER_BYTES)
                 .await;
             match answer {
-                Ok((status, headers, _)) => {
-                    let notice = core.dialects.target.read_notice(status, &headers);
+                Ok(reply) if is_foreign(&core, &call_id, &reply) => {
+                    info!(core.log, "answer to another call"; "target" => target);
+                }
+                Ok(reply) => {
+                    let (status, headers) = (reply.status, &reply.headers);
+                    let notice = core.dialects.target.read_notice(status, headers);
                     core.record_notice(&target, notice, Instant::now());
-                    let word = core.dialects.target.read_word(&headers);
+                    let word = core.dialects.target.read_word(headers);
                     core.record_limit(&target, word, called_at);
+                    reply.keep_connection();
                     if let Some(state) =
                         core.batch_service.shard_states.borrow_mut().get_mut(&shard)
                     {
@@ -138,24 +147,32 @@
     let pass = pass_limit(core, target).await;
     let mut pass = pass.ok_or(PieceCallFault::Unsent)?;
     let called_at = Instant::now();
-    let call = core.dialects.target.write_pieces(target, work);
+    let call_id = new_call_id(core);
+    let call = core.dialects.target.write_pieces(&call_id, target, work);
     core.metrics.piece_calls.inc();
     core.metrics.pieces.inc_by(work.len() as u64);
-    let answering =
-        core.connections
-            .call_and_read_body(address, call, CALL_TIMEOUT, MAX_ANSWER_BYTES);
+    let answering = core
+        .connections
+        .call_and_read(address, call, CALL_TIMEOUT, MAX_ANSWER_BYTES);
     // A piece may be made again.
     let answer = await_answer(core, target, address, CallRepeat::Elsewhere, answering).await;
     if answer.is_ok() {
         core.link.borrow_mut().record_answer(Instant::now());
     }
-    let (status, headers, body) = answer.map_err(|fault| {
+    let reply = answer.map_err(|fault| {
         record_call_fault(core, target, &fault);
         match fault {
             CallFault::NotSent(_) => PieceCallFault::Unsent,
             _ => PieceCallFault::Broken,
         }
     })?;
+    let status = reply.status;
+    let (headers, outcomes) =
+        read_piece_answer(core, &call_id, work.len(), reply).map_err(|fault| {
+            info!(core.log, "answer to a call for pieces not believed";
+                "target" => target, "status" => status, "reason" => %fault);
+            PieceCallFault::Broken
+        })?;
     let notice = core.dialects.target.read_notice(status, &headers);
     core.record_notice(target, notice, Instant::now());
     if status != MISDIRECTED_STATUS {
@@ -163,15 +180,9 @@
         let word = core.dialects.target.read_word(&headers);
         core.record_limit(target, word, called_at);
     }
-    if status != 200 {
+    outcomes.ok_or_else(|| {
         pass.set_refused();
-        return Err(PieceCallFault::Refused);
-    }
-    let outcomes = core.dialects.target.read_pieces(&body, work.len());
-    outcomes.map_err(|fault| {
-        info!(core.log, "answer to a call for pieces could not be read";
-            "target" => target, "reason" => %fault);
-        PieceCallFault::Broken
+        PieceCallFault::Refused
     })
 }
 
--- a/crates/relay/src/stage/mod.rs
+++ b/crates/relay/src/stage/mod.rs
@@ -7,6 +7,7 @@
 mod owner_link;
 mod peer_message;
 mod peer_server;
+mod piece_answer;
 mod pool_wait;
 mod shard_owner;
 mod shard_state;
--- a/crates/relay/src/state/store_reader.rs
+++ b/crates/relay/src/state/store_reader.rs
@@ -139,14 +139,16 @@
     core.metrics.store_calls.inc();
     let exchange =
         core.control_connections
-            .call_and_read_body(store, call, wait + timeout, MAX_ANSWER_BYTES);
-    let (status, headers, body) = exchange.await.map_err(to_wire_fault)?;
-    let era = dialect.read_era(&headers);
-    Ok(StoreAnswer {
+            .call_and_read(store, call, wait + timeout, MAX_ANSWER_BYTES);
+    let reply = exchange.await.map_err(to_wire_fault)?;
+    let era = dialect.read_era(&reply.headers);
+    let answer = StoreAnswer {
         origin: AnswerOrigin { era, called_at },
-        status,
-        body,
-    })
+        status: reply.status,
+        body: reply.body.clone(),
+    };
+    reply.keep_connection();
+    Ok(answer)
 }
 
 /// Applies the answer to a request of [`read_store`] to the replica.
--- a/crates/relay/src/target/call_reply.rs
+++ b/crates/relay/src/target/call_reply.rs
@@ -1,7 +1,9 @@
 use {
     crate::{
         dialect::HeaderList,
-        target::{connection_pool::ConnectionPool, pooled_connection::PooledConnection},
+        target::{
+            WholeReply, connection_pool::ConnectionPool, pooled_connection::PooledConnection,
+        },
     },
     bytes::{Bytes, BytesMut},
     http_body_util::BodyExt,
@@ -77,12 +79,17 @@
     ///
     /// Fails if the connection ends before the body does.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>, CallFault> {
+        let chunk = self.next_data().await?;
+        if chunk.is_none() {
+            self.return_to_pool();
+        }
+        Ok(chunk)
+    }
+
+    async fn next_data(&mut self) -> Result<Option<Bytes>, CallFault> {
         loop {
             match self.body.frame().await {
-                None => {
-                    self.return_to_pool();
-                    return Ok(None);
-                }
+                None => return Ok(None),
                 Some(Err(error)) => return Err(CallFault::Broken(error.to_string())),
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
@@ -100,8 +107,31 @@
     /// Fails if the connection ends before the body does, or if the body is longer than `limit`
     /// bytes.
     pub async fn read_body(&mut self, limit: usize) -> Result<Bytes, CallFault> {
+        let body = self.read_data(limit).await?;
+        self.return_to_pool();
+        Ok(body)
+    }
+
+    /// Reads the whole body; the connection does not go back to the pool by itself.
+    ///
+    /// # Errors
+    ///
+    /// Fails like `read_body`.
+    pub(super) async fn read_whole(mut self, limit: usize) -> Result<WholeReply, CallFault> {
+        let body = self.read_data(limit).await?;
+        Ok(WholeReply {
+            status: self.status,
+            headers: self.headers,
+            body,
+            connection: self.connection,
+            pool: self.pool,
+            idle_timeout: self.idle_timeout,
+        })
+    }
+
+    async fn read_data(&mut self, limit: usize) -> Result<Bytes, CallFault> {
         let mut body = BytesMut::new();
-        while let Some(chunk) = self.next_chunk().await? {
+        while let Some(chunk) = self.next_data().await? {
             if body.len() + chunk.len() > limit {
                 return Err(CallFault::TooLong);
             }
--- a/crates/relay/src/target/connection_pool.rs
+++ b/crates/relay/src/target/connection_pool.rs
@@ -1,8 +1,10 @@
 use {
     crate::{
-        dialect::{HeaderList, WireCall},
+        dialect::WireCall,
         target::{
-            CallFault, CallReply, configure_socket,
+            CallFault, CallReply, WholeReply,
+            answer_marks::AnswerMarks,
+            configure_socket,
             hop_headers::{end_to_end_headers, is_hop_header, keep_alive_timeout},
             pooled_connection::{IdleConnection, PooledConnection},
         },
@@ -95,25 +97,24 @@
             })
     }
 
-    /// Sends a call and returns the status, headers and body of its answer.
+    /// Sends a call and reads its answer to the end.
     ///
     /// # Errors
     ///
     /// Fails like `call`, and if the answer is truncated, not whole within `time_limit`, or longer
     /// than `byte_limit`.
-    pub async fn call_and_read_body(
+    pub async fn call_and_read(
         self: &Rc<Self>,
         address: SocketAddr,
         call: WireCall,
         time_limit: Duration,
         byte_limit: usize,
-    ) -> Result<(u16, HeaderList, Bytes), CallFault> {
+    ) -> Result<WholeReply, CallFault> {
         let exchange = async {
             let mut reply = self.call(address, call).await?;
             let idle_timeout = keep_alive_timeout(&reply.headers);
             reply.set_idle_timeout(idle_timeout);
-            let body = reply.read_body(byte_limit).await?;
-            Ok((reply.status, std::mem::take(&mut reply.headers), body))
+            reply.read_whole(byte_limit).await
         };
         let result = actix_rt::time::timeout(time_limit, exchange).await;
         result.unwrap_or(Err(CallFault::TimedOut))
@@ -204,6 +205,7 @@
             task: Some(task),
             address,
             is_new: true,
+            marks: AnswerMarks::default(),
         })
     }
 
--- a/crates/relay/src/target/mod.rs
+++ b/crates/relay/src/target/mod.rs
@@ -1,3 +1,4 @@
+mod answer_marks;
 mod call_reply;
 mod connection_check;
 mod connection_pool;
@@ -5,6 +6,7 @@
 mod hop_headers;
 mod pooled_connection;
 mod socket_setup;
+mod whole_reply;
 
 pub use {
     call_reply::{CallFault, CallReply},
@@ -13,4 +15,5 @@
     event_splitter::EventSplitter,
     hop_headers::{is_hop_header, keep_alive_timeout},
     socket_setup::{PEER_PATIENCE, TARGET_PATIENCE, configure_socket},
+    whole_reply::WholeReply,
 };
--- a/crates/relay/src/target/pooled_connection.rs
+++ b/crates/relay/src/target/pooled_connection.rs
@@ -1,4 +1,5 @@
 use {
+    crate::target::answer_marks::AnswerMarks,
     actix_rt::task::JoinHandle,
     bytes::Bytes,
     http_body_util::Full,
@@ -15,6 +16,7 @@
     pub(super) address: SocketAddr,
     /// True until the first answer has been read.
     pub(super) is_new: bool,
+    pub(super) marks: AnswerMarks,
 }
 
 impl PooledConnection {
