Have camphor-entry end only once its replies were written

A caller on a slow link that reads an answer in one body while its entry is stopped got part of it: the entry counted a request as running until its answer was known, closed its server when none ran, and ended 2 s later.

A run still counts by itself, since one that may not be repeated goes on without its caller. The wait was bounded by the runs only; it now ends 2 s after running requests were cut off, and what is not written then makes the exit status 1, like cut requests.

--- a/crates/entry/src/data/caller_server.rs
+++ b/crates/entry/src/data/caller_server.rs
@@ -1,8 +1,8 @@
 use {
     crate::{
         data::{
-            AddressAnswer, EntryCore, RequestDraft, RequestHead, failure_answer::refusal_reply,
-            run_driver::start_run,
+            AddressAnswer, EntryCore, RequestDraft, RequestHead, entry_core::RunningGuard,
+            failure_answer::refusal_reply, run_driver::start_run,
         },
         filters::{FilterChain, FilterEnd, has_valid_credential},
         shared::ControlMessage,
@@ -11,7 +11,9 @@
     base::{CREDENTIAL_HEADER, FailureReason, FailureReport, RunClaim},
     bytes::Bytes,
     pipe::RunPlan,
-    setup::{HttpReply, close_unread, json_reply, read_body, text_reply},
+    setup::{
+        HttpReply, OpenConnection, close_unread, follow_reply, json_reply, read_body, text_reply,
+    },
     slog::info,
     std::{rc::Rc, time::Instant},
 };
@@ -21,11 +23,25 @@
 /// Path that returns the entries to use.
 const ADDRESS_PATH: &str = "/addresses";
 
-/// Answers one request of a caller.
+/// Answers one request of a caller, which counts as running until its reply was written.
 pub async fn answer_caller(
     core: Rc<EntryCore>,
     chain: Rc<FilterChain>,
     request: Request,
+) -> HttpReply {
+    let guard = RunningGuard::start(&core);
+    let connection = OpenConnection::of(&request);
+    let reply = answer_request(core, chain, request).await;
+    match connection {
+        Some(connection) => follow_reply(reply, &connection, guard),
+        None => reply,
+    }
+}
+
+async fn answer_request(
+    core: Rc<EntryCore>,
+    chain: Rc<FilterChain>,
+    request: Request,
 ) -> HttpReply {
     let path = request.path().to_string();
     match (request.method(), path.strip_prefix(RUN_PATH)) {
--- a/crates/entry/src/data/entry_core.rs
+++ b/crates/entry/src/data/entry_core.rs
@@ -16,7 +16,7 @@
         CrashRecord, CrashTracker, CrashTrackerSettings, RetryBudget, RetryBudgetSettings,
         TargetStrikes,
     },
-    setup::MetricRegistry,
+    setup::{MetricRegistry, ReplyFollower},
     slog::Logger,
     std::{
         cell::{Cell, RefCell},
@@ -50,9 +50,10 @@
     pub crash_tracker: RefCell<CrashTracker>,
     pub client: OutboundClient,
     pub random: RefCell<ChaCha8Rng>,
-    /// Number of running requests.
+    /// Number of requests whose reply was not written, and of runs, which may outlast their callers.
     pub running_requests: Cell<usize>,
-    /// Number of requests that were aborted because the process had to end.
+    /// Number of requests that were aborted, or whose reply was not written, because the process had to
+    /// end.
     pub unfinished_requests: Cell<usize>,
     started_at: Instant,
 }
@@ -194,6 +195,11 @@
     }
 }
 
+impl ReplyFollower for RunningGuard {
+    // It is dropped with the reply, whether all of it was written or its caller has left.
+    fn on_written(&mut self) {}
+}
+
 impl Drop for RunningGuard {
     fn drop(&mut self) {
         self.core
--- a/crates/entry/src/data/start_entry.rs
+++ b/crates/entry/src/data/start_entry.rs
@@ -28,6 +28,8 @@
 const PROGRAM: &str = "camphor-entry";
 /// Interval at which a shutdown checks for running requests.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Time for which replies are still written once running requests were cut off.
+const LAST_WRITE_TIME: Duration = Duration::from_secs(2);
 /// Interval at which the queues are checked for calls that can no longer meet their deadline.
 const QUEUE_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Maximum number of attempts to bind the same port over TCP and UDP when the configured port is 0,
@@ -143,17 +145,35 @@
     })
 }
 
-/// Waits until new requests are refused and no request is running.
+/// Waits until new requests are refused and the replies to all others were written. A caller that reads
+/// no more is waited for only for a while after the running requests were cut off.
 async fn wait_until_drained(core: &EntryCore) {
-    let mut view = core.view.clone();
-    let _ = view
-        .wait_for(|view| view.phase >= EntryPhase::Refusing)
-        .await;
-    while core.running_requests.get() > 0 {
-        actix_rt::time::sleep(DRAIN_POLL_INTERVAL).await;
+    wait_for_phase(core, EntryPhase::Refusing).await;
+    let all_written = async {
+        while core.running_requests.get() > 0 {
+            actix_rt::time::sleep(DRAIN_POLL_INTERVAL).await;
+        }
+    };
+    let limit = async {
+        wait_for_phase(core, EntryPhase::Stopping).await;
+        actix_rt::time::sleep(LAST_WRITE_TIME).await;
+    };
+    tokio::select! {
+        () = all_written => {}
+        () = limit => {
+            let unwritten = core.running_requests.get();
+            let unfinished = &core.unfinished_requests;
+            unfinished.set(unfinished.get() + unwritten);
+        }
     }
 }
 
+async fn wait_for_phase(core: &EntryCore, phase: EntryPhase) {
+    let mut view = core.view.clone();
+    // The sender lives as long as the process.
+    let _ = view.wait_for(|view| view.phase >= phase).await;
+}
+
 /// Serves the call queues: grants released slots and refuses calls that can no longer meet
 /// their deadline.
 async fn run_queues(core: Rc<EntryCore>) {
--- a/crates/proofs/tests/graceful_shutdown.rs
+++ b/crates/proofs/tests/graceful_shutdown.rs
@@ -2,11 +2,18 @@
 //! entry that is leaving before it refuses requests.
 
 use {
-    base::{FailureReason, HostState, RunVerdict, StreamEvent},
+    base::{
+        CREDENTIAL_HEADER, CUSTOMER_HEADER, FailureReason, HostState, REMAINING_HEADER,
+        REQUEST_HEADER, RunVerdict, StreamEvent,
+    },
     proofs::{FleetHarness, FleetPlan, RunRequest, TestCaller, wait_until},
     serde_json::json,
     stand::{EchoRule, EchoStage},
     std::time::{Duration, Instant},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpSocket,
+    },
 };
 
 const WAIT_TIMEOUT: Duration = Duration::from_secs(15);
@@ -15,6 +22,37 @@
 /// Input for which an engine generates 220 tokens.
 const LONG_INPUT: &[u8] = b"hay tokens=220";
 
+/// Length of an answer that does not fit into the buffers of a connection.
+const LARGE_BYTES: usize = 12_000_000;
+/// Bytes that a caller on a slow link reads in a second.
+const SLOW_PACE: f64 = 1_500_000.0;
+
+/// Sends a request on a connection with a small receive buffer, reads slowly until the connection
+/// ends, and returns the number of bytes.
+async fn read_slowly(entry: &str, id: &str, input: &[u8]) -> usize {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(16_384).unwrap();
+    let mut stream = socket.connect(entry.parse().unwrap()).await.unwrap();
+    let credential = FleetPlan::credential("farm");
+    let head = format!(
+        "POST /run/look HTTP/1.1\r\nhost: {entry}\r\n{CUSTOMER_HEADER}: farm\r\n\
+         {CREDENTIAL_HEADER}: {credential}\r\n{REQUEST_HEADER}: {id}\r\n\
+         {REMAINING_HEADER}: 20000\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+        input.len()
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream.write_all(input).await.unwrap();
+    let started = Instant::now();
+    let mut bytes = [0; 8_192];
+    let mut read = 0;
+    while let Ok(count @ 1..) = stream.read(&mut bytes).await {
+        read += count;
+        let due = started + Duration::from_secs_f64(read as f64 / SLOW_PACE);
+        actix_rt::time::sleep_until(due.into()).await;
+    }
+    read
+}
+
 /// Returns the expected answer of the pipeline `read`.
 fn expected_answer(request: &str, input: &[u8]) -> Vec<u8> {
     let stages = [EchoStage::Plain(String::from("encode")), EchoStage::Engine];
@@ -199,3 +237,17 @@
     let status = fleet.wait_for_exit("h1", WAIT_TIMEOUT).await.unwrap();
     assert_eq!(status.code(), Some(1), "{}", fleet.log_text("h1"));
 }
+
+/// Guards against an answer that is cut because its run has ended, though its caller still reads.
+#[actix_rt::test]
+async fn an_answer_to_a_slow_reader_is_written_whole_before_its_entry_exits() {
+    let mut fleet =
+        start_slow_fleet("[answers]\nkeep = \"1s\"\n\n[limits]\nbody_bytes = 16000000\n").await;
+    let entry = fleet.caller_address("h1");
+    fleet.process("h1").terminate().unwrap();
+    let input = vec![b'h'; LARGE_BYTES];
+    let read = read_slowly(&entry, "large", &input).await;
+    assert!(read > LARGE_BYTES, "{read} of {LARGE_BYTES} bytes");
+    let status = fleet.wait_for_exit("h1", WAIT_TIMEOUT).await.unwrap();
+    assert_eq!(status.code(), Some(0), "{}", fleet.log_text("h1"));
+}
