Send nothing to a service whose weight is 0

What callers would see: requests of a route all of whose services have the weight 0 go to the last one, and so does a request for which the weights leave a rest by rounding.

Cause: the last service was taken where no other was, whatever its weight. Found by asking of each set of the configuration what its emptiness means.

Evidence, before: services_of_weight_0_get_nothing (crates/plan) failed in the one run made: "t" of weight 0 was picked.

After: the 5 tests of crates/plan/tests/routes.rs and the 8 doc tests pass.

--- a/crates/plan/src/route_rule.rs
+++ b/crates/plan/src/route_rule.rs
@@ -68,7 +68,7 @@
 
 impl RouteRule {
     /// Picks a service by weight; `draw` is a random number, uniform in 0..1. Returns `None` if the
-    /// rule has no services.
+    /// rule has no services with a weight.
     ///
     /// ```
     /// # use {plan::{RepeatRule, RouteRule}, std::time::Duration};
@@ -90,6 +90,8 @@
                 return Some(service);
             }
         }
-        self.split.last().map(|(service, _)| service.as_str())
+        // Rounding may leave a rest; a service of weight 0 gets nothing all the same.
+        let mut weighted = self.split.iter().rev().filter(|(_, weight)| *weight > 0);
+        weighted.next().map(|(service, _)| service.as_str())
     }
 }
--- a/crates/plan/tests/routes.rs
+++ b/crates/plan/tests/routes.rs
@@ -73,3 +73,20 @@
     assert_eq!(rule.pick_service(0.4), Some("s"));
     assert_eq!(rule.pick_service(0.6), Some("t"));
 }
+
+#[test]
+fn services_of_weight_0_get_nothing() {
+    let mut rule = rule("a", "/");
+    let split = |weights: [u32; 2]| {
+        vec![
+            (String::from("s"), weights[0]),
+            (String::from("t"), weights[1]),
+        ]
+    };
+    rule.split = split([1, 0]);
+    for draw in [0.0, 0.5, 0.999, 1.0] {
+        assert_eq!(rule.pick_service(draw), Some("s"));
+    }
+    rule.split = split([0, 0]);
+    assert_eq!(rule.pick_service(0.5), None);
+}
