--- a/crates/relay/src/target/call_reply.rs
+++ b/crates/relay/src/target/call_reply.rs
@@ -7,7 +7,7 @@
     },
     bytes::{Bytes, BytesMut},
     http_body_util::BodyExt,
-    hyper::body::Incoming,
+    hyper::body::{Body, Incoming},
     std::{rc::Rc, time::Duration},
 };
 
@@ -18,9 +18,9 @@
     NotSent(String),
     /// The connection failed after something may have been sent.
     Broken(String),
-    /// The answer was not whole within the time-out.
+    /// No answer began within the time-out.
     TimedOut,
-    /// The body is longer than the limit.
+    /// The body is longer than the limit, or was not whole within the time-out.
     TooLong,
 }
 
@@ -130,6 +130,9 @@
     }
 
     async fn read_data(&mut self, limit: usize) -> Result<Bytes, CallFault> {
+        if self.body.size_hint().lower() > limit as u64 {
+            return Err(CallFault::TooLong);
+        }
         let mut body = BytesMut::new();
         while let Some(chunk) = self.next_data().await? {
             if body.len() + chunk.len() > limit {
