Know by its id that an entry's answer is that of the request handed over

An entry without links to targets believed another entry's refusal only because it came on the right connection. Nothing in it showed which request was refused, and on it rests a promise to the caller (REFUSED, TWICE). No wrong one was seen: entries send no extra answers that we know of. This is the same class as the late refusal of a target, closed in the same way.

Refusals of entries now bear the id of their request, and the answer to a request that was handed over is believed by the same rule as a target's: its own id, or none on a connection that has carried no other call. Otherwise it is open whether the request ran. An entry of an earlier build names no request in refusals, so during an update a refusal of it on a kept connection counts as open: 502 instead of 503 for requests that may run once only.

a_refusal_of_an_entry_names_its_request failed before (no such header) and passes. That a foreign answer of an entry is not believed has no test of its own: no stand-in of an entry exists.

--- a/crates/relay/src/caller/caller_server.rs
+++ b/crates/relay/src/caller/caller_server.rs
@@ -152,7 +152,7 @@
         "detail" => &refusal.detail,
         "retry_ms" => refusal.retry_after.map(|delay| delay.as_millis() as u64),
     );
-    let (status, headers, body) = core.dialects.caller.write_refusal(&refusal);
+    let (status, headers, body) = core.dialects.caller.write_refusal(&request.id(), &refusal);
     build_reply(core, status, &headers, BoxBody::new(body))
 }
 
--- a/crates/relay/src/dialect/caller_dialect.rs
+++ b/crates/relay/src/dialect/caller_dialect.rs
@@ -1,5 +1,5 @@
 use {
-    crate::dialect::{CallerHead, HeadFault, HeaderList, RelayRefusal, WireCall},
+    crate::dialect::{CallerHead, HeadFault, HeaderList, RelayRefusal, ReplyOwner, WireCall},
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -41,8 +41,13 @@
     /// its body is left empty.
     fn write_hop(&self, request: &HopRequest<'_>) -> WireCall;
 
-    /// Returns the status, headers and body that tell a caller of a refusal.
-    fn write_refusal(&self, refusal: &RelayRefusal) -> (u16, HeaderList, Vec<u8>);
+    /// Returns which request another entry's answer to a request that was handed over answers.
+    fn read_hop_owner(&self, request_id: &str, headers: &HeaderList) -> ReplyOwner;
+
+    /// Returns the status, headers and body that tell the caller of a request of its refusal; the id
+    /// is empty if the request has none.
+    fn write_refusal(&self, request_id: &str, refusal: &RelayRefusal)
+    -> (u16, HeaderList, Vec<u8>);
 
     /// Parses a query for the addresses of entries; `None` if the path, with its query, is of
     /// another kind.
--- a/crates/relay/src/hop/send_hop.rs
+++ b/crates/relay/src/hop/send_hop.rs
@@ -58,7 +58,12 @@
         Ok(mut reply) => {
             let idle_timeout = keep_alive_timeout(&reply.headers);
             reply.set_idle_timeout(idle_timeout);
-            return Ok(reply);
+            let caller = &core.dialects.caller;
+            let owner = caller.read_hop_owner(&head.request_id, &reply.headers);
+            if owner.is_this_call(reply.is_on_new_connection()) {
+                return Ok(reply);
+            }
+            SendFault::Garbled
         }
         Err(CallFault::NotSent(_)) => SendFault::NotSent,
         Err(_) => SendFault::Lost,
