Take a report that cannot be read as no proof of which process answers

Whoever could not read the answer took it for one that states no start, and believed the target to be the listed process. It is the same fault as with refusals: an answer was believed though nothing in it showed what it was taken to show.

Such an answer now shows nothing, and the stream goes on elsewhere. A target that can be read and states no start is believed as before.

--- a/crates/relay/src/dialect/target_dialect.rs
+++ b/crates/relay/src/dialect/target_dialect.rs
@@ -83,8 +83,12 @@
     fn write_check(&self) -> WireCall;
 
     /// Parses the start time of a target's process, in milliseconds since the Unix epoch, from the
-    /// answer to a check; `None` if the answer does not state it.
-    fn read_start(&self, body: &[u8]) -> Option<u64>;
+    /// body of the answer to a check; `None` if the answer does not state it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is malformed.
+    fn read_start(&self, body: &[u8]) -> Result<Option<u64>, WireFault>;
 
     /// Returns which call a reply answers; `call_id` is the id of the call that waits for it.
     fn read_owner(&self, call_id: &str, headers: &HeaderList) -> ReplyOwner;
--- a/crates/relay/src/origin/verify_process.rs
+++ b/crates/relay/src/origin/verify_process.rs
@@ -12,14 +12,22 @@
 /// names, so that the listed version is the one that runs there. The list may be behind a process that
 /// came back under its id and address with other software.
 ///
-/// A target that does not state when it started is believed to be the listed one.
+/// A target that does not state when it started is believed to be the listed one; an answer that
+/// cannot be read shows nothing.
 pub async fn verify_process(core: &RelayCore, pick: &ServicePick) -> bool {
     let call = core.dialects.target.write_check();
     let answering = core.connections.check(pick.address, call, ANSWER_TIMEOUT);
     let CheckOutcome::Answered(body) = answering.await else {
         return false;
     };
-    let stated = core.dialects.target.read_start(&body);
+    let stated = match core.dialects.target.read_start(&body) {
+        Ok(stated) => stated,
+        Err(fault) => {
+            info!(core.log, "check of a target's process not readable"; "target" => &pick.target,
+                "reason" => %fault);
+            return false;
+        }
+    };
     let listed = core.started_ms(&pick.target);
     let is_listed = stated.is_none_or(|stated| stated == listed);
     if is_listed {
