Wait for the pieces that other entries are waiting for before a planned exit

A request whose stages run at another entry, which owns the pool, had its piece made twice, and got its answer by the length of the call later, or none in time, if that entry was stopped as planned meanwhile: callers of a healthy entry paid for it.

Cause: a leaving entry hands over the jobs that have not started, and goes on with calls under way; but its exit waited for its own requests only, and an idle one exits at 0.4 of the grace time. The same class as an exit that does not wait for answers being written.

The exit now waits until no job runs here and the last outcome was sent, at most until 0.93 of the grace time, as for requests. No job can start there, since leaving entries own no pool.

--- a/crates/relay/src/drain/shut_down.rs
+++ b/crates/relay/src/drain/shut_down.rs
@@ -15,7 +15,7 @@
 
 /// Waits for SIGTERM. Then accepts requests for a while until callers have switched to other
 /// entries, and returns when all requests have got their final answers and `serving` has ended with
-/// their connections, or when the grace time is nearly over.
+/// their connections and the jobs of other entries, or when the grace time is nearly over.
 pub async fn shut_down_gracefully(
     core: &RelayCore,
     mut terminations: Signal,
--- a/crates/relay/src/stage/job_runner.rs
+++ b/crates/relay/src/stage/job_runner.rs
@@ -18,6 +18,10 @@
 
 /// Number of attempts to run a job at the owner of a shard, after which the job fails.
 const MAX_OWNER_ATTEMPTS: u32 = 25;
+/// Interval of checks whether jobs run while this process shuts down.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(25);
+/// Time in which the outcome of the last job is sent to the entry that waits for it.
+const LAST_SEND_TIME: Duration = Duration::from_millis(25);
 /// Delay before a job is submitted again after its shard changed owner or the owner was lost.
 const MOVED_RETRY_DELAY: Duration = Duration::from_millis(40);
 
@@ -99,6 +103,20 @@
         receiver.await.unwrap_or(Err(PieceOutcome::Failed))
     }
 
+    /// Waits until no job of this entry or another one runs here and their outcomes have been sent. To
+    /// be called once this entry takes no more jobs.
+    pub async fn until_idle(&self) {
+        while self.has_jobs() {
+            actix_rt::time::sleep(IDLE_CHECK_INTERVAL).await;
+        }
+        actix_rt::time::sleep(LAST_SEND_TIME).await;
+    }
+
+    fn has_jobs(&self) -> bool {
+        let states = self.shard_states.borrow();
+        states.values().any(|state| !state.waiters.is_empty())
+    }
+
     /// Frees results of a pool. The entries that own the shards of the results call the targets.
     pub fn free_results(&self, core: &RelayCore, pool: &str, results: Vec<StageResult>) {
         let now = Instant::now();
--- a/crates/relay/src/start_relay.rs
+++ b/crates/relay/src/start_relay.rs
@@ -106,6 +106,7 @@
             // A server that has failed has nothing left to wait for.
             let _ = server.await;
         }
+        core.batch_service.until_idle().await;
     })
     .await;
     Ok(())
