Bound the memory of request bodies and of answers that are not streamed

Callers would see the process end under uploads (all its open requests without an answer, LOST): nothing bounded the sum of the bodies that it holds.

`UploadRoom` gives 0.55 of the memory (`memory_mb` in the settings, filled in by the platform, default that of the machine) to bodies. A body is let in if its stated length can be promised, takes room as it arrives, and gives it back when its last clone is dropped (`UploadLease`). Where there is none, a request is refused at once with 503 and a time to come back. If the room is used up later, bodies that would not be whole in time give way first, so that slow callers do not lock out others, then the one of which most is still to come. Bodies up to 64 KiB have a tenth for themselves. Answers that are not streamed wait for room of their own (0.15) in the order in which they began. An answer goes to the server in slices, which copies what it has not written.

--- a/crates/relay/src/caller/auxiliary_server.rs
+++ b/crates/relay/src/caller/auxiliary_server.rs
@@ -61,6 +61,10 @@
             core.metrics.dials.set(dials);
             let open_count = i64::try_from(core.ledger.open_count()).unwrap_or(i64::MAX);
             core.metrics.open_requests.set(open_count);
+            let upload_bytes = i64::try_from(core.upload_room.held()).unwrap_or(i64::MAX);
+            core.metrics.upload_bytes.set(upload_bytes);
+            let answer_bytes = i64::try_from(core.answer_room.held()).unwrap_or(i64::MAX);
+            core.metrics.answer_bytes.set(answer_bytes);
             text_reply(StatusCode::OK, core.metrics.encode_text())
         }
         _ => text_reply(StatusCode::NOT_FOUND, "paths: GET /metrics\n"),
--- a/crates/relay/src/caller/caller_server.rs
+++ b/crates/relay/src/caller/caller_server.rs
@@ -5,6 +5,7 @@
         drain::until_exit_limit,
         filters::FilterChain,
         ledger::{OpenRequest, RequestEnd, RequestGuard, RequestPlace},
+        memory::{CallBody, UploadFault, read_upload},
         run::run_request,
         shared::RelayCore,
         tasks::{PanicCaught, catch_panic},
@@ -12,12 +13,11 @@
     actix_http::{
         ConnectionType, HttpMessage, Request, Response, StatusCode,
         body::{BoxBody, MessageBody},
-        header::{HeaderName, HeaderValue},
+        header::{CONTENT_LENGTH, HeaderName, HeaderValue},
     },
     base::{FailureReason, RunVerdict},
-    bytes::Bytes,
     rand::Rng,
-    setup::{HttpReply, OpenConnection, close_unread, follow_reply, read_body},
+    setup::{HttpReply, OpenConnection, close_unread, follow_reply},
     slog::{info, warn},
     std::{
         rc::Rc,
@@ -25,12 +25,10 @@
     },
 };
 
-/// Maximum length of a request's body: 4 MiB and a margin of 64 KiB.
-const MAX_BODY_BYTES: usize = 4 * 1024 * 1024 + 64 * 1024;
-/// Time-out for the arrival of a request's body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time after which a caller should retry if this entry has no sufficiently recent configuration.
 const NO_PLAN_RETRY_DELAY: Duration = Duration::from_millis(400);
+/// Time after which a caller should retry if there was no room for the body of its request.
+const NO_ROOM_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Time after which a caller should retry if a fault of this entry has ended its request.
 const PANIC_RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -91,13 +89,14 @@
         }
     };
     open.set_id(&head.request_id);
+    let length = stated_length(&request);
     let mut payload = request.take_payload();
-    let Some(body) = read_body(&mut payload, MAX_BODY_BYTES, BODY_TIMEOUT).await else {
-        let refusal = RelayRefusal::not_run(
-            FailureReason::BodyTooLarge,
-            "body truncated, too slow or too long",
-        );
-        return close_unread(refuse(core, &open, refusal), payload);
+    let body = match read_upload(&core.upload_room, &mut payload, length).await {
+        Ok(body) => body,
+        Err(fault) => {
+            let refusal = refuse_upload(core, fault);
+            return close_unread(refuse(core, &open, refusal), payload);
+        }
     };
     guard.record_read();
     let mut draft = match create_draft(core, head, body, arrived) {
@@ -137,10 +136,30 @@
     reply
 }
 
+/// Returns the length of the body that the head of a request states.
+fn stated_length(request: &Request) -> Option<usize> {
+    let value = request.headers().get(CONTENT_LENGTH)?;
+    value.to_str().ok()?.trim().parse().ok()
+}
+
+fn refuse_upload(core: &RelayCore, fault: UploadFault) -> RelayRefusal {
+    match fault {
+        UploadFault::Unusable => RelayRefusal::not_run(
+            FailureReason::BodyTooLarge,
+            "body truncated, too slow or too long",
+        ),
+        UploadFault::NoRoom => {
+            core.metrics.uploads_refused.inc();
+            let refusal = RelayRefusal::not_run(FailureReason::Overloaded, "no room for the body");
+            refusal.retry_after(NO_ROOM_RETRY_DELAY)
+        }
+    }
+}
+
 fn create_draft(
     core: &RelayCore,
     head: crate::dialect::CallerHead,
-    body: Bytes,
+    body: CallBody,
     arrived: Instant,
 ) -> Result<RelayDraft, RelayRefusal> {
     let Some(plan) = core.plan() else {
--- a/crates/relay/src/caller/relay_draft.rs
+++ b/crates/relay/src/caller/relay_draft.rs
@@ -1,10 +1,10 @@
 use {
     crate::{
         dialect::{CallerHead, RelayRefusal},
+        memory::CallBody,
         shared::LimitedPlace,
     },
     base::FailureReason,
-    bytes::Bytes,
     piece::JobRank,
     plan::{FleetPlan, RouteRule, ServiceId},
     retry::{CrashFingerprint, PartKey, part_keys},
@@ -22,7 +22,7 @@
 /// A caller's request with its route. The filters check it, then it is run.
 pub struct RelayDraft {
     pub head: CallerHead,
-    pub body: Bytes,
+    pub body: CallBody,
     /// Configuration that was in force when the request arrived.
     pub plan: Arc<FleetPlan>,
     /// Route of the request.
@@ -68,7 +68,7 @@
     /// Refuses the request if the route has no service.
     pub fn new(
         head: CallerHead,
-        body: Bytes,
+        body: CallBody,
         plan: &Arc<FleetPlan>,
         rule: &Arc<RouteRule>,
         arrived: Instant,
@@ -104,7 +104,7 @@
     /// request when it is repeated.
     pub fn fingerprint(&self) -> CrashFingerprint {
         let organisation = self.organisation.as_deref().unwrap_or_default();
-        retry::fingerprint(organisation, &self.head.path, &self.body)
+        retry::fingerprint_in_pieces(organisation, &self.head.path, self.body.pieces())
     }
 
     /// Returns the time left until the deadline; zero once it has passed.
--- a/crates/relay/src/dialect/wire_call.rs
+++ b/crates/relay/src/dialect/wire_call.rs
@@ -1,4 +1,7 @@
-use {crate::dialect::HeaderList, bytes::Bytes};
+use {
+    crate::{dialect::HeaderList, memory::CallBody},
+    bytes::Bytes,
+};
 
 /// An HTTP request as a dialect builds it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -10,7 +13,7 @@
     /// Headers without the hop-by-hop ones.
     pub headers: HeaderList,
     /// Body; may be empty.
-    pub body: Bytes,
+    pub body: CallBody,
 }
 
 impl WireCall {
@@ -24,7 +27,7 @@
             method: String::from("GET"),
             path: path.into(),
             headers: HeaderList::new(),
-            body: Bytes::new(),
+            body: CallBody::default(),
         }
     }
 
@@ -39,7 +42,7 @@
             method: String::from("POST"),
             path: path.into(),
             headers: vec![content_type],
-            body: body.into(),
+            body: CallBody::from(body),
         }
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,6 +12,7 @@
 mod hop;
 mod ledger;
 mod link;
+mod memory;
 mod origin;
 mod peer;
 mod permit;
@@ -33,6 +34,7 @@
         ReplyHead, ReplyOutcome, StoreChanges, StoreDialect, StoreItem, StorePage, TargetDialect,
         TargetRequest, WireCall, WireFault, header_value,
     },
+    memory::{CallBody, NoRoom, UploadLease, UploadRoom},
     origin::OriginFrame,
     permit::{PermitAnswer, PermitFrame, PermitSubject},
     place::{PlaceFrame, PlaceQuestion},
--- /dev/null
+++ b/crates/relay/src/memory/call_body.rs
@@ -0,0 +1,127 @@
+use {
+    crate::memory::UploadLease,
+    bytes::Bytes,
+    hyper::body::{Body, Frame, SizeHint},
+    std::{
+        convert::Infallible,
+        fmt,
+        pin::Pin,
+        sync::Arc,
+        task::{Context, Poll},
+    },
+};
+
+/// Body of a call, in pieces. Its clones share the pieces, and their room until the last is dropped.
+#[derive(Clone, Default)]
+pub struct CallBody {
+    pieces: Arc<BodyPieces>,
+}
+
+#[derive(Default)]
+struct BodyPieces {
+    /// None of them is empty.
+    bytes: Vec<Bytes>,
+    _lease: Option<UploadLease>,
+}
+
+impl CallBody {
+    /// Creates a body that has arrived whole.
+    pub(super) fn leased(pieces: Vec<Bytes>, lease: UploadLease) -> Self {
+        Self {
+            pieces: Arc::new(BodyPieces {
+                bytes: pieces,
+                _lease: Some(lease),
+            }),
+        }
+    }
+
+    /// Returns the number of bytes.
+    ///
+    /// ```
+    /// assert_eq!(relay::CallBody::from(b"four".to_vec()).len(), 4);
+    /// ```
+    pub fn len(&self) -> usize {
+        self.pieces.bytes.iter().map(Bytes::len).sum()
+    }
+
+    /// Returns the bytes, in pieces.
+    pub fn pieces(&self) -> &[Bytes] {
+        &self.pieces.bytes
+    }
+
+    /// Returns true if there are no bytes.
+    pub fn is_empty(&self) -> bool {
+        self.pieces.bytes.is_empty()
+    }
+}
+
+impl<Source: Into<Bytes>> From<Source> for CallBody {
+    fn from(bytes: Source) -> Self {
+        let bytes: Bytes = bytes.into();
+        let pieces = (!bytes.is_empty()).then_some(bytes);
+        Self {
+            pieces: Arc::new(BodyPieces {
+                bytes: pieces.into_iter().collect(),
+                _lease: None,
+            }),
+        }
+    }
+}
+
+impl fmt::Debug for CallBody {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "CallBody({} bytes)", self.len())
+    }
+}
+
+impl PartialEq for CallBody {
+    fn eq(&self, other: &Self) -> bool {
+        let bytes = |body: &Self| body.pieces.bytes.concat();
+        bytes(self) == bytes(other)
+    }
+}
+
+impl Eq for CallBody {}
+
+/// Sends the body of a call.
+pub struct BodyReader {
+    body: CallBody,
+    next_piece: usize,
+}
+
+impl BodyReader {
+    /// Creates a reader at the beginning of a body.
+    pub fn new(body: CallBody) -> Self {
+        Self {
+            body,
+            next_piece: 0,
+        }
+    }
+
+    fn rest(&self) -> &[Bytes] {
+        &self.body.pieces.bytes[self.next_piece..]
+    }
+}
+
+impl Body for BodyReader {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let piece = self.rest().first().cloned();
+        self.next_piece += usize::from(piece.is_some());
+        Poll::Ready(piece.map(|piece| Ok(Frame::data(piece))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.rest().is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let rest = self.rest().iter().map(Bytes::len);
+        SizeHint::with_exact(rest.sum::<usize>() as u64)
+    }
+}
--- a/crates/relay/src/relay_settings.rs
+++ b/crates/relay/src/relay_settings.rs
@@ -1,10 +1,15 @@
 use {
-    crate::settings_time,
+    crate::{memory::machine_memory, settings_time},
     serde::Deserialize,
     setup::{LogLevel, StartError},
     std::{net::SocketAddr, time::Duration},
 };
 
+/// Least memory with which an entry can work, in MB.
+const MIN_MEMORY_MB: f64 = 64.0;
+/// Bytes in a MB of the settings.
+const BYTES_PER_MB: f64 = 1_000_000.0;
+
 /// Settings of an entry, read from a TOML file.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -23,6 +28,8 @@
     pub bounds: BoundSettings,
     /// Share of a CPU core that the process may use.
     pub core_share: f64,
+    /// Memory that the process may use, in MB; by default that of the machine.
+    pub memory_mb: Option<f64>,
     /// Log output.
     #[serde(default)]
     pub log: LogSettings,
@@ -127,12 +134,24 @@
         {
             return invalid(format!("listen.hops: {hops} is listened on already"));
         }
+        if let Some(memory_mb) = self.memory_mb
+            && !(MIN_MEMORY_MB..).contains(&memory_mb)
+        {
+            return invalid(format!("memory_mb: {memory_mb} is under {MIN_MEMORY_MB}"));
+        }
         if self.core_share.is_nan() || self.core_share <= 0.0 {
             return invalid(format!("core_share: {} is not above 0", self.core_share));
         }
         Ok(())
     }
 
+    /// Returns the memory that the process may use, in bytes.
+    pub fn memory_bytes(&self) -> u64 {
+        self.memory_mb.map_or_else(machine_memory, |memory_mb| {
+            (memory_mb * BYTES_PER_MB) as u64
+        })
+    }
+
     /// Returns the shared key of the entries as bytes, or `None` if it is not 64 hexadecimal
     /// digits.
     pub fn peer_key(&self) -> Option<[u8; 32]> {
--- a/crates/relay/src/run/run_request.rs
+++ b/crates/relay/src/run/run_request.rs
@@ -3,6 +3,7 @@
         caller::{RelayDraft, build_reply},
         dialect::RelayRefusal,
         ledger::{OpenRequest, RequestEnd, RequestPlace},
+        memory::SlicedBody,
         origin::bind_resumption,
         run::{
             answer_source::AnswerSource,
@@ -15,7 +16,6 @@
         shared::RelayCore,
         target::CallReply,
     },
-    actix_http::body::BoxBody,
     base::{FailureReason, RunVerdict},
     retry::{SendFault, TrackedCall, TrackedCallEnd},
     route::ServiceOutcome,
@@ -24,9 +24,6 @@
     std::{rc::Rc, time::Instant},
 };
 
-/// Longest answer that is not streamed, in bytes.
-const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
-
 /// Statuses of entries' answers that promise that the request was not run.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
@@ -86,7 +83,8 @@
 ) -> Result<Result<SendOutcome, SendFault>, RelayRefusal> {
     source.record_event();
     let due = run.draft.deadline;
-    let read_result = tokio::time::timeout_at(due.into(), reply.read_body(MAX_ANSWER_BYTES)).await;
+    let reading = run.core.answer_room.read(&mut reply);
+    let read_result = tokio::time::timeout_at(due.into(), reading).await;
     let body = match read_result {
         Ok(Ok(body)) if !is_cut_short(run, &reply, &body) => body,
         Ok(_) => {
@@ -114,7 +112,12 @@
     reply
         .headers
         .retain(|(name, _)| name != "content-length" && name != "keep-alive");
-    let answer = build_reply(&run.core, reply.status, &reply.headers, BoxBody::new(body));
+    let answer = build_reply(
+        &run.core,
+        reply.status,
+        &reply.headers,
+        SlicedBody::new(body),
+    );
     // Another entry has done all that can be done before it passes a failure on.
     Ok(Ok(match has_failed && source.slot().is_some() {
         true => SendOutcome::Failure(answer),
--- a/crates/relay/src/shared/relay_core.rs
+++ b/crates/relay/src/shared/relay_core.rs
@@ -5,6 +5,7 @@
         drain::ExitPlan,
         ledger::RequestLedger,
         link::TargetChecks,
+        memory::{AnswerRoom, MemoryShares, UploadRoom},
         shared::{RelayMetrics, RelayPhase, boot_time},
         stage::BatchService,
         state::{FeedLag, StateView, StoreReplica},
@@ -135,6 +136,10 @@
     pub exit: ExitPlan,
     /// Runs the tasks that serve all requests.
     pub tasks: TaskSupervisor,
+    /// Room for the bodies of requests.
+    pub upload_room: Arc<UploadRoom>,
+    /// Room for the answers that are not streamed.
+    pub answer_room: AnswerRoom,
     /// How long the requests of each route take.
     pub run_times: RefCell<RunTimes>,
     /// Has the next round of gossip sent at once, since this entry saw a crash.
@@ -167,6 +172,7 @@
             lifetime: CRASH_RETENTION,
             ..CrashTrackerSettings::default()
         };
+        let memory = MemoryShares::new(settings.memory_bytes());
         let ledger = RequestLedger::new();
         let metrics = RelayMetrics::new(&ledger);
         Rc::new(Self {
@@ -174,6 +180,8 @@
             metrics,
             ledger,
             exit: ExitPlan::default(),
+            upload_room: UploadRoom::new(memory.upload_bytes()),
+            answer_room: AnswerRoom::new(memory.answer_bytes()),
             run_times: RefCell::default(),
             batch_service: BatchService::new(peer_key),
             connections: ConnectionPool::new(TARGET_PATIENCE, log.clone()),
--- a/crates/relay/src/shared/relay_metrics.rs
+++ b/crates/relay/src/shared/relay_metrics.rs
@@ -69,6 +69,12 @@
     pub plan_version: Gauge,
     /// Requests whose answer has not been written whole.
     pub open_requests: Gauge,
+    /// Requests that were refused, since there was no room for their bodies.
+    pub uploads_refused: Counter,
+    /// Bytes of the bodies of requests that are held.
+    pub upload_bytes: Gauge,
+    /// Bytes of the answers that are held and not streamed.
+    pub answer_bytes: Gauge,
     /// Failures of tasks that serve all requests.
     pub task_failures: Family<TaskLabel, Counter>,
     registry: Registry,
@@ -107,6 +113,9 @@
             dials: Gauge::default(),
             plan_version: Gauge::default(),
             open_requests: Gauge::default(),
+            uploads_refused: Counter::default(),
+            upload_bytes: Gauge::default(),
+            answer_bytes: Gauge::default(),
             task_failures: Family::default(),
             registry: Registry::default(),
         };
@@ -196,6 +205,11 @@
                 "Requests handed over to other entries",
                 &metrics.hops,
             ),
+            (
+                "uploads_refused",
+                "Requests refused for the room of their bodies",
+                &metrics.uploads_refused,
+            ),
             (
                 "taken_hops",
                 "Requests taken over from other entries",
@@ -216,6 +230,16 @@
             "Requests that ended before they were read whole",
             ledger.unread.clone(),
         );
+        registry.register(
+            "upload_bytes",
+            "Bytes of bodies of requests",
+            metrics.upload_bytes.clone(),
+        );
+        registry.register(
+            "answer_bytes",
+            "Bytes of answers that are not streamed",
+            metrics.answer_bytes.clone(),
+        );
         registry.register(
             "task_failures",
             "Failures of tasks that serve all requests",
--- a/crates/relay/src/target/call_reply.rs
+++ b/crates/relay/src/target/call_reply.rs
@@ -5,7 +5,7 @@
     },
     bytes::{Bytes, BytesMut},
     http_body_util::BodyExt,
-    hyper::body::Incoming,
+    hyper::body::{Body, Incoming},
     std::{rc::Rc, time::Duration},
 };
 
@@ -100,7 +100,9 @@
     /// Fails if the connection ends before the body does, or if the body is longer than `limit`
     /// bytes.
     pub async fn read_body(&mut self, limit: usize) -> Result<Bytes, CallFault> {
-        let mut body = BytesMut::new();
+        let length = self.body.size_hint().exact().unwrap_or(0);
+        let length = usize::try_from(length).unwrap_or(limit).min(limit);
+        let mut body = BytesMut::with_capacity(length);
         while let Some(chunk) = self.next_chunk().await? {
             if body.len() + chunk.len() > limit {
                 return Err(CallFault::TooLong);
--- a/crates/relay/src/target/connection_pool.rs
+++ b/crates/relay/src/target/connection_pool.rs
@@ -1,6 +1,7 @@
 use {
     crate::{
         dialect::{HeaderList, WireCall},
+        memory::BodyReader,
         target::{
             CallFault, CallReply, configure_socket,
             hop_headers::{end_to_end_headers, is_hop_header, keep_alive_timeout},
@@ -8,7 +9,6 @@
         },
     },
     bytes::Bytes,
-    http_body_util::Full,
     hyper::{
         Request, Response,
         body::{Body, Incoming},
@@ -212,7 +212,7 @@
     pub(super) async fn send(
         self: &Rc<Self>,
         mut connection: PooledConnection,
-        request: Request<Full<Bytes>>,
+        request: Request<BodyReader>,
     ) -> Result<CallReply, SendFailure> {
         let Some(sender) = &mut connection.sender else {
             return Err(SendFailure::Unsent(Box::new(request)));
@@ -253,7 +253,7 @@
 /// Why a send got no head of an answer.
 pub(super) enum SendFailure {
     /// The connection was closed before anything was sent; holds the request.
-    Unsent(Box<Request<Full<Bytes>>>),
+    Unsent(Box<Request<BodyReader>>),
     /// The call failed in another way, perhaps after the request was sent.
     Fault(CallFault),
 }
@@ -261,7 +261,7 @@
 pub(super) fn build_request(
     address: SocketAddr,
     call: WireCall,
-) -> Result<Request<Full<Bytes>>, CallFault> {
+) -> Result<Request<BodyReader>, CallFault> {
     let mut builder = Request::builder()
         .method(call.method.as_str())
         .uri(call.path.as_str());
@@ -275,6 +275,6 @@
     if !has_host {
         builder = builder.header(HOST, address.to_string());
     }
-    let request = builder.body(Full::new(call.body));
+    let request = builder.body(BodyReader::new(call.body));
     request.map_err(|error| CallFault::NotSent(error.to_string()))
 }
--- a/crates/relay/src/target/pooled_connection.rs
+++ b/crates/relay/src/target/pooled_connection.rs
@@ -1,7 +1,6 @@
 use {
+    crate::memory::BodyReader,
     actix_rt::task::JoinHandle,
-    bytes::Bytes,
-    http_body_util::Full,
     hyper::client::conn::http1::SendRequest,
     std::{net::SocketAddr, time::Instant},
 };
@@ -9,7 +8,7 @@
 /// An open connection; closed when dropped.
 pub struct PooledConnection {
     /// Sends requests on the connection; set for every connection that the pool opens.
-    pub(super) sender: Option<SendRequest<Full<Bytes>>>,
+    pub(super) sender: Option<SendRequest<BodyReader>>,
     /// Task that drives the connection, aborted on drop.
     pub(super) task: Option<JoinHandle<()>>,
     pub(super) address: SocketAddr,
--- a/crates/retry/src/crash_record.rs
+++ b/crates/retry/src/crash_record.rs
@@ -16,11 +16,34 @@
 /// assert_ne!(one, retry::fingerprint("farm", "receipt", b"sfuel"));
 /// ```
 pub fn fingerprint(customer: &str, pipeline: &str, body: &[u8]) -> CrashFingerprint {
+    fingerprint_in_pieces(customer, pipeline, &[body])
+}
+
+/// Computes the fingerprint of a request whose body is held in pieces, which do not change it.
+///
+/// ```
+/// let pieces = [b"fu", b"el"];
+/// let one = retry::fingerprint_in_pieces("farm", "receipts", &pieces);
+/// assert_eq!(one, retry::fingerprint("farm", "receipts", b"fuel"));
+/// ```
+pub fn fingerprint_in_pieces(
+    customer: &str,
+    pipeline: &str,
+    body: &[impl AsRef<[u8]>],
+) -> CrashFingerprint {
     let mut hasher = blake3::Hasher::new();
-    for part in [customer.as_bytes(), pipeline.as_bytes(), body] {
-        hasher.update(&(part.len() as u64).to_le_bytes());
+    let add_length = |hasher: &mut blake3::Hasher, length: usize| {
+        hasher.update(&(length as u64).to_le_bytes());
+    };
+    for part in [customer.as_bytes(), pipeline.as_bytes()] {
+        add_length(&mut hasher, part.len());
         hasher.update(part);
     }
+    let body_length = body.iter().map(|piece| piece.as_ref().len()).sum();
+    add_length(&mut hasher, body_length);
+    for piece in body {
+        hasher.update(piece.as_ref());
+    }
     let mut fingerprint = CrashFingerprint::default();
     hasher.finalize_xof().fill(&mut fingerprint);
     fingerprint
--- a/crates/retry/src/lib.rs
+++ b/crates/retry/src/lib.rs
@@ -15,7 +15,8 @@
 pub use {
     attempt_tracker::{AttemptTracker, RetryDecision, SendFault},
     crash_record::{
-        CrashFingerprint, CrashRecord, TargetStrikes, TrackedCall, fingerprint, short_hash,
+        CrashFingerprint, CrashRecord, TargetStrikes, TrackedCall, fingerprint,
+        fingerprint_in_pieces, short_hash,
     },
     crash_settings::CrashTrackerSettings,
     crash_tracker::CrashTracker,
