Leave file descriptors for targets, and close idle connections of callers for new ones

Callers saw refusals only, and new ones no answer at all, for as long as others kept idle connections open (up to 300 s). No request that was read was left without an answer.

Cause: an address took up to 4,096 connections, more than the process has descriptors (machines have 2,870 and up). With none left, no connection to a target can be opened, so each request is refused, and no connection is accepted. Each address now has a share of the descriptors of the process (callers 0.4, hand-overs 0.1, others 0.03 each). When it is used up, the oldest idle connection of that address is closed for a new one, by the way in which connections close at a planned stop (what has arrived is still served), but without waiting for the caller to close too.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -6,6 +6,7 @@
 //! without I/O.
 
 mod caller;
+mod descriptor_shares;
 mod dialect;
 mod drain;
 mod filters;
--- a/crates/relay/src/start_relay.rs
+++ b/crates/relay/src/start_relay.rs
@@ -2,6 +2,7 @@
     crate::{
         RelaySettings,
         caller::{RequestSender, answer_addresses, answer_caller, answer_operator, answer_ready},
+        descriptor_shares::DescriptorShares,
         drain::shut_down_gracefully,
         filters::FilterChain,
         link::watch_link,
@@ -83,6 +84,7 @@
     keep_running(&core, "reload_on_hangup", move |core| {
         reload_on_hangup(core, Rc::clone(&hangups), Rc::clone(&load))
     });
+    let shares = DescriptorShares::of_process();
     let (closing, closing_inbox) = watch::channel(false);
     serve_auxiliary(&core, ready, answer_ready);
     serve_auxiliary(&core, addresses, answer_addresses);
@@ -92,7 +94,11 @@
         idle_timeout: CALLER_IDLE_TIMEOUT,
         close_timeout: grace,
         allows_half_closed: false,
-        ..HttpLimits::default()
+        max_connections: shares.callers(),
+    };
+    let hop_limits = HttpLimits {
+        max_connections: shares.hops(),
+        ..limits
     };
     let chain = Rc::new(FilterChain::new());
     let handler = |sender: RequestSender| {
@@ -108,7 +114,7 @@
             closing_inbox.clone(),
             caller_handler,
         )),
-        actix_rt::spawn(serve_http(hops, limits, closing_inbox, hop_handler)),
+        actix_rt::spawn(serve_http(hops, hop_limits, closing_inbox, hop_handler)),
     ];
     shut_down_gracefully(&core, terminations, closing, async {
         for server in servers {
@@ -140,8 +146,12 @@
     let (closing, inbox) = watch::channel(false);
     let core = Rc::clone(core);
     let handler = move |request| answer(Rc::clone(&core), request);
+    let limits = HttpLimits {
+        max_connections: DescriptorShares::of_process().auxiliary(),
+        ..HttpLimits::default()
+    };
     actix_rt::spawn(async move {
-        serve_http(listener, HttpLimits::default(), inbox, handler).await;
+        serve_http(listener, limits, inbox, handler).await;
         drop(closing);
     });
 }
--- a/crates/setup/src/http/client_stream.rs
+++ b/crates/setup/src/http/client_stream.rs
@@ -106,7 +106,11 @@
         if buffer.filled().len() > known_bytes {
             self.connection.record_read();
         }
-        if read.is_ready() || !self.is_closing(context) {
+        if read.is_ready() {
+            return read;
+        }
+        self.connection.wake_when_unwanted(context.waker());
+        if !self.is_closing(context) && !self.connection.is_unwanted() {
             return read;
         }
         if self.connection.is_idle() && !self.has_waiting_bytes() {
@@ -137,6 +141,10 @@
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.linger.is_none() {
             ready!(Pin::new(&mut self.stream).poll_shutdown(context))?;
+            if self.connection.is_unwanted() {
+                // It was idle, and others wait for its descriptor.
+                return Poll::Ready(Ok(()));
+            }
             self.linger = Some(Box::pin(tokio::time::sleep(LINGER_TIME)));
         }
         self.poll_linger(context).map(Ok)
--- a/crates/setup/src/http/http_server.rs
+++ b/crates/setup/src/http/http_server.rs
@@ -1,35 +1,29 @@
 use {
-    crate::http::{OpenConnection, client_stream::ClientStream, follow_reply},
+    crate::http::{
+        OpenConnection, client_stream::ClientStream, follow_reply, stream_acceptor::StreamAcceptor,
+    },
     actix_http::{
         ConnectionType, Extensions, HttpService, Payload, Request, Response, StatusCode,
         body::{BodySize, BoxBody, MessageBody},
         header::{CONTENT_TYPE, HeaderValue},
     },
-    actix_service::{Service, ServiceFactory},
+    actix_service::ServiceFactory,
     bytes::{Bytes, BytesMut},
     futures_util::{FutureExt, StreamExt},
     serde::Serialize,
-    socket2::SockRef,
     std::{
         cell::Cell,
         convert::Infallible,
         future::Future,
-        net::SocketAddr,
         panic::AssertUnwindSafe,
         pin::Pin,
         rc::Rc,
         task::{Context, Poll},
         time::{Duration, Instant},
     },
-    tokio::{
-        net::{TcpListener, TcpStream},
-        sync::watch,
-    },
+    tokio::{net::TcpListener, sync::watch},
 };
 
-/// Pause after a failed `accept`, for instance because no file descriptors are left.
-const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
-
 /// Time between two checks for open connections during the shutdown.
 const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -45,7 +39,8 @@
     pub head_timeout: Duration,
     /// Time after which an idle connection is closed.
     pub idle_timeout: Duration,
-    /// Number of connections that may be open at once; further ones are closed at once.
+    /// Number of connections that may be open at once. For a further one an idle one is closed; if
+    /// there is none, it waits for a while and is closed then.
     pub max_connections: usize,
     /// Longest time that the shutdown waits for open connections.
     pub close_timeout: Duration,
@@ -66,26 +61,6 @@
     }
 }
 
-/// Counts one open connection until it is dropped.
-struct ConnectionGuard {
-    open_count: Rc<Cell<usize>>,
-}
-
-impl ConnectionGuard {
-    fn register(open_count: &Rc<Cell<usize>>) -> Self {
-        open_count.set(open_count.get() + 1);
-        Self {
-            open_count: Rc::clone(open_count),
-        }
-    }
-}
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.open_count.set(self.open_count.get() - 1);
-    }
-}
-
 /// Serves HTTP/1.1 on the listener; every request runs on this thread. Once `closing` is true, it
 /// accepts no more connections than wait then, and returns when the open ones have ended after their
 /// current answers, or after `close_timeout`. A request that has arrived by then is still answered.
@@ -114,13 +89,13 @@
         return;
     };
     let open_count = Rc::new(Cell::new(0));
-    let acceptor = StreamAcceptor {
+    let acceptor = StreamAcceptor::new(
         listener,
         limits,
-        closing: closing.clone(),
-        open_count: Rc::clone(&open_count),
-        service: Rc::new(service),
-    };
+        closing.clone(),
+        Rc::clone(&open_count),
+        service,
+    );
     tokio::select! {
         () = acceptor.accept_streams() => {}
         () = wait_closing(closing) => {}
@@ -167,66 +142,13 @@
     reply
 }
 
-/// Accepts connections and serves each in the background.
-struct StreamAcceptor<S> {
-    listener: TcpListener,
-    limits: HttpLimits,
-    closing: watch::Receiver<bool>,
-    open_count: Rc<Cell<usize>>,
-    service: Rc<S>,
-}
-
-impl<S: Service<(ClientStream, Option<SocketAddr>)> + 'static> StreamAcceptor<S> {
-    async fn accept_streams(&self) {
-        loop {
-            match self.listener.accept().await {
-                Ok((stream, address)) => self.serve(stream, address),
-                Err(_) => actix_rt::time::sleep(ACCEPT_RETRY_PAUSE).await,
-            }
-        }
-    }
-
-    /// Accepts the connections that wait: closing the listener would reset them. The runtime may not
-    /// know of them yet.
-    fn accept_waiting(&self) {
-        let listener = SockRef::from(&self.listener);
-        while let Ok((socket, address)) = listener.accept() {
-            let stream = socket.set_nonblocking(true);
-            let stream = stream.and_then(|()| TcpStream::from_std(socket.into()));
-            if let (Ok(stream), Some(address)) = (stream, address.as_socket()) {
-                self.serve(stream, address);
-            }
-        }
-    }
-
-    fn serve(&self, stream: TcpStream, address: SocketAddr) {
-        if self.open_count.get() >= self.limits.max_connections {
-            return;
-        }
-        let guard = ConnectionGuard::register(&self.open_count);
-        let stream = ClientStream::new(stream, wait_closing(self.closing.clone()).boxed_local());
-        let service = Rc::clone(&self.service);
-        actix_rt::spawn(serve_stream(service, stream, address, guard));
-    }
-}
-
 /// Returns once the value is true, or never if the sender was dropped before.
-async fn wait_closing(mut closing: watch::Receiver<bool>) {
+pub(super) async fn wait_closing(mut closing: watch::Receiver<bool>) {
     if closing.wait_for(|closing| *closing).await.is_err() {
         std::future::pending::<()>().await;
     }
 }
 
-async fn serve_stream<S: Service<(ClientStream, Option<SocketAddr>)>>(
-    service: Rc<S>,
-    stream: ClientStream,
-    address: SocketAddr,
-    _guard: ConnectionGuard,
-) {
-    stream.set_nodelay();
-    let _ = service.call((stream, Some(address))).await;
-}
-
 /// Reads a whole body. Returns `None` if it has more than `limit` bytes, is cut off, or is not
 /// complete after `timeout`; the reply must then be passed through [`close_unread`].
 pub async fn read_body(payload: &mut Payload, limit: usize, timeout: Duration) -> Option<Bytes> {
--- a/crates/setup/src/http/mod.rs
+++ b/crates/setup/src/http/mod.rs
@@ -4,6 +4,7 @@
 mod followed_body;
 mod http_server;
 mod open_connection;
+mod stream_acceptor;
 
 pub use {
     followed_body::follow_reply,
--- a/crates/setup/src/http/open_connection.rs
+++ b/crates/setup/src/http/open_connection.rs
@@ -27,6 +27,10 @@
     ending: RefCell<Vec<Box<dyn ReplyFollower>>>,
     /// Wakes the reader of a closing connection once the connection is idle.
     idle_waker: RefCell<Option<Waker>>,
+    /// True once the connection is to end as soon as it is idle.
+    is_unwanted: Cell<bool>,
+    /// Wakes the reader of the connection.
+    read_waker: RefCell<Option<Waker>>,
 }
 
 impl OpenConnection {
@@ -46,6 +50,24 @@
         self.idle_waker.replace(Some(waker.clone()));
     }
 
+    /// Ends the connection as soon as it is idle.
+    pub(super) fn end_when_idle(&self) {
+        self.is_unwanted.set(true);
+        if let Some(waker) = self.read_waker.take() {
+            waker.wake();
+        }
+    }
+
+    /// Returns true if the connection is to end as soon as it is idle.
+    pub(super) fn is_unwanted(&self) -> bool {
+        self.is_unwanted.get()
+    }
+
+    /// Has the waker woken if the connection is to end.
+    pub(super) fn wake_when_unwanted(&self, waker: &Waker) {
+        self.read_waker.replace(Some(waker.clone()));
+    }
+
     /// Records that bytes have arrived.
     pub(super) fn record_read(&self) {
         self.has_unparsed_bytes.set(true);
--- /dev/null
+++ b/crates/setup/src/http/stream_acceptor.rs
@@ -0,0 +1,151 @@
+use {
+    crate::http::{
+        HttpLimits, OpenConnection, client_stream::ClientStream, http_server::wait_closing,
+    },
+    actix_service::Service,
+    futures_util::FutureExt,
+    socket2::SockRef,
+    std::{
+        cell::{Cell, RefCell},
+        collections::VecDeque,
+        net::SocketAddr,
+        rc::{Rc, Weak},
+        time::{Duration, Instant},
+    },
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::watch,
+    },
+};
+
+/// Pause after a failed `accept`, for instance because no file descriptors are left.
+const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
+/// Connections that are remembered in any case, ended ones included.
+const MIN_REMEMBERED: usize = 64;
+/// Longest time for which a connection waits until another one has ended.
+const ROOM_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time between two checks whether another one has ended.
+const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Counts one open connection until it is dropped.
+struct ConnectionGuard {
+    open_count: Rc<Cell<usize>>,
+}
+
+impl ConnectionGuard {
+    fn register(open_count: &Rc<Cell<usize>>) -> Self {
+        open_count.set(open_count.get() + 1);
+        Self {
+            open_count: Rc::clone(open_count),
+        }
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.open_count.set(self.open_count.get() - 1);
+    }
+}
+
+/// Accepts connections and serves each in the background.
+pub(super) struct StreamAcceptor<S> {
+    listener: TcpListener,
+    limits: HttpLimits,
+    closing: watch::Receiver<bool>,
+    open_count: Rc<Cell<usize>>,
+    /// Connections in the order in which they were accepted, ended ones included.
+    connections: RefCell<VecDeque<Weak<OpenConnection>>>,
+    service: Rc<S>,
+}
+
+impl<S: Service<(ClientStream, Option<SocketAddr>)> + 'static> StreamAcceptor<S> {
+    pub fn new(
+        listener: TcpListener,
+        limits: HttpLimits,
+        closing: watch::Receiver<bool>,
+        open_count: Rc<Cell<usize>>,
+        service: S,
+    ) -> Self {
+        Self {
+            listener,
+            limits,
+            closing,
+            open_count,
+            connections: RefCell::default(),
+            service: Rc::new(service),
+        }
+    }
+
+    pub async fn accept_streams(&self) {
+        loop {
+            self.make_room().await;
+            match self.listener.accept().await {
+                Ok((stream, address)) => self.serve(stream, address),
+                Err(_) => actix_rt::time::sleep(ACCEPT_RETRY_PAUSE).await,
+            }
+        }
+    }
+
+    /// Waits until one more connection may be open, for a while.
+    async fn make_room(&self) {
+        let deadline = Instant::now() + ROOM_TIMEOUT;
+        while self.open_count.get() >= self.limits.max_connections && Instant::now() < deadline {
+            self.end_idle_connection();
+            actix_rt::time::sleep(ROOM_POLL_INTERVAL).await;
+        }
+    }
+
+    /// Remembers an open connection, and forgets the ended ones from time to time.
+    fn remember(&self, connection: &Rc<OpenConnection>) {
+        let mut connections = self.connections.borrow_mut();
+        if connections.len() > 2 * self.open_count.get() + MIN_REMEMBERED {
+            connections.retain(|connection| connection.strong_count() > 0);
+        }
+        connections.push_back(Rc::downgrade(connection));
+    }
+
+    /// Ends the oldest connection that is idle.
+    fn end_idle_connection(&self) {
+        let mut connections = self.connections.borrow_mut();
+        connections.retain(|connection| connection.strong_count() > 0);
+        let mut open = connections.iter().filter_map(Weak::upgrade);
+        let idle = open.find(|connection| connection.is_idle() && !connection.is_unwanted());
+        if let Some(idle) = idle {
+            idle.end_when_idle();
+        }
+    }
+
+    /// Accepts the connections that wait: closing the listener would reset them. The runtime may not
+    /// know of them yet.
+    pub fn accept_waiting(&self) {
+        let listener = SockRef::from(&self.listener);
+        while let Ok((socket, address)) = listener.accept() {
+            let stream = socket.set_nonblocking(true);
+            let stream = stream.and_then(|()| TcpStream::from_std(socket.into()));
+            if let (Ok(stream), Some(address)) = (stream, address.as_socket()) {
+                self.serve(stream, address);
+            }
+        }
+    }
+
+    fn serve(&self, stream: TcpStream, address: SocketAddr) {
+        if self.open_count.get() >= self.limits.max_connections {
+            return;
+        }
+        let guard = ConnectionGuard::register(&self.open_count);
+        let stream = ClientStream::new(stream, wait_closing(self.closing.clone()).boxed_local());
+        self.remember(stream.connection());
+        let service = Rc::clone(&self.service);
+        actix_rt::spawn(serve_stream(service, stream, address, guard));
+    }
+}
+
+async fn serve_stream<S: Service<(ClientStream, Option<SocketAddr>)>>(
+    service: Rc<S>,
+    stream: ClientStream,
+    address: SocketAddr,
+    _guard: ConnectionGuard,
+) {
+    stream.set_nodelay();
+    let _ = service.call((stream, Some(address))).await;
+}
