--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -6,12 +6,14 @@
 //! without I/O.
 
 mod caller;
+mod descriptor_shares;
 mod dialect;
 mod drain;
 mod filters;
 mod hop;
 mod ledger;
 mod link;
+mod memory;
 mod origin;
 mod peer;
 mod permit;
@@ -33,6 +35,7 @@
         ReplyHead, ReplyOutcome, ReplyOwner, StoreChanges, StoreDialect, StoreItem, StorePage,
         TargetDialect, TargetRequest, WireCall, WireFault, header_value,
     },
+    memory::{CallBody, NoRoom, UploadLease, UploadRoom},
     origin::OriginFrame,
     permit::{PermitAnswer, PermitFrame, PermitSubject},
     place::{PlaceFrame, PlaceQuestion},
--- a/crates/relay/src/target/call_reply.rs
+++ b/crates/relay/src/target/call_reply.rs
@@ -133,7 +133,9 @@
         if self.body.size_hint().lower() > limit as u64 {
             return Err(CallFault::TooLong);
         }
-        let mut body = BytesMut::new();
+        let length = self.body.size_hint().exact().unwrap_or(0);
+        let length = usize::try_from(length).unwrap_or(limit).min(limit);
+        let mut body = BytesMut::with_capacity(length);
         while let Some(chunk) = self.next_data().await? {
             if body.len() + chunk.len() > limit {
                 return Err(CallFault::TooLong);
