Bind a stream only to a process that its own connection leads to

What callers saw (review, case unseen-version): a target is replaced under its id by one with other software, takes streams before the store lists it and crashes; its streams go on at the listed version (ORDER).

Cause: an entry took the events of a target for those of the listed process unless it or a peer had seen that process end. A process that runs no request ends unseen.

Why it works: a connection leads to one process for as long as it lives. A connection that is opened for a stream that may be resumed has the target asked for its start time on a second one, and all connections that are older than an answer of the listed process lead to that process. So evidence of losses is needed no more, neither an entry's own nor that of peers; both are taken out. No event waits for it: it is asked while the target reads the prompt, and the version is settled when it is needed. A stream whose target is not proven is bound to nothing and told as in doubt. The request for the rest of a stream waits for the same proof, in place of a check of its own each time.

Cost at 4,500 requests a second, none reusing a connection: at most one check and one more connection for each stream that may be resumed; as the check's connection is kept and is itself proven, the next stream to the target uses it, so at most every second stream asks and no further connection is opened, as far as targets keep idle connections until then. A kept connection costs nothing. Counted by camphor_process_checks_total.

The stand of the review was wrong: its replaced replica went on to state the start time of the old process, which the platform rules out.

--- a/crates/relay/src/origin/mod.rs
+++ b/crates/relay/src/origin/mod.rs
@@ -6,6 +6,9 @@
 mod verify_process;
 
 pub use {
-    bind_resumption::bind_resumption, find_origin::find_draft_origin, origin_frame::OriginFrame,
-    tell_origin::tell_origin, verify_process::verify_process,
+    bind_resumption::bind_resumption,
+    find_origin::find_draft_origin,
+    origin_frame::OriginFrame,
+    tell_origin::{stream_origin, tell_origin},
+    verify_process::{ListedProcess, verify_process},
 };
--- a/crates/relay/src/origin/tell_origin.rs
+++ b/crates/relay/src/origin/tell_origin.rs
@@ -6,7 +6,6 @@
         stage::{OwnerLink, PeerMessage},
     },
     board::rank_holders,
-    plan::SoftwareVersion,
     route::{AttemptKey, StreamOrigin, attempt_key},
     slog::debug,
     std::{
@@ -21,23 +20,25 @@
 /// back late.
 const KEEP_MARGIN: Duration = Duration::from_secs(5);
 
-/// Remembers the version that began the stream of a request, here and at a few other entries; `None`
-/// if it is in doubt.
+/// Returns where the stream of a request began, with the version in doubt.
+pub fn stream_origin(draft: &RelayDraft) -> StreamOrigin {
+    StreamOrigin {
+        attempt: draft_attempt(draft),
+        service: draft.service.clone(),
+        version: None,
+        keep: draft.time_left(Instant::now()) + KEEP_MARGIN,
+    }
+}
+
+/// Remembers where a stream began, here and at a few other entries.
 ///
 /// Nobody waits for them: a caller who comes back where none of them is reached is refused.
-pub fn tell_origin(core: &RelayCore, draft: &RelayDraft, version: Option<SoftwareVersion>) {
+pub fn tell_origin(core: &RelayCore, origin: StreamOrigin) {
     let now = Instant::now();
-    let origin = StreamOrigin {
-        attempt: draft_attempt(draft),
-        service: draft.service.clone(),
-        version,
-        keep: draft.time_left(now) + KEEP_MARGIN,
-    };
     for link in holder_links(core, origin.attempt, HOLDER_COUNT, now) {
         link.send(PeerMessage::Origin(OriginFrame::Tell(origin.clone())));
     }
-    debug!(core.log, "stream began"; "request" => &draft.head.request_id,
-        "version" => &origin.version);
+    debug!(core.log, "stream began"; "attempt" => origin.attempt, "version" => &origin.version);
     core.origins.borrow_mut().record(&origin, now);
 }
 
--- a/crates/relay/src/run/call_slot.rs
+++ b/crates/relay/src/run/call_slot.rs
@@ -1,9 +1,9 @@
 use {
     crate::{
-        origin::verify_process,
+        origin::ListedProcess,
         permit::CallPass,
         place::RemotePlace,
-        run::{crash_watch::CrashWatch, target_choice::ChosenTarget},
+        run::{crash_watch::CrashWatch, process_proof::ProcessProof, target_choice::ChosenTarget},
         shared::RelayCore,
     },
     plan::{ServiceId, SoftwareVersion},
@@ -30,6 +30,8 @@
     pub pass: CallPass,
     /// Watches whether the target crashes.
     pub watch: CrashWatch,
+    /// Proof of the process that answers.
+    pub proof: Rc<ProcessProof>,
     /// Outcome that is recorded when the slot is dropped; cancelled until it is set.
     outcome: ServiceOutcome,
 }
@@ -49,9 +51,16 @@
         if let Some(pool) = core.pools.borrow_mut().get_mut(service) {
             pool.record_start(&pick, prefixes, now);
         }
+        let listed = ListedProcess {
+            target: pick.target.clone(),
+            address: pick.address,
+            started_ms: core.started_ms(&pick.target),
+            version: pick.version.clone(),
+        };
         Self {
             core: Rc::clone(core),
             service: service.to_string(),
+            proof: Rc::new(ProcessProof::new(core, service, listed)),
             pick,
             started: now,
             has_first_event: false,
@@ -70,10 +79,7 @@
     /// Returns the version of the target's software; `None` if it is not known, or if the list of
     /// targets has another one by now.
     pub fn version(&self) -> Option<SoftwareVersion> {
-        let pools = self.core.pools.borrow();
-        let listed = pools.get(&self.service)?.version(&self.pick.target)?;
-        let version = self.pick.version.clone();
-        version.filter(|version| version == listed)
+        self.proof.listed_version()
     }
 
     /// Returns true if the list of targets has another version for the target by now. One that is no
@@ -85,19 +91,6 @@
         pool.is_some_and(|pool| pool.version(&self.pick.target) != self.pick.version.as_deref())
     }
 
-    /// Returns the version of the target's software once it is certain which process has answered.
-    pub async fn proven_version(&self) -> Option<SoftwareVersion> {
-        let is_doubtful = {
-            let pools = self.core.pools.borrow();
-            let pool = pools.get(&self.service);
-            pool.is_none_or(|pool| pool.is_doubtful(&self.pick.target))
-        };
-        if is_doubtful && !verify_process(&self.core, &self.pick).await {
-            return None;
-        }
-        self.version()
-    }
-
     /// Returns the number of prompt tokens that the target is expected to read.
     pub fn unread_tokens(&self) -> u32 {
         self.pick.unread_tokens
--- a/crates/relay/src/run/mod.rs
+++ b/crates/relay/src/run/mod.rs
@@ -2,6 +2,7 @@
 mod call_slot;
 mod crash_watch;
 mod part_gate;
+mod process_proof;
 mod pump_stop;
 mod relay_run;
 mod run_request;
--- a/crates/relay/src/run/send_next.rs
+++ b/crates/relay/src/run/send_next.rs
@@ -3,7 +3,7 @@
         dialect::RelayRefusal,
         hop::{HopSlot, send_hop, until_hop},
         link::is_link_sound,
-        origin::{find_draft_origin, verify_process},
+        origin::find_draft_origin,
         run::{
             answer_source::AnswerSource,
             call_slot::CallSlot,
@@ -14,7 +14,7 @@
     },
     base::FailureReason,
     retry::SendFault,
-    route::{ServiceOutcome, ServicePick, VersionRule},
+    route::{ServiceOutcome, VersionRule},
     std::{future::Future, rc::Rc, time::Instant},
 };
 
@@ -85,7 +85,7 @@
     }
     let mut result = result?;
     let is_bound = run.draft.versions != VersionRule::Any;
-    if is_bound && result.is_ok() && !is_listed_version(run, &slot, &pick).await {
+    if is_bound && result.is_ok() && !is_bound_version(run, &slot).await {
         slot.set_outcome(ServiceOutcome::Cancelled);
         result = Err(SendFault::Garbled);
     }
@@ -94,8 +94,9 @@
 
 /// Returns true if the target that goes on with a stream is at the version that began it, and not a
 /// process of which the list of targets does not know yet.
-async fn is_listed_version(run: &RelayRun, slot: &CallSlot, pick: &ServicePick) -> bool {
-    verify_process(&run.core, pick).await && run.draft.versions.accepts(slot.version().as_deref())
+async fn is_bound_version(run: &RelayRun, slot: &CallSlot) -> bool {
+    let version = slot.proof.proven_version().await;
+    run.draft.versions.accepts(version.as_deref())
 }
 
 /// Runs the stages of a request unless it has to be handed over meanwhile.
--- a/crates/relay/src/run/send_once.rs
+++ b/crates/relay/src/run/send_once.rs
@@ -5,6 +5,7 @@
         run::{call_slot::CallSlot, relay_run::RelayRun},
         target::{CallFault, CallReply},
     },
+    plan::RepeatRule,
     retry::SendFault,
     route::{ServiceOutcome, ServicePick},
     slog::info,
@@ -44,7 +45,14 @@
         .on_request(&draft.service, Instant::now());
     let called_at = Instant::now();
     run.open.record_sent();
-    let answering = core.connections.call(pick.address, call);
+    let is_bound_later = draft.rule.repeat == RepeatRule::Resumable;
+    let on_opened = || {
+        if is_bound_later {
+            slot.proof.begin();
+        }
+    };
+    let connections = &core.connections;
+    let answering = connections.call_and_note(pick.address, call, on_opened);
     let repeat = match (draft.rule.repeat.may_repeat(), draft.is_hop) {
         (false, _) => CallRepeat::Never,
         (true, true) => CallRepeat::Here,
@@ -53,6 +61,7 @@
     let result = await_answer(core, &pick.target, pick.address, repeat, answering).await;
     let fault = match result {
         Ok(mut reply) => {
+            slot.proof.set_opened(reply.opened_at());
             let mut link = core.link.borrow_mut();
             match reply.is_on_new_connection() {
                 true => link.record_reached(Instant::now()),
--- a/crates/relay/src/run/stream_pump.rs
+++ b/crates/relay/src/run/stream_pump.rs
@@ -10,7 +10,7 @@
             run_request::{log_answer, record_completion},
             send_next::{SendAnswer, send_next},
             send_once::fault_outcome,
-            version_bond::{bind_version, check_version},
+            version_bond::{VersionBond, check_version},
         },
         target::{CallReply, EventSplitter},
     },
@@ -49,6 +49,8 @@
     /// True once an event was read from the source.
     has_events: bool,
     splitter: EventSplitter,
+    /// Set while the target that brought the first event is being proven.
+    bond: Option<VersionBond>,
 }
 
 impl StreamPump {
@@ -72,6 +74,7 @@
             reply,
             has_events: false,
             splitter: EventSplitter::default(),
+            bond: None,
         };
         let result = tokio::time::timeout_at(due.into(), pump.read_first_events()).await;
         let first_read = match result {
@@ -79,7 +82,7 @@
             Err(_) => return Err(pump.run.deadline_refusal(true)),
         };
         if matches!(first_read, StreamRead::Events(_)) {
-            bind_version(&mut pump.run, &pump.source).await;
+            pump.bond = VersionBond::begin(&mut pump.run, &pump.source);
         }
         let core = pump.run.core.clone();
         let elapsed = pump.run.draft.arrived.elapsed();
@@ -217,6 +220,9 @@
             "request" => &self.run.draft.head.request_id, "target" => &place,
             "last_event" => self.splitter.last_id());
         self.source.check_crash(&self.run.draft);
+        if let Some(bond) = self.bond.take() {
+            bond.settle(&mut self.run).await;
+        }
         let last_id = self.splitter.last_id().map(String::from);
         let last_id = last_id.or_else(|| self.run.draft.head.last_event_id.clone());
         loop {
@@ -259,6 +265,8 @@
         match read {
             StreamRead::Events(_) => {
                 self.has_events = true;
+                let bond = self.bond.take();
+                self.bond = bond.and_then(|bond| bond.settle_now(&mut self.run));
                 check_version(&mut self.run, &self.source);
                 self.source.record_event();
             }
--- a/crates/relay/src/shared/core_peers.rs
+++ b/crates/relay/src/shared/core_peers.rs
@@ -10,9 +10,6 @@
 /// Maximum number of crashes that are reported to other entries, the latest ones.
 const MAX_REPORTED_CRASHES: usize = 8;
 
-/// Maximum number of reports of peers that are remembered, so that each counts once.
-const MAX_SEEN_CRASHES: usize = 256;
-
 /// What this entry tells its peers and learns from them.
 impl RelayCore {
     /// Updates the record that the next gossip round sends to other entries.
@@ -61,7 +58,6 @@
             }
             for crash in &record.crashes {
                 self.merge_crash(crash, now);
-                self.doubt_process(&record.host, crash);
             }
         }
         for pool in self.pools.borrow_mut().values_mut() {
@@ -96,22 +92,6 @@
         self.crash_news.notify_one();
     }
 
-    /// Doubts that the listed process of a target still runs once a peer reports that it has crashed.
-    fn doubt_process(&self, host: &str, crash: &CrashReport) {
-        let report = (host.to_string(), *crash);
-        let mut seen = self.seen_crashes.borrow_mut();
-        if seen.contains(&report) {
-            return;
-        }
-        if seen.len() >= MAX_SEEN_CRASHES {
-            seen.pop_front();
-        }
-        seen.push_back(report);
-        for pool in self.pools.borrow_mut().values_mut() {
-            pool.doubt_process(|target| short_hash(target) == crash.target);
-        }
-    }
-
     fn merge_crash(&self, crash: &CrashReport, now: Instant) {
         let record = retry::CrashRecord {
             fingerprint: crash.request,
--- a/crates/relay/src/shared/relay_core.rs
+++ b/crates/relay/src/shared/relay_core.rs
@@ -23,7 +23,7 @@
     slog::Logger,
     std::{
         cell::{Cell, RefCell},
-        collections::{BTreeSet, HashMap, VecDeque},
+        collections::{BTreeSet, HashMap},
         rc::Rc,
         sync::Arc,
         time::{Duration, Instant},
@@ -136,8 +136,6 @@
     pub run_times: RefCell<RunTimes>,
     /// Has the next round of gossip sent at once, since this entry saw a crash.
     pub crash_news: Notify,
-    /// Crashes that peers have reported, oldest first, with the host of each report.
-    pub(super) seen_crashes: RefCell<VecDeque<(String, CrashReport)>>,
     /// Crashes that this entry saw itself, oldest first, with the time of each.
     pub(super) recent_crashes: RefCell<Vec<(CrashReport, Instant)>>,
 }
@@ -210,7 +208,6 @@
             random: RefCell::new(ChaCha8Rng::seed_from_u64(incarnation)),
             phase: Cell::new(RelayPhase::Starting),
             crash_news: Notify::new(),
-            seen_crashes: RefCell::default(),
             recent_crashes: RefCell::default(),
         })
     }
--- a/crates/relay/src/shared/relay_metrics.rs
+++ b/crates/relay/src/shared/relay_metrics.rs
@@ -57,6 +57,8 @@
     pub resumptions_refused: Counter,
     /// Calls to targets that check whether this entry reaches any.
     pub link_checks: Counter,
+    /// Calls to targets that check which process answers there.
+    pub process_checks: Counter,
     /// Times that the links to all targets were lost.
     pub link_losses: Counter,
     /// Requests that were handed over to another entry, since this one has no links to targets.
@@ -99,6 +101,7 @@
             resumptions: Counter::default(),
             resumptions_refused: Counter::default(),
             link_checks: Counter::default(),
+            process_checks: Counter::default(),
             link_losses: Counter::default(),
             hops: Counter::default(),
             taken_hops: Counter::default(),
@@ -183,6 +186,11 @@
                 "Calls to check the links to targets",
                 &metrics.link_checks,
             ),
+            (
+                "process_checks",
+                "Calls to check which process answers for a target",
+                &metrics.process_checks,
+            ),
             (
                 "link_losses",
                 "Times that the links to all targets were lost",
--- a/crates/relay/src/target/call_reply.rs
+++ b/crates/relay/src/target/call_reply.rs
@@ -6,7 +6,10 @@
     bytes::{Bytes, BytesMut},
     http_body_util::BodyExt,
     hyper::body::Incoming,
-    std::{rc::Rc, time::Duration},
+    std::{
+        rc::Rc,
+        time::{Duration, Instant},
+    },
 };
 
 /// Why a call got no whole answer.
@@ -65,6 +68,12 @@
         connection.is_some_and(PooledConnection::is_new)
     }
 
+    /// Returns the time at which the connection was opened; `None` once it was given back or closed.
+    pub fn opened_at(&self) -> Option<Instant> {
+        let connection = self.connection.as_ref();
+        connection.map(|connection| connection.opened_at)
+    }
+
     /// Sets the time for which the other side keeps the idle connection open; `None` stands for a
     /// default.
     pub fn set_idle_timeout(&mut self, idle_timeout: Option<Duration>) {
--- a/crates/relay/src/target/connection_pool.rs
+++ b/crates/relay/src/target/connection_pool.rs
@@ -75,6 +75,21 @@
         self: &Rc<Self>,
         address: SocketAddr,
         call: WireCall,
+    ) -> Result<CallReply, CallFault> {
+        self.call_and_note(address, call, || {}).await
+    }
+
+    /// Sends a call as [`Self::call`] does; `on_opened` is called if a new connection was opened for
+    /// it.
+    ///
+    /// # Errors
+    ///
+    /// The error tells whether anything may have been sent.
+    pub async fn call_and_note(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        call: WireCall,
+        on_opened: impl FnOnce(),
     ) -> Result<CallReply, CallFault> {
         let mut request = build_request(address, call)?;
         while let Some(connection) = self.take_idle(address) {
@@ -85,6 +100,7 @@
             }
         }
         let connection = self.connect(address).await?;
+        on_opened();
         self.send(connection, request)
             .await
             .map_err(|failure| match failure {
@@ -203,6 +219,7 @@
             sender: Some(sender),
             task: Some(task),
             address,
+            opened_at: Instant::now(),
             is_new: true,
         })
     }
--- a/crates/relay/src/target/pooled_connection.rs
+++ b/crates/relay/src/target/pooled_connection.rs
@@ -13,6 +13,7 @@
     /// Task that drives the connection, aborted on drop.
     pub(super) task: Option<JoinHandle<()>>,
     pub(super) address: SocketAddr,
+    pub(super) opened_at: Instant,
     /// True until the first answer has been read.
     pub(super) is_new: bool,
 }
--- a/crates/route/src/service_pool.rs
+++ b/crates/route/src/service_pool.rs
@@ -113,25 +113,21 @@
         self.targets.contains_key(target)
     }
 
-    /// True if the process that is listed for a target may be gone and replaced by another one.
-    pub fn is_doubtful(&self, target: &str) -> bool {
+    /// True if the answers on a connection that was opened at this time come from the listed process
+    /// of the target, with this start time: this process has answered on another one since, and both
+    /// processes would have had to run then.
+    pub fn is_proven(&self, target: &str, started_ms: u64, opened_at: Instant) -> bool {
         let target = self.targets.get(target);
-        target.is_none_or(|target| target.is_doubtful)
+        let target = target.filter(|target| target.started_ms == started_ms);
+        target.is_some_and(|target| target.confirmed_at >= Some(opened_at))
     }
 
-    /// Records that the listed processes of the targets for which `is_meant` is true may be gone.
-    pub fn doubt_process(&mut self, is_meant: impl Fn(&str) -> bool) {
-        let targets = self.targets.iter_mut();
-        for (_, target) in targets.filter(|(id, _)| is_meant(id)) {
-            target.is_doubtful = true;
-        }
-    }
-
-    /// Records that the process with this start time is the one that runs at the target.
-    pub fn confirm_process(&mut self, target: &str, started_ms: u64) {
+    /// Records that the process with this start time has answered at the target, on a connection that
+    /// was opened at this time.
+    pub fn confirm_process(&mut self, target: &str, started_ms: u64, opened_at: Instant) {
         let target = self.targets.get_mut(target);
         if let Some(target) = target.filter(|target| target.started_ms == started_ms) {
-            target.is_doubtful = false;
+            target.confirmed_at = target.confirmed_at.max(Some(opened_at));
         }
     }
 
--- a/crates/route/src/service_target.rs
+++ b/crates/route/src/service_target.rs
@@ -43,8 +43,9 @@
     pub data_centre: String,
     /// Version of the target's software; `None` if unknown.
     pub version: Option<SoftwareVersion>,
-    /// True if the listed process may be gone, since a connection to it was lost or refused.
-    pub is_doubtful: bool,
+    /// Latest time at which a connection to the target was opened on which the listed process then
+    /// answered; `None` if there was none.
+    pub confirmed_at: Option<Instant>,
     /// Number of requests that the target runs concurrently, at least 1.
     pub slots: u32,
     /// True if the target gets no new work, by the list of targets or by its own notice.
@@ -76,7 +77,7 @@
             address: row.address,
             data_centre: row.data_centre.clone(),
             version: row.version.clone(),
-            is_doubtful: false,
+            confirmed_at: None,
             slots: row.slots.max(1),
             leaving: row.leaving,
             paused_until: None,
@@ -99,7 +100,7 @@
         if row.started_ms != self.started_ms || row.address != self.address {
             self.cache.clear();
             self.forget_losses();
-            self.is_doubtful = false;
+            self.confirmed_at = None;
             self.paused_until = None;
             self.held_until = None;
         }
@@ -202,7 +203,6 @@
 
     /// Records that the target could not be reached or was lost during a call.
     pub fn observe_loss(&mut self, now: Instant) {
-        self.is_doubtful = true;
         self.observe_failure();
         let backoff = INITIAL_BACKOFF * (1 << self.consecutive_losses.min(4));
         self.consecutive_losses += 1;
--- a/review/stand/src/cases/unseen_version.rs
+++ b/review/stand/src/cases/unseen_version.rs
@@ -80,6 +80,12 @@
         }
         write_chunk(&mut link.stream, b"")
     }
+
+    /// The store knows the first process only.
+    fn born(&self, replica: &ReplicaCard) -> u128 {
+        let process = self.process.load(Ordering::Relaxed);
+        replica.born + u128::from(process.abs_diff(1))
+    }
 }
 
 pub fn run(record: &RunRecord, has_trouble: bool) -> io::Result<CaseEnd> {
--- a/review/stand/src/stand_replica.rs
+++ b/review/stand/src/stand_replica.rs
@@ -27,6 +27,11 @@
         request: &HttpMessage,
         link: &mut ReplicaLink,
     ) -> io::Result<()>;
+
+    /// Returns the start of the process that runs now, in Unix milliseconds.
+    fn born(&self, replica: &ReplicaCard) -> u128 {
+        replica.born
+    }
 }
 
 /// What a replica says of itself in the store.
@@ -97,7 +102,7 @@
         let expected = request.header("x-expect-instance");
         let report = request.path() == "/v1/report";
         if report || request.path() == "/health" {
-            let body = format!("{{\"busy\":false,\"sequence\":1,\"born\":{}}}", card.born);
+            let body = format!("{{\"busy\":false,\"sequence\":1,\"born\":{}}}", work.born(card));
             let answer = answer_bytes(200, &[("X-Instance-Id", &card.id)], body.as_bytes());
             link.stream.write_all(&answer)?;
         } else if expected.is_some_and(|expected| expected != card.id) {
