Refuse settings whose figures no budget and no clock can hold

Cause: the settings were read as any number, and only grace_s had a lower bound.

Settings beyond are refused at the start, and named in the log and the old ones kept at a reload.

--- a/crates/relay/src/relay_settings.rs
+++ b/crates/relay/src/relay_settings.rs
@@ -5,6 +5,9 @@
     std::{net::SocketAddr, time::Duration},
 };
 
+/// Largest number of repeats that settings can allow.
+const MAX_REPEATS: f64 = 1e6;
+
 /// Settings of an entry, read from a TOML file.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -92,6 +95,27 @@
     pub address_keep: Duration,
 }
 
+impl BoundSettings {
+    /// Checks the budget for repeats; the error names the first key with an invalid value.
+    fn check_repeats(&self) -> Result<(), String> {
+        let counts = [
+            ("bounds.repeat_ratio", self.repeat_ratio),
+            ("bounds.repeat_extra", self.repeat_extra),
+        ];
+        // Not a number is in no range either.
+        let odd_count = counts
+            .into_iter()
+            .find(|(_, count)| !(0.0..=MAX_REPEATS).contains(count));
+        if let Some((key, count)) = odd_count {
+            return Err(format!("{key}: {count} is not from 0 to {MAX_REPEATS}"));
+        }
+        match self.repeat_window.is_zero() {
+            true => Err(String::from("bounds.repeat_window_s: is not above 0")),
+            false => Ok(()),
+        }
+    }
+}
+
 /// Log output.
 #[derive(Debug, Clone, Copy, Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -127,10 +151,10 @@
         {
             return invalid(format!("listen.hops: {hops} is listened on already"));
         }
-        if self.core_share.is_nan() || self.core_share <= 0.0 {
+        if !self.core_share.is_finite() || self.core_share <= 0.0 {
             return invalid(format!("core_share: {} is not above 0", self.core_share));
         }
-        Ok(())
+        self.bounds.check_repeats().map_err(StartError::Settings)
     }
 
     /// Returns the shared key of the entries as bytes, or `None` if it is not 64 hexadecimal
