--- a/crates/relay/tests/upload_room.rs
+++ b/crates/relay/tests/upload_room.rs
@@ -15,7 +15,7 @@
     let room = UploadRoom::new(10 * MEGABYTE);
     let now = Instant::now();
     let admit = |at| room.admit(Some(4 * MEGABYTE), at);
-    let slow: Vec<UploadLease> = (0..4).map(|_| admit(now).expect("room")).collect();
+    let slow: Vec<UploadLease> = (0..3).map(|_| admit(now).expect("room")).collect();
     for lease in &slow {
         lease.receive(1_000, now).expect("room");
     }
@@ -28,12 +28,12 @@
 
 #[test]
 fn the_body_of_which_most_is_to_come_gives_way() {
-    let room = UploadRoom::new(5 * MEGABYTE);
+    let room = UploadRoom::new(6 * MEGABYTE);
     let now = Instant::now();
     let first = room.admit(Some(4 * MEGABYTE), now).expect("room");
     let second = room.admit(Some(4 * MEGABYTE), now).expect("room");
     first.receive(3 * MEGABYTE, now).expect("room");
-    second.receive(MEGABYTE, now).expect("room");
+    second.receive(2 * MEGABYTE, now).expect("room");
     first.receive(MEGABYTE, now).expect("room");
     assert_eq!(second.receive(1, now), Err(NoRoom));
     let whole = first.finish().expect("room");
