Bound the messages that wait for a peer, and end the connection to one that does not read

A peer that stands still, or reads a byte now and then, made the queue of messages for it grow without end (found by reading): the outboxes of links to owners, of served peers and of feeds were unbounded channels. `PeerOutbox` holds 4,096 messages; beyond that the connection ends, as if the peer were lost. A feed makes its next message once the one before was taken, so that a slow follower gets one larger change instead of many.

The other unbounded channels need no bound: `find_origin` gets at most one answer of each asked entry, and `StageRun` one note of each stage.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -41,7 +41,7 @@
     place::{PlaceFrame, PlaceQuestion},
     relay_settings::{BoundSettings, ListenSettings, LogSettings, PeerSettings, RelaySettings},
     shared::DialectSet,
-    stage::{JobFrame, PeerMessage},
+    stage::{JobFrame, PeerGone, PeerInbox, PeerMessage, PeerOutbox, write_frames},
     start_relay::run_relay,
     state::{
         AnswerOrigin, ChangeLog, FeedFrame, FeedLag, LagAdvice, PeerPosition, StateView,
--- a/crates/relay/src/stage/frame_io.rs
+++ b/crates/relay/src/stage/frame_io.rs
@@ -1,5 +1,5 @@
 use {
-    crate::stage::PeerMessage,
+    crate::stage::{PeerInbox, PeerMessage},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::tcp::{OwnedReadHalf, OwnedWriteHalf},
@@ -11,13 +11,26 @@
 /// Size of the buffer that is passed to each read, in bytes.
 const READ_BUFFER_BYTES: usize = 16 * 1024;
 
-/// Writes the messages from the inbox to a peer until the inbox is closed.
+/// Writes the messages from the inbox to a peer until the inbox is closed, or until the peer leaves
+/// too many of them unread.
 ///
 /// Messages that are already queued go into the same write.
 pub async fn write_frames(
     mut writer: OwnedWriteHalf,
     seal: &FrameSeal,
-    mut inbox: mpsc::UnboundedReceiver<PeerMessage>,
+    inbox: PeerInbox,
+) -> anyhow::Result<()> {
+    let overrun = PeerInbox::until_overrun(inbox.overrun());
+    tokio::select! {
+        outcome = write_queued(&mut writer, seal, inbox.receiver) => outcome,
+        error = overrun => Err(error),
+    }
+}
+
+async fn write_queued(
+    writer: &mut OwnedWriteHalf,
+    seal: &FrameSeal,
+    mut inbox: mpsc::Receiver<PeerMessage>,
 ) -> anyhow::Result<()> {
     while let Some(frame) = inbox.recv().await {
         let mut bytes = seal.encode_as(frame.schema(), &frame)?;
--- a/crates/relay/src/stage/mod.rs
+++ b/crates/relay/src/stage/mod.rs
@@ -6,6 +6,7 @@
 mod job_runner;
 mod owner_link;
 mod peer_message;
+mod peer_outbox;
 mod peer_server;
 mod pool_wait;
 mod shard_owner;
@@ -18,6 +19,7 @@
     job_frame::JobFrame,
     owner_link::OwnerLink,
     peer_message::PeerMessage,
+    peer_outbox::{PeerGone, PeerInbox, PeerOutbox},
     peer_server::serve_peers,
     pool_wait::{PoolWait, is_urgency_load, pool_wait, shard_wait},
     shard_owner::{JobPlace, takes_jobs},
--- a/crates/relay/src/stage/owner_link.rs
+++ b/crates/relay/src/stage/owner_link.rs
@@ -4,7 +4,7 @@
         permit::{PermitAnswer, PermitFrame},
         place::PlaceFrame,
         stage::{
-            JobFrame, PeerMessage,
+            JobFrame, PeerInbox, PeerMessage, PeerOutbox,
             answer_waiters::AnswerWaiters,
             frame_io::{read_frames, write_frames},
             shard_state::{InputsReadHook, JobOutcome, JobWaiter},
@@ -21,10 +21,7 @@
         rc::Rc,
         time::Duration,
     },
-    tokio::{
-        net::TcpStream,
-        sync::{mpsc, oneshot},
-    },
+    tokio::{net::TcpStream, sync::oneshot},
     wire::FrameSeal,
 };
 
@@ -37,7 +34,7 @@
 /// Connection to an entry that owns shards, over which this entry submits jobs for them.
 pub struct OwnerLink {
     host: String,
-    outbox: mpsc::UnboundedSender<PeerMessage>,
+    outbox: PeerOutbox,
     waiters: Waiters,
     /// Waiters for places at engines.
     place_waiters: AnswerWaiters<Option<ServicePick>>,
@@ -52,7 +49,7 @@
 impl OwnerLink {
     /// Opens a connection in the background; messages are queued until it is established.
     pub fn open(host: &str, address: SocketAddr, seal: FrameSeal, log: &Logger) -> Rc<Self> {
-        let (outbox, inbox) = mpsc::unbounded_channel();
+        let (outbox, inbox) = PeerOutbox::open();
         let link = Rc::new(Self {
             host: host.to_string(),
             outbox,
@@ -176,7 +173,7 @@
         &self,
         address: SocketAddr,
         seal: FrameSeal,
-        inbox: mpsc::UnboundedReceiver<PeerMessage>,
+        inbox: PeerInbox,
         log: &Logger,
     ) -> anyhow::Result<()> {
         let connect = TcpStream::connect(address);
--- a/crates/relay/src/stage/peer_server.rs
+++ b/crates/relay/src/stage/peer_server.rs
@@ -5,7 +5,7 @@
         place::PlaceDesk,
         shared::RelayCore,
         stage::{
-            JobFrame, PeerMessage,
+            JobFrame, PeerMessage, PeerOutbox,
             frame_io::{read_frames, write_frames},
             shard_owner::takes_jobs,
         },
@@ -22,10 +22,7 @@
         rc::Rc,
         time::{Duration, Instant},
     },
-    tokio::{
-        net::{TcpListener, TcpStream, tcp::OwnedReadHalf},
-        sync::mpsc,
-    },
+    tokio::net::{TcpListener, TcpStream, tcp::OwnedReadHalf},
     wire::{NEWEST_SCHEMA, OLDEST_SCHEMA},
 };
 
@@ -51,7 +48,7 @@
 
 async fn serve_peer(core: Rc<RelayCore>, stream: TcpStream) {
     let (reader, writer) = stream.into_split();
-    let (outbox, inbox) = mpsc::unbounded_channel();
+    let (outbox, inbox) = PeerOutbox::open();
     let seal = core.batch_service.seal.clone();
     let outcome = tokio::select! {
         outcome = write_frames(writer, &seal, inbox) => outcome,
@@ -75,7 +72,7 @@
 async fn serve_frames(
     core: &Rc<RelayCore>,
     reader: OwnedReadHalf,
-    outbox: mpsc::UnboundedSender<PeerMessage>,
+    outbox: PeerOutbox,
 ) -> anyhow::Result<()> {
     let mut tasks = HashMap::new();
     let mut feed = None;
@@ -128,7 +125,7 @@
 fn handle_frame(
     core: &Rc<RelayCore>,
     frame: JobFrame,
-    outbox: &mpsc::UnboundedSender<PeerMessage>,
+    outbox: &PeerOutbox,
     tasks: &mut HashMap<u64, PeerTask>,
 ) {
     match frame {
@@ -165,7 +162,7 @@
     number: u64,
     shard: ServiceId,
     (job, rank): (StageJob, JobRank),
-    outbox: &mpsc::UnboundedSender<PeerMessage>,
+    outbox: &PeerOutbox,
 ) -> Option<PeerTask> {
     let (core, outbox) = (Rc::clone(core), outbox.clone());
     if !takes_jobs(&core, &shard, Instant::now()) {
--- a/crates/relay/src/state/feed_server.rs
+++ b/crates/relay/src/state/feed_server.rs
@@ -2,7 +2,7 @@
     crate::{
         dialect::StoreItem,
         shared::RelayCore,
-        stage::PeerMessage,
+        stage::{PeerMessage, PeerOutbox},
         state::{FeedFrame, StoreReplica},
     },
     plan::StorePosition,
@@ -10,7 +10,6 @@
         rc::Rc,
         time::{Duration, Instant},
     },
-    tokio::sync::mpsc,
     wire::SchemaNumber,
 };
 
@@ -23,10 +22,12 @@
     core: Rc<RelayCore>,
     mut position: StorePosition,
     schema: SchemaNumber,
-    outbox: mpsc::UnboundedSender<PeerMessage>,
+    outbox: PeerOutbox,
 ) {
     let mut changed = core.position_changed.subscribe();
     loop {
+        // What is sent to a slow follower is made once it has read the message before.
+        outbox.until_empty().await;
         let next = next_frame(&core.replica.borrow(), position, schema);
         let frame = match next {
             Some((frame, next_position)) => {
--- a/crates/relay/src/state/peer_feed.rs
+++ b/crates/relay/src/state/peer_feed.rs
@@ -2,7 +2,7 @@
     crate::{
         dialect::{ALL_ITEMS_SCHEMA, StoreChanges},
         shared::RelayCore,
-        stage::{PeerMessage, read_frames, write_frames},
+        stage::{PeerMessage, PeerOutbox, read_frames, write_frames},
         state::{FeedFrame, StoreReplica, feed_server::ALIVE_INTERVAL, store_reader::publish_view},
         target::{PEER_PATIENCE, configure_socket},
     },
@@ -13,7 +13,7 @@
         rc::Rc,
         time::{Duration, Instant},
     },
-    tokio::{net::TcpStream, sync::mpsc},
+    tokio::net::TcpStream,
 };
 
 /// Time within which the connection must be established.
@@ -85,9 +85,11 @@
     let stream = actix_rt::time::timeout(CONNECT_TIMEOUT, connect).await??;
     configure_socket(&stream, PEER_PATIENCE, &core.log);
     let (reader, writer) = stream.into_split();
-    let (outbox, inbox) = mpsc::unbounded_channel();
+    let (outbox, inbox) = PeerOutbox::open();
     let position = core.replica.borrow().position();
-    outbox.send(PeerMessage::Feed(FeedFrame::FollowAll { position }))?;
+    let follow = PeerMessage::Feed(FeedFrame::FollowAll { position });
+    let sent = outbox.send(follow);
+    sent.map_err(|_| anyhow::anyhow!("the connection has ended"))?;
     debug!(core.log, "store feed opened"; "peer" => &source.host);
     let last_heard = std::cell::Cell::new(Instant::now());
     let seal = core.batch_service.seal.clone();
