Disconnect a client that takes nothing of its reply for 20 s

A caller that stands still in the midst of a long answer held its room for as long as it liked; a few of them would have kept all other long answers waiting until their deadlines (a consequence of the bound on answers, found by reading).

The server now ends a connection on which nothing could be written for 20 s (`HttpLimits::write_timeout`). A slow caller that takes something is not concerned.

--- a/crates/relay/src/start_relay.rs
+++ b/crates/relay/src/start_relay.rs
@@ -95,6 +95,7 @@
         close_timeout: grace,
         allows_half_closed: false,
         max_connections: shares.callers(),
+        ..HttpLimits::default()
     };
     let hop_limits = HttpLimits {
         max_connections: shares.hops(),
--- a/crates/setup/src/http/client_stream.rs
+++ b/crates/setup/src/http/client_stream.rs
@@ -14,7 +14,7 @@
     tokio::{
         io::{AsyncRead, AsyncWrite, ReadBuf},
         net::TcpStream,
-        time::Sleep,
+        time::{Sleep, sleep},
     },
 };
 
@@ -36,15 +36,25 @@
     closing: Option<LocalBoxFuture<'static, ()>>,
     /// Ends the reading after the last reply; `None` before it.
     linger: Option<Pin<Box<Sleep>>>,
+    /// Longest time for which the client may take nothing of what is written.
+    write_timeout: Duration,
+    /// Ends the wait for the client to take more; `None` while it does.
+    write_stall: Option<Pin<Box<Sleep>>>,
 }
 
 impl ClientStream {
-    pub(super) fn new(stream: TcpStream, closing: LocalBoxFuture<'static, ()>) -> Self {
+    pub(super) fn new(
+        stream: TcpStream,
+        closing: LocalBoxFuture<'static, ()>,
+        write_timeout: Duration,
+    ) -> Self {
         Self {
             stream,
             connection: Rc::default(),
             closing: Some(closing),
             linger: None,
+            write_timeout,
+            write_stall: None,
         }
     }
 
@@ -128,7 +138,16 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        if let Poll::Ready(written) = Pin::new(&mut self.stream).poll_write(context, bytes) {
+            self.write_stall = None;
+            return Poll::Ready(written);
+        }
+        let timeout = self.write_timeout;
+        let stall = self
+            .write_stall
+            .get_or_insert_with(|| Box::pin(sleep(timeout)));
+        ready!(stall.as_mut().poll(context));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
 
     /// Called by the server once it has written all that was waiting.
@@ -145,7 +164,7 @@
                 // It was idle, and others wait for its descriptor.
                 return Poll::Ready(Ok(()));
             }
-            self.linger = Some(Box::pin(tokio::time::sleep(LINGER_TIME)));
+            self.linger = Some(Box::pin(sleep(LINGER_TIME)));
         }
         self.poll_linger(context).map(Ok)
     }
--- a/crates/setup/src/http/http_server.rs
+++ b/crates/setup/src/http/http_server.rs
@@ -39,6 +39,8 @@
     pub head_timeout: Duration,
     /// Time after which an idle connection is closed.
     pub idle_timeout: Duration,
+    /// Time after which a client that takes nothing of its reply is disconnected.
+    pub write_timeout: Duration,
     /// Number of connections that may be open at once. For a further one an idle one is closed; if
     /// there is none, it waits for a while and is closed then.
     pub max_connections: usize,
@@ -54,6 +56,7 @@
         Self {
             head_timeout: Duration::from_secs(5),
             idle_timeout: Duration::from_secs(60),
+            write_timeout: Duration::from_secs(20),
             max_connections: 4_096,
             close_timeout: Duration::from_secs(2),
             allows_half_closed: true,
--- a/crates/setup/src/http/stream_acceptor.rs
+++ b/crates/setup/src/http/stream_acceptor.rs
@@ -133,7 +133,11 @@
             return;
         }
         let guard = ConnectionGuard::register(&self.open_count);
-        let stream = ClientStream::new(stream, wait_closing(self.closing.clone()).boxed_local());
+        let stream = ClientStream::new(
+            stream,
+            wait_closing(self.closing.clone()).boxed_local(),
+            self.limits.write_timeout,
+        );
         self.remember(stream.connection());
         let service = Rc::clone(&self.service);
         actix_rt::spawn(serve_stream(service, stream, address, guard));
