Heed targets that came and went between two views of the store

Suspected, not seen by callers: an entry that reads several changes in one answer, as after a pause, puts only the result in force. A target of another version that was listed and removed in between never reached the history of versions, so the other version passed for the only one. After reading all items anew the same holds for whatever happened before.

The unit test a_target_that_came_and_went_in_one_answer_is_not_overlooked covers the copy of the store only; what it asks for did not exist before.

Why it works: the copy of the store hands on each row that it replaces or drops, and whether it has read all anew; the history takes these rows for listed, and begins anew after a gap.

--- a/crates/relay/src/shared/core_targets.rs
+++ b/crates/relay/src/shared/core_targets.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         shared::{RelayCore, RelayPhase},
-        state::StateView,
+        state::{PassedTargets, StateView},
     },
     plan::{FleetPlan, PlanEvidence},
     route::{EngineGroups, TargetNotice},
@@ -47,6 +47,19 @@
         }
     }
 
+    /// Records the versions of targets that were listed and may be in no view.
+    pub fn observe_passed_targets(&self, passed: &PassedTargets, view: &StateView, now: Instant) {
+        let mut history = self.version_history.borrow_mut();
+        if !passed.rows.is_empty() {
+            let listed = view.targets.values();
+            history.observe(listed.clone().chain(&passed.rows), now);
+            history.observe(listed, now);
+        }
+        if passed.has_gap {
+            history.interrupt(now);
+        }
+    }
+
     /// Puts newer evidence that the configuration and the list of targets are the latest ones in
     /// force.
     pub fn record_evidence(&self, evidence: PlanEvidence) {
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -3,6 +3,7 @@
 mod feed_lag;
 mod feed_server;
 mod held_targets;
+mod passed_targets;
 mod peer_feed;
 mod read_phase;
 mod state_view;
@@ -17,6 +18,7 @@
     feed_frame::FeedFrame,
     feed_lag::{FeedLag, LagAdvice},
     feed_server::serve_feed,
+    passed_targets::PassedTargets,
     state_view::StateView,
     store_peers::PeerPosition,
     store_reader::{check_store, read_store},
--- a/crates/relay/src/state/store_contents.rs
+++ b/crates/relay/src/state/store_contents.rs
@@ -128,6 +128,7 @@
             self.on_target_gone(id, now);
         }
         self.change_log = ChangeLog::default();
+        self.passed_targets.has_gap = true;
         self.confirm(origin.called_at, now);
     }
 
@@ -170,7 +171,8 @@
     fn apply_target(&mut self, id: String, row: TargetRow) {
         self.missing_until.remove(&id);
         self.view.cold_until.remove(&id);
-        self.view.targets.insert(id, row);
+        let previous = self.view.targets.insert(id, row);
+        self.passed_targets.rows.extend(previous);
     }
 
     /// Removes a target that is no longer listed, or keeps it for a time if an outage of the store
@@ -191,6 +193,7 @@
         self.view.cold_until.remove(id);
         if let Some(row) = self.view.targets.remove(id) {
             self.held_targets.record_departure(id, &row, now);
+            self.passed_targets.rows.push(row);
         }
     }
 }
--- a/crates/relay/src/state/store_reader.rs
+++ b/crates/relay/src/state/store_reader.rs
@@ -110,6 +110,8 @@
     for (key, reason) in replica.take_unreadable() {
         warn!(core.log, "store entry ignored"; "key" => key, "reason" => reason);
     }
+    let passed = replica.take_passed_targets();
+    core.observe_passed_targets(&passed, replica.view(), now);
     core.apply_state(replica.view(), now);
 }
 
--- a/crates/relay/src/state/store_replica.rs
+++ b/crates/relay/src/state/store_replica.rs
@@ -3,7 +3,7 @@
         dialect::{StoreChanges, StorePage, WireFault},
         state::{
             AnswerOrigin, StateView, StoreRequest, change_log::ChangeLog,
-            held_targets::HeldTargets, read_phase::ReadPhase,
+            held_targets::HeldTargets, passed_targets::PassedTargets, read_phase::ReadPhase,
         },
     },
     plan::{PlanVersion, StorePosition},
@@ -55,6 +55,8 @@
     pub(super) era_begun_at: Option<Instant>,
     /// Targets that an older copy of the store must not bring back.
     pub(super) held_targets: HeldTargets,
+    /// Targets that may be in no view.
+    pub(super) passed_targets: PassedTargets,
     /// Latest changes, which are passed on to peers.
     pub(super) change_log: ChangeLog,
     /// Number of calls that failed in a row.
@@ -84,6 +86,7 @@
             started_at: now,
             era_begun_at: None,
             held_targets: HeldTargets::default(),
+            passed_targets: PassedTargets::default(),
             change_log: ChangeLog::default(),
             failed_call_count: 0,
             lacks_store: false,
@@ -157,6 +160,11 @@
         std::mem::take(&mut self.unreadable)
     }
 
+    /// Returns what was listed since the last call and may be in no view.
+    pub fn take_passed_targets(&mut self) -> PassedTargets {
+        std::mem::take(&mut self.passed_targets)
+    }
+
     /// Applies a page. The items take effect with the last page.
     pub fn on_page(&mut self, page: StorePage, origin: AnswerOrigin, now: Instant) {
         let known_era = self.position.era;
--- a/crates/relay/tests/store_replica.rs
+++ b/crates/relay/tests/store_replica.rs
@@ -193,3 +193,16 @@
     replica.remove_expired(now + secs(3));
     assert!(!replica.view().targets.contains_key("t1"));
 }
+
+#[test]
+fn a_target_that_came_and_went_in_one_answer_is_not_overlooked() {
+    let now = Instant::now();
+    let mut replica = replica_after_read(now);
+    assert!(replica.take_passed_targets().has_gap);
+    let gone = StoreItem::TargetGone(String::from("t3"));
+    replica.on_changes(changes(vec![target("t3"), gone], 12), at(101), now);
+    let passed = replica.take_passed_targets();
+    assert!(!replica.view().targets.contains_key("t3"));
+    assert_eq!((passed.rows.len(), passed.has_gap), (1, false));
+    assert_eq!(replica.take_passed_targets().rows, []);
+}
