--- a/crates/relay/tests/store_replica.rs
+++ b/crates/relay/tests/store_replica.rs
@@ -209,3 +209,16 @@
     assert!(replica.on_check_fault(&WireFault::TooLong, now));
     assert_eq!(replica.next_request(), whole_read);
 }
+
+#[test]
+fn a_target_that_came_and_went_in_one_answer_is_not_overlooked() {
+    let now = Instant::now();
+    let mut replica = replica_after_read(now);
+    assert!(replica.take_passed_targets().has_gap);
+    let gone = StoreItem::TargetGone(String::from("t3"));
+    replica.on_changes(changes(vec![target("t3"), gone], 12), at(101), now);
+    let passed = replica.take_passed_targets();
+    assert!(!replica.view().targets.contains_key("t3"));
+    assert_eq!((passed.rows.len(), passed.has_gap), (1, false));
+    assert_eq!(replica.take_passed_targets().rows, []);
+}
