Believe an answer to a call for pieces that names no call and has no results

Targets that repeat no id of a call for pieces said with the answer that inputs are gone, or that they have no room, and were not believed on connections that had carried another call: the pieces counted as lost, the target as failing, and all of them were made again.

Such an answer can mix nothing up: it has no results. What a foreign one costs is pieces that are made again. A shift cannot follow, since the connection is closed after it.

--- a/crates/relay/src/stage/piece_answer.rs
+++ b/crates/relay/src/stage/piece_answer.rs
@@ -28,8 +28,9 @@
 ///
 /// # Errors
 ///
-/// Fails if the answer is malformed or is not certain to be that of the call. One that names no call
-/// is if the connection has carried no other, or if it has results that no earlier answer had.
+/// Fails if the answer is malformed or may give the call the results of another. One that names no
+/// call does not if it has no results, if the connection has carried no other call, or if no earlier
+/// answer had its results.
 pub fn read_piece_answer(
     core: &RelayCore,
     call_id: &str,
@@ -49,7 +50,8 @@
         ReplyOwner::AnotherCall => (false, false),
         ReplyOwner::Unnamed => {
             let are_new = reply.add_marks(made_results);
-            (is_new || (has_results && are_new), has_results)
+            // Without results it costs at most pieces that are made again.
+            (is_new || !has_results || are_new, has_results)
         }
     };
     if !is_own {
