Let a connection be idle again whose body came after its head

A connection whose caller sent a body after the head never counted as idle: bytes of the body were taken for the beginning of another request. In a planned stop it was not closed, and the process lived to the end of the grace time, where a request that crossed its end was lost (LOST); at the limit of connections it could not make way for a new one.

Bytes that arrive while a request is open belong to that request. a_connection_whose_body_came_after_its_head_ends_with_the_stop failed before (the process still ran after 6 s of 8) and passes.

--- a/crates/setup/src/http/open_connection.rs
+++ b/crates/setup/src/http/open_connection.rs
@@ -68,9 +68,11 @@
         self.read_waker.replace(Some(waker.clone()));
     }
 
-    /// Records that bytes have arrived.
+    /// Records that bytes have arrived. While a request is open they belong to its body.
     pub(super) fn record_read(&self) {
-        self.has_unparsed_bytes.set(true);
+        if self.open_replies.get() == 0 {
+            self.has_unparsed_bytes.set(true);
+        }
     }
 
     /// Records that the head of a request was read, and counts the request as open until its reply
