Wait for connections by the grace time in force

Only the shutdown ends the wait now, by the grace time in force.

a_longer_grace_time_from_a_reload_holds_at_the_next_stop failed before (status 0) and passes; 14 tests of planned stops, ends and descriptors passed in one run.

--- a/crates/relay/src/start_relay.rs
+++ b/crates/relay/src/start_relay.rs
@@ -31,6 +31,8 @@
 const PROGRAM: &str = "camphor-edge";
 /// Time after which an idle connection of a caller is closed.
 const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(300);
+/// Longest time that a listener waits for its connections; the shutdown ends before.
+const MAX_CLOSE_TIME: Duration = Duration::from_secs(24 * 3_600);
 /// Time-out for the arrival of a request's head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
 /// Runs an entry until SIGTERM. `load` reads the settings; it is called at the start and on SIGHUP.
@@ -92,7 +94,7 @@
     let limits = HttpLimits {
         head_timeout: HEAD_TIMEOUT,
         idle_timeout: CALLER_IDLE_TIMEOUT,
-        close_timeout: grace,
+        close_timeout: MAX_CLOSE_TIME,
         allows_half_closed: false,
         max_connections: shares.callers(),
         ..HttpLimits::default()
