Fill in the memory of machines in the review's stand

The template of settings has a key for it now, and the platform states it (limits.memoryMb). Without it no script of the review could run: 25 of 25 ended with 2.

--- a/review/stand/src/edge_fleet.rs
+++ b/review/stand/src/edge_fleet.rs
@@ -180,6 +180,7 @@
             ("ip", self.ip.to_string()),
             ("platform.address", self.store.to_string()),
             ("limits.cpuShare", String::from("0.25")),
+            ("limits.memoryMb", String::from("260")),
             ("listen.front", self.address(FRONT).to_string()),
             ("listen.ready", self.address(READY).to_string()),
             ("listen.directory", self.address(DIRECTORY).to_string()),
