--- a/crates/relay/src/target/call_reply.rs
+++ b/crates/relay/src/target/call_reply.rs
@@ -5,6 +5,7 @@
             WholeReply, connection_pool::ConnectionPool, pooled_connection::PooledConnection,
         },
     },
+    actix_rt::task::JoinHandle,
     bytes::{Bytes, BytesMut},
     http_body_util::BodyExt,
     hyper::body::{Body, Incoming},
@@ -37,7 +38,8 @@
     /// True if the answer has neither a length nor chunks, so that it ends with its connection. It
     /// looks whole then if the target's process ends.
     pub ends_with_connection: bool,
-    body: Incoming,
+    /// `None` once it was read in a task of its own.
+    body: Option<Incoming>,
     connection: Option<PooledConnection>,
     pool: Rc<ConnectionPool>,
     /// Time for which the other side keeps the idle connection open, if it says so.
@@ -57,7 +59,7 @@
             status,
             headers,
             ends_with_connection,
-            body,
+            body: Some(body),
             connection: Some(connection),
             pool,
             idle_timeout: None,
@@ -96,16 +98,9 @@
     }
 
     async fn next_data(&mut self) -> Result<Option<Bytes>, CallFault> {
-        loop {
-            match self.body.frame().await {
-                None => return Ok(None),
-                Some(Err(error)) => return Err(CallFault::Broken(error.to_string())),
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        return Ok(Some(data));
-                    }
-                }
-            }
+        match &mut self.body {
+            Some(body) => next_data(body).await,
+            None => Ok(None),
         }
     }
 
@@ -138,20 +133,14 @@
         })
     }
 
+    /// Reads the whole body in a task of its own, since each chunk wakes all that waits for it.
     async fn read_data(&mut self, limit: usize) -> Result<Bytes, CallFault> {
-        if self.body.size_hint().lower() > limit as u64 {
-            return Err(CallFault::TooLong);
-        }
-        let length = self.body.size_hint().exact().unwrap_or(0);
-        let length = usize::try_from(length).unwrap_or(limit).min(limit);
-        let mut body = BytesMut::with_capacity(length);
-        while let Some(chunk) = self.next_data().await? {
-            if body.len() + chunk.len() > limit {
-                return Err(CallFault::TooLong);
-            }
-            body.extend_from_slice(&chunk);
-        }
-        Ok(body.freeze())
+        let Some(body) = self.body.take() else {
+            return Ok(Bytes::new());
+        };
+        let mut task = ReadingTask(actix_rt::spawn(collect(body, limit)));
+        let read = (&mut task.0).await;
+        read.unwrap_or_else(|error| Err(CallFault::Broken(error.to_string())))
     }
 
     /// Closes the connection; the rest of the body is not read.
@@ -165,3 +154,42 @@
         }
     }
 }
+
+/// A task that reads a body; aborted when dropped.
+struct ReadingTask(JoinHandle<Result<Bytes, CallFault>>);
+
+impl Drop for ReadingTask {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+async fn next_data(body: &mut Incoming) -> Result<Option<Bytes>, CallFault> {
+    loop {
+        match body.frame().await {
+            None => return Ok(None),
+            Some(Err(error)) => return Err(CallFault::Broken(error.to_string())),
+            Some(Ok(frame)) => {
+                if let Ok(data) = frame.into_data() {
+                    return Ok(Some(data));
+                }
+            }
+        }
+    }
+}
+
+async fn collect(mut body: Incoming, limit: usize) -> Result<Bytes, CallFault> {
+    if body.size_hint().lower() > limit as u64 {
+        return Err(CallFault::TooLong);
+    }
+    let length = body.size_hint().exact().unwrap_or(0);
+    let length = usize::try_from(length).unwrap_or(limit).min(limit);
+    let mut bytes = BytesMut::with_capacity(length);
+    while let Some(chunk) = next_data(&mut body).await? {
+        if bytes.len() + chunk.len() > limit {
+            return Err(CallFault::TooLong);
+        }
+        bytes.extend_from_slice(&chunk);
+    }
+    Ok(bytes.freeze())
+}
--- a/crates/setup/src/http/client_stream.rs
+++ b/crates/setup/src/http/client_stream.rs
@@ -119,16 +119,18 @@
         if read.is_ready() {
             return read;
         }
-        self.connection.wake_when_unwanted(context.waker());
-        if !self.is_closing(context) && !self.connection.is_unwanted() {
-            return read;
+        if !self.connection.is_idle() {
+            // It ends at the earliest once it is.
+            self.connection.wake_when_idle(context.waker());
+            return Poll::Pending;
         }
-        if self.connection.is_idle() && !self.has_waiting_bytes() {
+        self.connection.wake_when_unwanted(context.waker());
+        let is_ending = self.is_closing(context) || self.connection.is_unwanted();
+        match is_ending && !self.has_waiting_bytes() {
             // No bytes stand for the end of the connection.
-            return Poll::Ready(Ok(()));
+            true => Poll::Ready(Ok(())),
+            false => Poll::Pending,
         }
-        self.connection.wake_when_idle(context.waker());
-        Poll::Pending
     }
 }
 
--- a/crates/setup/src/http/open_connection.rs
+++ b/crates/setup/src/http/open_connection.rs
@@ -25,7 +25,7 @@
     has_unparsed_bytes: Cell<bool>,
     /// Followers of replies whose last byte waits to be written.
     ending: RefCell<Vec<Box<dyn ReplyFollower>>>,
-    /// Wakes the reader of a closing connection once the connection is idle.
+    /// Wakes the reader of the connection once the connection is idle.
     idle_waker: RefCell<Option<Waker>>,
     /// True once the connection is to end as soon as it is idle.
     is_unwanted: Cell<bool>,
@@ -47,7 +47,13 @@
 
     /// Has the waker woken once the connection is idle.
     pub(super) fn wake_when_idle(&self, waker: &Waker) {
-        self.idle_waker.replace(Some(waker.clone()));
+        let mut idle_waker = self.idle_waker.borrow_mut();
+        if !idle_waker
+            .as_ref()
+            .is_some_and(|known| known.will_wake(waker))
+        {
+            *idle_waker = Some(waker.clone());
+        }
     }
 
     /// Ends the connection as soon as it is idle.
