--- a/crates/setup/src/http/http_server.rs
+++ b/crates/setup/src/http/http_server.rs
@@ -124,7 +124,8 @@
 {
     let connection = OpenConnection::of(&request);
     let open_reply = connection.as_ref().map(OpenConnection::begin_request);
-    let answer = handler(request);
+    // A connection holds the future of its request, also while it has none.
+    let answer = Box::pin(handler(request));
     async move {
         let answer = AssertUnwindSafe(answer).catch_unwind();
         let mut reply = answer.await.unwrap_or_else(|_| panic_reply());
