--- a/crates/entry/src/data/caller_server.rs
+++ b/crates/entry/src/data/caller_server.rs
@@ -107,8 +107,9 @@
         Err(reply) => return *reply,
     };
     let head = draft.head.clone();
-    match chain.apply(&core, draft).await {
-        Ok(draft) => match start_run(&core, draft).await {
+    // Most of a request's state is that of its run, which it needs only once its body has arrived.
+    match Box::pin(chain.apply(&core, draft)).await {
+        Ok(draft) => match Box::pin(start_run(&core, draft)).await {
             Ok(reply) => reply,
             Err(_) => lost_run_reply(),
         },
--- a/crates/relay/src/caller/caller_server.rs
+++ b/crates/relay/src/caller/caller_server.rs
@@ -111,7 +111,8 @@
         Ok(draft) => draft,
         Err(refusal) => return refuse(core, &open, refusal),
     };
-    match run_request(core, draft, Rc::clone(&open)).await {
+    // Most of a request's state is that of its run, which it needs only once its body has arrived.
+    match Box::pin(run_request(core, draft, Rc::clone(&open))).await {
         Ok(reply) => reply,
         Err(refusal) => refuse(core, &open, refusal),
     }
