--- a/crates/setup/src/http/client_stream.rs
+++ b/crates/setup/src/http/client_stream.rs
@@ -105,6 +105,12 @@
     }
 }
 
+impl Drop for ClientStream {
+    fn drop(&mut self) {
+        self.connection.close();
+    }
+}
+
 impl AsyncRead for ClientStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/setup/src/http/open_connection.rs
+++ b/crates/setup/src/http/open_connection.rs
@@ -96,6 +96,13 @@
         self.ending.borrow_mut().push(follower);
     }
 
+    /// Records that the connection has ended: replies that were not written are over. They know of the
+    /// connection, and would keep it otherwise.
+    pub(super) fn close(&self) {
+        let unwritten = self.ending.take();
+        drop(unwritten);
+    }
+
     /// Records that all that was waiting to be written has been passed to the socket.
     pub(super) fn record_flushed(&self) {
         let written = std::mem::take(&mut *self.ending.borrow_mut());
--- a/crates/setup/tests/http_server.rs
+++ b/crates/setup/tests/http_server.rs
@@ -1,8 +1,13 @@
 //! Clients of the HTTP server that stand still.
 
 use {
-    setup::{HttpLimits, serve_http, text_reply},
-    std::time::{Duration, Instant},
+    actix_http::Request,
+    setup::{HttpLimits, OpenConnection, ReplyFollower, follow_reply, serve_http, text_reply},
+    std::{
+        cell::Cell,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
@@ -38,3 +43,46 @@
     );
     assert!(started.elapsed() < Duration::from_secs(5));
 }
+
+/// Tells when it is dropped.
+struct DropFlag(Rc<Cell<bool>>);
+
+impl ReplyFollower for DropFlag {
+    fn on_written(&mut self) {}
+}
+
+impl Drop for DropFlag {
+    fn drop(&mut self) {
+        self.0.set(true);
+    }
+}
+
+/// Guards against replies that are counted as open for ever after their client has left.
+#[actix_rt::test]
+async fn a_reply_that_its_client_does_not_take_is_over_once_the_client_has_left() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    let address = listener.local_addr().expect("an address");
+    let (_closing, inbox) = watch::channel(false);
+    let is_over = Rc::new(Cell::new(false));
+    let handler = {
+        let is_over = Rc::clone(&is_over);
+        move |request: Request| {
+            let connection = OpenConnection::of(&request).expect("a connection");
+            let reply = text_reply(actix_http::StatusCode::OK, "r".repeat(REPLY_BYTES));
+            let reply = follow_reply(reply, &connection, DropFlag(Rc::clone(&is_over)));
+            async move { reply }
+        }
+    };
+    actix_rt::spawn(serve_http(listener, HttpLimits::default(), inbox, handler));
+    let mut stream = TcpStream::connect(address).await.expect("connects");
+    let head = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    stream.write_all(head).await.expect("writes");
+    actix_rt::time::sleep(WRITE_TIMEOUT).await;
+    assert!(!is_over.get(), "the reply has not been taken");
+    drop(stream);
+    let deadline = Instant::now() + Duration::from_secs(5);
+    while !is_over.get() && Instant::now() < deadline {
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert!(is_over.get(), "the reply is still open");
+}
