--- a/crates/ctl/tests/cli.rs
+++ b/crates/ctl/tests/cli.rs
@@ -2,6 +2,7 @@
 
 use {
     actix_http::{Method, Request, StatusCode},
+    room::ClientRoom,
     serde_json::json,
     setup::{HttpLimits, HttpReply, json_reply, serve_http, text_reply},
     stamp::{EventKind, HybridTime, TimelineEvent},
@@ -15,6 +16,9 @@
     tokio::{net::TcpListener, sync::oneshot},
 };
 
+/// Room for the connections of the fake entry.
+const ROOM_BYTES: usize = 16_000_000;
+
 fn run(arguments: &[&str]) -> Output {
     let mut command = Command::new(env!("CARGO_BIN_EXE_camphorctl"));
     command.args(arguments).output().unwrap()
@@ -53,8 +57,9 @@
                 // No sender is left to set `closing` to true, so the server does not close by
                 // itself; `stopped` ends it.
                 let (_, closing) = tokio::sync::watch::channel(false);
+                let room = ClientRoom::new(ROOM_BYTES);
                 tokio::select! {
-                    () = serve_http(listener, HttpLimits::default(), closing, handler) => {}
+                    () = serve_http(listener, HttpLimits::default(), room, closing, handler) => {}
                     _ = stopped => {}
                 }
             });
--- a/crates/entry/src/control/control_loop.rs
+++ b/crates/entry/src/control/control_loop.rs
@@ -8,9 +8,10 @@
             platform_client::PlatformClient,
             shutdown::{enter_phase, run_shutdown},
         },
-        shared::{ControlMessage, EntryPhase, EventRecorder, FleetView},
+        shared::{ControlMessage, EntryPhase, EventRecorder, FleetView, report_room},
     },
     base::Incarnation,
+    room::ClientRoom,
     setup::{HttpLimits, MetricRegistry, serve_http},
     slog::Logger,
     std::{cell::RefCell, net, rc::Rc, sync::Arc, time::Duration},
@@ -82,15 +83,25 @@
         Rc::clone(&members),
         platform_client(&state),
     ));
+    let shares = state.settings.memory_shares();
+    let operator_room = ClientRoom::new(shares.auxiliary_bytes());
+    let peer_room = ClientRoom::new(shares.peer_bytes());
+    report_clients(&state, "operators", &operator_room);
+    report_clients(&state, "peers", &peer_room);
     let context = Rc::new(OperatorContext::new(&state, &members, &sheets));
     let handler = move |request| answer_operator(Rc::clone(&context), request);
     actix_rt::spawn(serve_http(
         operator_listener,
         HttpLimits::default(),
+        operator_room,
         inputs.operator_close_receiver,
         handler,
     ));
-    actix_rt::spawn(serve_peer_frames(peer_listener, Rc::clone(&sheets)));
+    actix_rt::spawn(serve_peer_frames(
+        peer_listener,
+        peer_room,
+        Rc::clone(&sheets),
+    ));
     actix_rt::spawn(Rc::clone(&members).receive_datagrams());
     actix_rt::spawn(Rc::clone(&members).run_ticks());
     actix_rt::spawn(run_shutdown(Rc::clone(&state), Rc::clone(&members)));
@@ -131,9 +142,20 @@
     PlatformClient::new(platform.address, platform.read_time)
 }
 
-async fn serve_peer_frames(listener: TcpListener, sheets: Rc<SheetController>) {
+/// Reports the room of an address in metrics and the log, in the background.
+fn report_clients(state: &ControlState, address: &str, room: &Rc<ClientRoom>) {
+    let counts = Arc::clone(room.counts());
+    let (metrics, log) = (state.metrics.clone(), state.log.clone());
+    actix_rt::spawn(report_room(address.to_string(), counts, metrics, log));
+}
+
+async fn serve_peer_frames(
+    listener: TcpListener,
+    room: Rc<ClientRoom>,
+    sheets: Rc<SheetController>,
+) {
     let seal = FrameSeal::new(sheets.fleet_key());
-    serve_frames(listener, seal, move |frame| {
+    serve_frames(listener, room, seal, move |frame| {
         let sheets = Rc::clone(&sheets);
         async move { sheets.answer_frame(&frame) }
     })
--- a/crates/entry/src/data/caller_server.rs
+++ b/crates/entry/src/data/caller_server.rs
@@ -12,7 +12,8 @@
     bytes::Bytes,
     pipe::RunPlan,
     setup::{
-        HttpReply, OpenConnection, close_unread, follow_reply, json_reply, read_body, text_reply,
+        HttpReply, OpenConnection, RequestBody, UploadFault, UploadLimits, close_unread,
+        follow_reply, json_reply, read_upload, text_reply,
     },
     slog::info,
     std::{rc::Rc, time::Instant},
@@ -88,19 +89,20 @@
         Ok(head) => head,
         Err(detail) => {
             let reply = refuse(&core, None, FailureReason::BadRequest, detail);
-            return close_unread(reply, request.take_payload());
+            return close_unread(reply, RequestBody::take(&mut request));
         }
     };
-    let limits = &core.settings.limits;
-    let mut payload = request.take_payload();
-    let body = read_body(&mut payload, limits.body_bytes, limits.body_time).await;
-    let Some(body) = body else {
-        let detail = format!(
-            "the body is truncated, late, or larger than {} bytes",
-            limits.body_bytes
-        );
-        let reply = refuse(&core, Some(&head), FailureReason::BodyTooLarge, detail);
-        return close_unread(reply, payload);
+    let limits = UploadLimits {
+        bytes: core.settings.limits.body_bytes,
+        timeout: core.settings.limits.body_time,
+    };
+    let mut body = RequestBody::take(&mut request);
+    let body = match read_upload(&core.upload_room, &mut body, limits).await {
+        Ok(upload) => upload.into_bytes(),
+        Err(fault) => {
+            let reply = refuse_upload(&core, &head, fault);
+            return close_unread(reply, body);
+        }
     };
     let draft = match build_draft(&core, head, pipeline, body, arrived_at) {
         Ok(draft) => draft,
@@ -123,6 +125,21 @@
     }
 }
 
+fn refuse_upload(core: &EntryCore, head: &RequestHead, fault: UploadFault) -> HttpReply {
+    let limit = core.settings.limits.body_bytes;
+    let (reason, detail) = match fault {
+        UploadFault::Unusable => (
+            FailureReason::BodyTooLarge,
+            format!("the body is truncated, late, or larger than {limit} bytes"),
+        ),
+        UploadFault::NoRoom => (
+            FailureReason::Overloaded,
+            String::from("no room for the body"),
+        ),
+    };
+    refuse(core, Some(head), reason, detail)
+}
+
 fn build_draft(
     core: &EntryCore,
     head: RequestHead,
--- a/crates/entry/src/data/entry_core.rs
+++ b/crates/entry/src/data/entry_core.rs
@@ -16,6 +16,7 @@
         CrashRecord, CrashTracker, CrashTrackerSettings, RetryBudget, RetryBudgetSettings,
         TargetStrikes,
     },
+    room::UploadRoom,
     setup::{MetricRegistry, ReplyFollower},
     slog::Logger,
     std::{
@@ -52,6 +53,8 @@
     pub random: RefCell<ChaCha8Rng>,
     /// Number of requests whose reply was not written, and of runs, which may outlast their callers.
     pub running_requests: Cell<usize>,
+    /// Room for the bodies of requests.
+    pub upload_room: Arc<UploadRoom>,
     /// Number of requests that were aborted, or whose reply was not written, because the process had to
     /// end.
     pub unfinished_requests: Cell<usize>,
@@ -86,6 +89,7 @@
             answer_bytes: settings.tickets.answer_bytes,
         };
         Self {
+            upload_room: UploadRoom::new(settings.memory_shares().upload_bytes()),
             view: parts.view,
             message_sender: parts.message_sender,
             metrics: parts.metrics,
--- a/crates/entry/src/data/start_entry.rs
+++ b/crates/entry/src/data/start_entry.rs
@@ -4,9 +4,10 @@
         control::{ControlInputs, run_control},
         data::{EntryCore, caller_server::answer_caller, entry_core::CoreParts},
         filters::FilterChain,
-        shared::{ControlMessage, EntryPhase, EventRecorder, FleetView, wall_us},
+        shared::{ControlMessage, EntryPhase, EventRecorder, FleetView, report_room, wall_us},
     },
     actix_rt::Arbiter,
+    room::ClientRoom,
     setup::{HttpLimits, LogOutput, MetricRegistry, ReadyLine, StartError, open_log, serve_http},
     slog::info,
     stamp::EventKind,
@@ -117,8 +118,15 @@
     let caller_listener = tokio::net::TcpListener::from_std(caller_listener)?;
     ready.print()?;
     let shutdown_receiver = shutdown_sender.subscribe();
+    let room = ClientRoom::new(core.settings.memory_shares().caller_bytes());
+    actix_rt::spawn(report_room(
+        String::from("callers"),
+        Arc::clone(room.counts()),
+        core.metrics.clone(),
+        core.log.clone(),
+    ));
     tokio::join!(
-        serve_http(caller_listener, limits, shutdown_receiver, handler),
+        serve_http(caller_listener, limits, room, shutdown_receiver, handler),
         async {
             wait_until_drained(&core).await;
             shutdown_sender.send_replace(true);
--- a/crates/entry/src/entry_settings.rs
+++ b/crates/entry/src/entry_settings.rs
@@ -2,6 +2,7 @@
     base::{CentreId, HostId},
     data_encoding::HEXLOWER_PERMISSIVE,
     member::MemberSettings,
+    room::{MIN_MEMORY_MB, MemoryShares, machine_memory},
     serde::{Deserialize, Serialize},
     setup::{LogLevel, StartError},
     std::{net::SocketAddr, time::Duration},
@@ -21,6 +22,9 @@
     /// Capacity relative to the other hosts; at least 1.
     #[serde(default = "default_size")]
     pub size: u32,
+    /// Memory that the process may use, in MB; by default that of the machine.
+    #[serde(default)]
+    pub memory_mb: Option<f64>,
     /// Addresses that the daemon listens on.
     pub listen: ListenSettings,
     /// Address of the platform and how it is read.
@@ -233,6 +237,9 @@
         if self.size == 0 {
             return invalid("size", "at least 1");
         }
+        if MemoryShares::of_settings(self.memory_mb).is_err() {
+            return invalid("memory_mb", &format!("at least {MIN_MEMORY_MB}"));
+        }
         if self.listen.callers.ip().is_unspecified() {
             return invalid("listen.callers", "an address that callers can connect to");
         }
@@ -254,6 +261,12 @@
         Ok(())
     }
 
+    /// Returns what the parts of the process may use of its memory.
+    pub fn memory_shares(&self) -> MemoryShares {
+        let shares = MemoryShares::of_settings(self.memory_mb);
+        shares.unwrap_or_else(|_| MemoryShares::new(machine_memory()))
+    }
+
     /// Returns the key that all entries share as bytes; `None` if it is not 64 hexadecimal digits.
     pub fn fleet_key(&self) -> Option<[u8; FLEET_KEY_BYTES]> {
         let bytes = HEXLOWER_PERMISSIVE.decode(self.peers.key.as_bytes()).ok()?;
--- a/crates/placer/src/main.rs
+++ b/crates/placer/src/main.rs
@@ -14,8 +14,9 @@
         entry_reader::EntryReader, operator_server::answer_operator, order_loop::OrderLoop,
         placer_settings::PlacerSettings, placer_state::PlacerState,
     },
+    room::ClientRoom,
     setup::{HttpLimits, LogOutput, ReadyLine, open_log, serve_http},
-    std::{process::ExitCode, rc::Rc},
+    std::{process::ExitCode, rc::Rc, sync::Arc},
     tokio::{
         net::TcpListener,
         signal::unix::{SignalKind, signal},
@@ -55,17 +56,19 @@
         &settings.host,
         LogOutput::Stderr,
     );
+    let room = ClientRoom::new(settings.memory_shares().auxiliary_bytes());
+    let counts = Arc::clone(room.counts());
     let state = Rc::new(PlacerState::open(settings, log)?);
     let (_closing_sender, closing) = watch::channel(false);
     let (event_sender, event_receiver) = mpsc::unbounded_channel();
     ready.print()?;
     let operator_state = Rc::clone(&state);
     let handler = move |request| {
-        let reply = answer_operator(&operator_state, &request);
+        let reply = answer_operator(&operator_state, &counts, &request);
         async move { reply }
     };
     tokio::select! {
-        () = serve_http(listener, HttpLimits::default(), closing, handler) => {}
+        () = serve_http(listener, HttpLimits::default(), room, closing, handler) => {}
         () = EntryReader::new(Rc::clone(&state), event_sender.clone()).run() => {}
         () = OrderLoop::new(Rc::clone(&state), event_sender).run(event_receiver) => {}
         _ = terminate.recv() => {}
--- a/crates/placer/src/placer_settings.rs
+++ b/crates/placer/src/placer_settings.rs
@@ -1,6 +1,7 @@
 use {
     base::HostId,
     order::OrderLimits,
+    room::{MemoryShares, machine_memory},
     serde::{Deserialize, Serialize},
     setup::{LogLevel, StartError},
     std::{net::SocketAddr, time::Duration},
@@ -16,6 +17,9 @@
     pub listen: SocketAddr,
     /// Address of the operators' interface of this host's entry.
     pub entry: SocketAddr,
+    /// Memory that the process may use, in MB; by default that of the machine.
+    #[serde(default)]
+    pub memory_mb: Option<f64>,
     /// Intervals and rate limit of orders.
     #[serde(default)]
     pub orders: OrderSettings,
@@ -69,6 +73,12 @@
 }
 
 impl PlacerSettings {
+    /// Returns what the parts of the process may use of its memory.
+    pub fn memory_shares(&self) -> MemoryShares {
+        let shares = MemoryShares::of_settings(self.memory_mb);
+        shares.unwrap_or_else(|_| MemoryShares::new(machine_memory()))
+    }
+
     /// Checks what the types cannot express; the error names `file`.
     ///
     /// # Errors
@@ -86,6 +96,8 @@
         let load_rate = self.orders.loads_per_second;
         let fault = if self.host.is_empty() {
             Some(("host", "the name of this host"))
+        } else if MemoryShares::of_settings(self.memory_mb).is_err() {
+            Some(("memory_mb", "at least 64"))
         } else if !(load_rate.is_finite() && load_rate > 0.0) {
             Some(("orders.loads_per_second", "a number above 0"))
         } else {
--- a/crates/placer/tests/common/mod.rs
+++ b/crates/placer/tests/common/mod.rs
@@ -4,8 +4,12 @@
 use {
     actix_http::{HttpMessage, Method, Request, StatusCode},
     order::{EngineOrder, EngineState},
+    room::ClientRoom,
     serde_json::json,
-    setup::{HttpLimits, HttpReply, ReadyLine, json_reply, read_body, serve_http, text_reply},
+    setup::{
+        HttpLimits, HttpReply, ReadyLine, RequestBody, json_reply, read_body, serve_http,
+        text_reply,
+    },
     sheet::{IndexPart, SheetBundle, SheetIndex},
     std::{
         fs,
@@ -22,6 +26,9 @@
     },
 };
 
+/// Room for the connections of a fake.
+const ROOM_BYTES: usize = 16_000_000;
+
 /// Time within which an awaited condition must hold, and a request body arrive.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -73,7 +80,13 @@
                     let state = Arc::clone(&server_state);
                     let handler = move |request| answer(Arc::clone(&state), server_index, request);
                     let limits = HttpLimits::default();
-                    actix_rt::spawn(serve_http(listener, limits, closing.clone(), handler));
+                    actix_rt::spawn(serve_http(
+                        listener,
+                        limits,
+                        ClientRoom::new(ROOM_BYTES),
+                        closing.clone(),
+                        handler,
+                    ));
                 }
                 let _ = stopped.await;
             });
@@ -143,7 +156,7 @@
     server_index: usize,
     mut request: Request,
 ) -> HttpReply {
-    let body = read_body(&mut request.take_payload(), 1 << 20, WAIT_TIMEOUT).await;
+    let body = read_body(&mut RequestBody::take(&mut request), 1 << 20, WAIT_TIMEOUT).await;
     let mut fleet = state.lock().unwrap();
     let reported = request.headers().get(base::SHEET_HEADER);
     let reported = reported.and_then(|value| value.to_str().ok()?.parse().ok());
--- a/crates/proofs/tests/caller.rs
+++ b/crates/proofs/tests/caller.rs
@@ -8,10 +8,14 @@
     },
     base::{AnswerDigest, DIGEST_HEADER, FailureReason, LENGTH_HEADER, RunClaim, StreamEvent},
     proofs::{RunOutcome, RunRequest, TestCaller},
+    room::ClientRoom,
     setup::{HttpLimits, HttpReply, json_reply, serve_http, text_reply},
     tokio::net::TcpListener,
 };
 
+/// Room for the connections of the server.
+const ROOM_BYTES: usize = 16_000_000;
+
 /// Returns the outcome of a request to a server that answers with this reply.
 async fn outcome_of_reply(
     stream: bool,
@@ -24,6 +28,7 @@
     let server = actix_rt::spawn(serve_http(
         listener,
         HttpLimits::default(),
+        ClientRoom::new(ROOM_BYTES),
         closing,
         handler,
     ));
--- a/crates/relay/src/caller/auxiliary_server.rs
+++ b/crates/relay/src/caller/auxiliary_server.rs
@@ -65,6 +65,7 @@
             core.metrics.upload_bytes.set(upload_bytes);
             let answer_bytes = i64::try_from(core.answer_room.held()).unwrap_or(i64::MAX);
             core.metrics.answer_bytes.set(answer_bytes);
+            core.client_rooms.update_metrics(&core);
             text_reply(StatusCode::OK, core.metrics.encode_text())
         }
         _ => text_reply(StatusCode::NOT_FOUND, "paths: GET /metrics\n"),
--- a/crates/relay/src/caller/caller_server.rs
+++ b/crates/relay/src/caller/caller_server.rs
@@ -5,7 +5,7 @@
         drain::until_exit_limit,
         filters::FilterChain,
         ledger::{OpenRequest, RequestEnd, RequestGuard, RequestPlace},
-        memory::{CallBody, UploadFault, read_upload},
+        memory::CallBody,
         run::run_request,
         shared::RelayCore,
         tasks::{PanicCaught, catch_panic},
@@ -13,11 +13,15 @@
     actix_http::{
         ConnectionType, HttpMessage, Request, Response, StatusCode,
         body::{BoxBody, MessageBody},
-        header::{CONTENT_LENGTH, HeaderName, HeaderValue},
+        header::{HeaderName, HeaderValue},
     },
     base::{FailureReason, RunVerdict},
     rand::Rng,
-    setup::{HttpReply, OpenConnection, close_unread, follow_reply},
+    room::UPLOAD_TIMEOUT,
+    setup::{
+        HttpReply, OpenConnection, RequestBody, UploadFault, UploadLimits, close_unread,
+        follow_reply, read_upload,
+    },
     slog::{info, warn},
     std::{
         rc::Rc,
@@ -29,6 +33,11 @@
 const NO_PLAN_RETRY_DELAY: Duration = Duration::from_millis(400);
 /// Time after which a caller should retry if there was no room for the body of its request.
 const NO_ROOM_RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Maximum length of a request's body: 4 MiB and a margin of 64 KiB.
+const UPLOAD_LIMITS: UploadLimits = UploadLimits {
+    bytes: 4 * 1024 * 1024 + 64 * 1024,
+    timeout: UPLOAD_TIMEOUT,
+};
 /// Time after which a caller should retry if a fault of this entry has ended its request.
 const PANIC_RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -85,17 +94,19 @@
         Err(fault) => {
             let detail = fault.to_string();
             let refusal = RelayRefusal::not_run(FailureReason::BadRequest, detail);
-            return close_unread(refuse(core, &open, refusal), request.take_payload());
+            return close_unread(
+                refuse(core, &open, refusal),
+                RequestBody::take(&mut request),
+            );
         }
     };
     open.set_id(&head.request_id);
-    let length = stated_length(&request);
-    let mut payload = request.take_payload();
-    let body = match read_upload(&core.upload_room, &mut payload, length).await {
-        Ok(body) => body,
+    let mut body = RequestBody::take(&mut request);
+    let body = match read_upload(&core.upload_room, &mut body, UPLOAD_LIMITS).await {
+        Ok(upload) => CallBody::uploaded(upload),
         Err(fault) => {
             let refusal = refuse_upload(core, fault);
-            return close_unread(refuse(core, &open, refusal), payload);
+            return close_unread(refuse(core, &open, refusal), body);
         }
     };
     guard.record_read();
@@ -137,12 +148,6 @@
     reply
 }
 
-/// Returns the length of the body that the head of a request states.
-fn stated_length(request: &Request) -> Option<usize> {
-    let value = request.headers().get(CONTENT_LENGTH)?;
-    value.to_str().ok()?.trim().parse().ok()
-}
-
 fn refuse_upload(core: &RelayCore, fault: UploadFault) -> RelayRefusal {
     match fault {
         UploadFault::Unusable => RelayRefusal::not_run(
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -6,6 +6,7 @@
 //! without I/O.
 
 mod caller;
+mod client_rooms;
 mod descriptor_shares;
 mod dialect;
 mod drain;
@@ -35,7 +36,7 @@
         ReplyHead, ReplyOutcome, ReplyOwner, StoreChanges, StoreDialect, StoreItem, StorePage,
         TargetDialect, TargetRequest, WireCall, WireFault, header_value,
     },
-    memory::{CallBody, NoRoom, UploadLease, UploadRoom},
+    memory::CallBody,
     origin::OriginFrame,
     permit::{PermitAnswer, PermitFrame, PermitSubject},
     place::{PlaceFrame, PlaceQuestion},
--- a/crates/relay/src/memory/call_body.rs
+++ b/crates/relay/src/memory/call_body.rs
@@ -1,7 +1,8 @@
 use {
-    crate::memory::UploadLease,
     bytes::Bytes,
     hyper::body::{Body, Frame, SizeHint},
+    room::UploadLease,
+    setup::WholeUpload,
     std::{
         convert::Infallible,
         fmt,
@@ -26,11 +27,11 @@
 
 impl CallBody {
     /// Creates a body that has arrived whole.
-    pub(super) fn leased(pieces: Vec<Bytes>, lease: UploadLease) -> Self {
+    pub fn uploaded(upload: WholeUpload) -> Self {
         Self {
             pieces: Arc::new(BodyPieces {
-                bytes: pieces,
-                _lease: Some(lease),
+                bytes: upload.pieces,
+                _lease: upload.lease,
             }),
         }
     }
--- a/crates/relay/src/relay_settings.rs
+++ b/crates/relay/src/relay_settings.rs
@@ -1,14 +1,11 @@
 use {
-    crate::{memory::machine_memory, settings_time},
+    crate::settings_time,
+    room::{MemoryShares, machine_memory},
     serde::Deserialize,
     setup::{LogLevel, StartError},
     std::{net::SocketAddr, time::Duration},
 };
 
-/// Least memory with which an entry can work, in MB.
-const MIN_MEMORY_MB: f64 = 64.0;
-/// Bytes in a MB of the settings.
-const BYTES_PER_MB: f64 = 1_000_000.0;
 /// Largest number of repeats that settings can allow.
 const MAX_REPEATS: f64 = 1e6;
 
@@ -157,10 +154,8 @@
         {
             return invalid(format!("listen.hops: {hops} is listened on already"));
         }
-        if let Some(memory_mb) = self.memory_mb
-            && !(MIN_MEMORY_MB..).contains(&memory_mb)
-        {
-            return invalid(format!("memory_mb: {memory_mb} is under {MIN_MEMORY_MB}"));
+        if let Err(fault) = MemoryShares::of_settings(self.memory_mb) {
+            return invalid(format!("memory_mb: {fault}"));
         }
         if !self.core_share.is_finite() || self.core_share <= 0.0 {
             return invalid(format!("core_share: {} is not above 0", self.core_share));
@@ -168,11 +163,10 @@
         self.bounds.check_repeats().map_err(StartError::Settings)
     }
 
-    /// Returns the memory that the process may use, in bytes.
-    pub fn memory_bytes(&self) -> u64 {
-        self.memory_mb.map_or_else(machine_memory, |memory_mb| {
-            (memory_mb * BYTES_PER_MB) as u64
-        })
+    /// Returns what the parts of the process may use of its memory.
+    pub fn memory_shares(&self) -> MemoryShares {
+        let shares = MemoryShares::of_settings(self.memory_mb);
+        shares.unwrap_or_else(|_| MemoryShares::new(machine_memory()))
     }
 
     /// Returns the shared key of the entries as bytes, or `None` if it is not 64 hexadecimal
--- a/crates/relay/src/shared/mod.rs
+++ b/crates/relay/src/shared/mod.rs
@@ -1,4 +1,5 @@
 mod boot_clock;
+mod client_metrics;
 mod core_limits;
 mod core_parts;
 mod core_peers;
--- a/crates/relay/src/shared/relay_core.rs
+++ b/crates/relay/src/shared/relay_core.rs
@@ -1,11 +1,12 @@
 use {
     crate::{
         RelaySettings,
+        client_rooms::ClientRooms,
         dialect::{CallerDialect, StoreDialect, TargetDialect},
         drain::ExitPlan,
         ledger::RequestLedger,
         link::TargetChecks,
-        memory::{AnswerRoom, MemoryShares, UploadRoom},
+        memory::AnswerRoom,
         shared::{RelayMetrics, RelayPhase, boot_time},
         stage::BatchService,
         state::{FeedLag, StateView, StoreReplica},
@@ -21,6 +22,7 @@
         CrashTracker, CrashTrackerSettings, FleetBudget, FleetBudgetSettings, PartTracker,
         TrialDesk,
     },
+    room::UploadRoom,
     route::{EngineGroups, ServicePool, StreamOrigins, TargetLink, TargetNotices, VersionHistory},
     slog::Logger,
     std::{
@@ -140,6 +142,8 @@
     pub tasks: TaskSupervisor,
     /// Room for the bodies of requests.
     pub upload_room: Arc<UploadRoom>,
+    /// Room for the connections of clients.
+    pub client_rooms: ClientRooms,
     /// Room for the answers that are not streamed.
     pub answer_room: AnswerRoom,
     /// How long the requests of each route take.
@@ -172,7 +176,7 @@
             lifetime: CRASH_RETENTION,
             ..CrashTrackerSettings::default()
         };
-        let memory = MemoryShares::new(settings.memory_bytes());
+        let memory = settings.memory_shares();
         let ledger = RequestLedger::new();
         let metrics = RelayMetrics::new(&ledger);
         Rc::new(Self {
@@ -180,6 +184,7 @@
             metrics,
             ledger,
             exit: ExitPlan::default(),
+            client_rooms: ClientRooms::new(memory),
             upload_room: UploadRoom::new(memory.upload_bytes()),
             answer_room: AnswerRoom::new(memory.answer_bytes()),
             run_times: RefCell::default(),
--- a/crates/relay/src/shared/relay_metrics.rs
+++ b/crates/relay/src/shared/relay_metrics.rs
@@ -1,5 +1,5 @@
 use {
-    crate::{ledger::RequestLedger, tasks::TaskLabel},
+    crate::{ledger::RequestLedger, shared::client_metrics::ClientMetrics, tasks::TaskLabel},
     prometheus_client::{
         encoding::text::encode,
         metrics::{
@@ -77,6 +77,8 @@
     pub upload_bytes: Gauge,
     /// Bytes of the answers that are held and not streamed.
     pub answer_bytes: Gauge,
+    /// Connections of clients.
+    pub clients: ClientMetrics,
     /// Failures of tasks that serve all requests.
     pub task_failures: Family<TaskLabel, Counter>,
     registry: Registry,
@@ -119,6 +121,7 @@
             uploads_refused: Counter::default(),
             upload_bytes: Gauge::default(),
             answer_bytes: Gauge::default(),
+            clients: ClientMetrics::default(),
             task_failures: Family::default(),
             registry: Registry::default(),
         };
@@ -263,6 +266,7 @@
             "Evacuated data centres",
             metrics.evacuated_centres.clone(),
         );
+        metrics.clients.register(&mut registry);
         registry.register("dials", "Connections made", metrics.dials.clone());
         registry.register(
             "plan_version",
--- a/crates/relay/src/stage/peer_server.rs
+++ b/crates/relay/src/stage/peer_server.rs
@@ -6,7 +6,7 @@
         shared::RelayCore,
         stage::{
             JobFrame, PeerMessage, PeerOutbox,
-            frame_io::{read_frames, write_frames},
+            frame_io::{FIRST_FRAME_COST, PEER_RECEIVE_BYTES, read_first_frames, write_frames},
             shard_owner::takes_jobs,
         },
         state::{FeedFrame, serve_feed},
@@ -16,7 +16,9 @@
     actix_rt::task::JoinHandle,
     piece::{JobRank, PieceOutcome, StageJob},
     plan::ServiceId,
+    room::ClientSeat,
     slog::{debug, warn},
+    socket2::SockRef,
     std::{
         collections::HashMap,
         rc::Rc,
@@ -32,11 +34,20 @@
 /// Accepts connections of other entries, which submit jobs for the shards that this entry owns, or
 /// follow the store by way of this entry.
 pub async fn serve_peers(core: Rc<RelayCore>, listener: Rc<TcpListener>) {
+    // Connections take it over; without it the kernel keeps more for each than is counted.
+    let _ = SockRef::from(&*listener).set_recv_buffer_size(PEER_RECEIVE_BYTES);
+    let room = &core.client_rooms.peers;
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
+                let now = Instant::now();
+                if !room.make_room(FIRST_FRAME_COST, now) {
+                    room.count_refused();
+                    continue;
+                }
+                let seat = room.take_seat(FIRST_FRAME_COST, now);
                 configure_socket(&stream, PEER_PATIENCE, &core.log);
-                actix_rt::spawn(serve_peer(Rc::clone(&core), stream));
+                actix_rt::spawn(serve_peer(Rc::clone(&core), stream, seat));
             }
             Err(error) => {
                 warn!(core.log, "peer connection could not be accepted"; "reason" => %error);
@@ -46,13 +57,13 @@
     }
 }
 
-async fn serve_peer(core: Rc<RelayCore>, stream: TcpStream) {
+async fn serve_peer(core: Rc<RelayCore>, stream: TcpStream, seat: Rc<ClientSeat>) {
     let (reader, writer) = stream.into_split();
     let (outbox, inbox) = PeerOutbox::open();
     let seal = core.batch_service.seal.clone();
     let outcome = tokio::select! {
         outcome = write_frames(writer, &seal, inbox) => outcome,
-        outcome = serve_frames(&core, reader, outbox) => outcome,
+        outcome = serve_frames(&core, reader, seat, outbox) => outcome,
     };
     if let Err(error) = outcome {
         debug!(core.log, "peer connection failed"; "reason" => %error);
@@ -72,12 +83,14 @@
 async fn serve_frames(
     core: &Rc<RelayCore>,
     reader: OwnedReadHalf,
+    seat: Rc<ClientSeat>,
     outbox: PeerOutbox,
 ) -> anyhow::Result<()> {
     let mut tasks = HashMap::new();
     let mut feed = None;
     let mut place_desk = PlaceDesk::new(core);
-    read_frames(reader, &core.batch_service.seal, |message| match message {
+    let seal = &core.batch_service.seal;
+    read_first_frames(reader, seal, seat, |message| match message {
         PeerMessage::Job(frame) => {
             tasks.retain(|_, task: &mut PeerTask| !task.0.is_finished());
             handle_frame(core, frame, &outbox, &mut tasks);
--- a/crates/relay/src/start_relay.rs
+++ b/crates/relay/src/start_relay.rs
@@ -2,6 +2,7 @@
     crate::{
         RelaySettings,
         caller::{RequestSender, answer_addresses, answer_caller, answer_operator, answer_ready},
+        client_rooms::report_ended_clients,
         descriptor_shares::DescriptorShares,
         drain::shut_down_gracefully,
         filters::FilterChain,
@@ -12,6 +13,7 @@
         state::{check_store, read_store},
     },
     actix_http::Request,
+    room::ClientRoom,
     setup::{HttpLimits, HttpReply, LogOutput, StartError, log_panics, open_log, serve_http},
     slog::{info, warn},
     std::{
@@ -83,14 +85,16 @@
     });
     keep_running(&core, "run_batches", BatchService::run);
     keep_running(&core, "watch_link", watch_link);
+    keep_running(&core, "report_ended_clients", report_ended_clients);
     keep_running(&core, "reload_on_hangup", move |core| {
         reload_on_hangup(core, Rc::clone(&hangups), Rc::clone(&load))
     });
     let shares = DescriptorShares::of_process();
     let (closing, closing_inbox) = watch::channel(false);
-    serve_auxiliary(&core, ready, answer_ready);
-    serve_auxiliary(&core, addresses, answer_addresses);
-    serve_auxiliary(&core, operators, answer_operator);
+    let rooms = &core.client_rooms;
+    serve_auxiliary(&core, ready, &rooms.ready, answer_ready);
+    serve_auxiliary(&core, addresses, &rooms.addresses, answer_addresses);
+    serve_auxiliary(&core, operators, &rooms.operators, answer_operator);
     let limits = HttpLimits {
         head_timeout: HEAD_TIMEOUT,
         idle_timeout: CALLER_IDLE_TIMEOUT,
@@ -114,10 +118,17 @@
         actix_rt::spawn(serve_http(
             callers,
             limits,
+            Rc::clone(&rooms.callers),
             closing_inbox.clone(),
             caller_handler,
         )),
-        actix_rt::spawn(serve_http(hops, hop_limits, closing_inbox, hop_handler)),
+        actix_rt::spawn(serve_http(
+            hops,
+            hop_limits,
+            Rc::clone(&rooms.hops),
+            closing_inbox,
+            hop_handler,
+        )),
     ];
     shut_down_gracefully(&core, terminations, closing, async {
         for server in servers {
@@ -142,20 +153,24 @@
 }
 
 /// Serves one of the addresses other than the callers'; it stays open until the process exits.
-fn serve_auxiliary<Handler, Answer>(core: &Rc<RelayCore>, listener: TcpListener, answer: Handler)
-where
+fn serve_auxiliary<Handler, Answer>(
+    core: &Rc<RelayCore>,
+    listener: TcpListener,
+    room: &Rc<ClientRoom>,
+    answer: Handler,
+) where
     Handler: Fn(Rc<RelayCore>, Request) -> Answer + Clone + 'static,
     Answer: Future<Output = HttpReply> + 'static,
 {
     let (closing, inbox) = watch::channel(false);
-    let core = Rc::clone(core);
+    let (core, room) = (Rc::clone(core), Rc::clone(room));
     let handler = move |request| answer(Rc::clone(&core), request);
     let limits = HttpLimits {
         max_connections: DescriptorShares::of_process().auxiliary(),
         ..HttpLimits::default()
     };
     actix_rt::spawn(async move {
-        serve_http(listener, limits, inbox, handler).await;
+        serve_http(listener, limits, room, inbox, handler).await;
         drop(closing);
     });
 }
--- a/crates/relay/src/memory/upload_lease.rs
+++ b/crates/room/src/upload/upload_lease.rs
@@ -1,5 +1,6 @@
 use {
-    crate::memory::{NoRoom, UploadRoom, upload_room::UploadNumber},
+    crate::upload::{NoRoom, UploadRoom, upload_room::UploadNumber},
+    bytes::Bytes,
     std::{sync::Arc, time::Instant},
     tokio::sync::Notify,
 };
@@ -11,6 +12,8 @@
     evicted: Arc<Notify>,
     /// Bytes that the body holds once it has arrived whole.
     whole_bytes: usize,
+    /// The body once it has arrived whole.
+    pieces: Vec<Bytes>,
 }
 
 impl UploadLease {
@@ -20,6 +23,7 @@
             number,
             evicted,
             whole_bytes: 0,
+            pieces: Vec::new(),
         }
     }
 
@@ -32,6 +36,42 @@
         self.room.receive(self.number, count, now)
     }
 
+    /// Keeps bytes that have arrived, and takes room for the memory in which they are kept.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is none, or if the body is longer than its head states.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let room = room::UploadRoom::new(100_000);
+    /// let lease = room.admit(Some(5), Instant::now()).unwrap();
+    /// lease.push(b"whole", Instant::now()).unwrap();
+    /// let mut lease = lease.finish().unwrap();
+    /// assert_eq!(lease.take_pieces().concat(), b"whole");
+    /// assert_eq!(room.held(), 5);
+    /// ```
+    pub fn push(&self, mut bytes: &[u8], now: Instant) -> Result<(), NoRoom> {
+        loop {
+            let (count, growth) = self.room.fill(self.number, bytes, now)?;
+            bytes = &bytes[count..];
+            if bytes.is_empty() {
+                return Ok(());
+            }
+            if growth == 0 {
+                return Err(NoRoom);
+            }
+            self.room.receive(self.number, growth, now)?;
+            self.room.grow_buffer(self.number, growth)?;
+        }
+    }
+
+    /// Returns the body in pieces once it has arrived whole.
+    pub fn take_pieces(&mut self) -> Vec<Bytes> {
+        std::mem::take(&mut self.pieces)
+    }
+
     /// Waits until the body has given way to others.
     pub async fn until_evicted(&self) {
         self.evicted.notified().await;
@@ -48,6 +88,7 @@
         state.promised -= upload.remaining();
         drop(state);
         self.whole_bytes = upload.received;
+        self.pieces = upload.buffer.into_pieces();
         Ok(self)
     }
 }
--- a/crates/relay/src/memory/upload_room.rs
+++ b/crates/room/src/upload/upload_room.rs
@@ -1,5 +1,5 @@
 use {
-    crate::memory::{UploadLease, arriving_upload::ArrivingUpload},
+    crate::upload::{UploadLease, arriving_upload::ArrivingUpload},
     std::{
         collections::BTreeMap,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -21,9 +21,9 @@
 
 /// Room for the bodies of requests, in bytes.
 ///
-/// A body is let in if its length can be promised, and takes room as it arrives. Where the room is
-/// used up, the bodies that come too slowly give way, then the one of which most is still to come, so
-/// that others become whole.
+/// A body is let in if its length can be promised, and takes room before it takes memory. Where the
+/// room is used up, the bodies that have stopped or come too slowly give way, then the one of which most
+/// is still to come, so that others become whole. What gives way is freed at once.
 pub struct UploadRoom {
     limit: usize,
     state: Mutex<RoomState>,
@@ -61,6 +61,7 @@
         length: Option<usize>,
         now: Instant,
     ) -> Result<UploadLease, NoRoom> {
+        let stated_length = length;
         let length = length.unwrap_or(SHORT_BODY_BYTES);
         let mut state = self.lock();
         let limit = self.limit_for(length);
@@ -71,7 +72,7 @@
         if state.promised + length > promise_limit || state.held >= limit {
             return Err(NoRoom);
         }
-        let upload = ArrivingUpload::new(length, now);
+        let upload = ArrivingUpload::new(length, stated_length, now);
         let evicted = Arc::clone(&upload.evicted);
         let number = state.add(upload);
         drop(state);
@@ -98,7 +99,34 @@
                 return Err(NoRoom);
             }
         }
-        state.take(number, count).ok_or(NoRoom)
+        state.take(number, count, now).ok_or(NoRoom)
+    }
+
+    /// Keeps bytes of a body as far as there is space for them without taking more room; returns their
+    /// number, and the room to take for further ones.
+    pub(super) fn fill(
+        &self,
+        number: UploadNumber,
+        bytes: &[u8],
+        now: Instant,
+    ) -> Result<(usize, usize), NoRoom> {
+        let mut state = self.lock();
+        let upload = state.arriving.get_mut(&number).ok_or(NoRoom)?;
+        upload.progressed = now;
+        let count = upload.buffer.fill(bytes);
+        let growth = match count == bytes.len() {
+            true => 0,
+            false => upload.buffer.next_growth(upload.stated_length),
+        };
+        Ok((count, growth))
+    }
+
+    /// Grows the memory of a body by what it has taken room for.
+    pub(super) fn grow_buffer(&self, number: UploadNumber, growth: usize) -> Result<(), NoRoom> {
+        let mut state = self.lock();
+        let upload = state.arriving.get_mut(&number).ok_or(NoRoom)?;
+        upload.buffer.grow(growth);
+        Ok(())
     }
 
     /// Returns the number of bytes that are held.
@@ -140,8 +168,9 @@
         Some(upload.length)
     }
 
-    fn take(&mut self, number: UploadNumber, count: usize) -> Option<()> {
+    fn take(&mut self, number: UploadNumber, count: usize, now: Instant) -> Option<()> {
         let upload = self.arriving.get_mut(&number)?;
+        upload.progressed = now;
         upload.received += count;
         self.held += count;
         Some(())
--- a/crates/relay/tests/upload_room.rs
+++ b/crates/room/tests/upload_room.rs
@@ -2,7 +2,7 @@
 
 use {
     proptest::prelude::*,
-    relay::{NoRoom, UploadLease, UploadRoom},
+    room::{NoRoom, UploadLease, UploadRoom},
     std::time::{Duration, Instant},
 };
 
--- a/crates/setup/src/http/client_stream.rs
+++ b/crates/setup/src/http/client_stream.rs
@@ -1,6 +1,7 @@
 use {
-    crate::http::OpenConnection,
+    crate::http::{OpenConnection, arrived_bytes::ArrivedBytes, open_connection::InputDemand},
     futures_util::future::LocalBoxFuture,
+    room::ClientRoom,
     socket2::SockRef,
     std::{
         future::Future,
@@ -23,15 +24,32 @@
 const LINGER_TIME: Duration = Duration::from_secs(1);
 /// Size of the buffer for bytes that are read and dropped.
 const DISCARD_BUFFER_BYTES: usize = 4_096;
+/// Buffers that are read and dropped before others run.
+const MAX_DISCARDS: usize = 16;
+/// Bytes of a head that are read at once.
+const HEAD_BYTES_AT_ONCE: usize = 4 * 1024;
+/// Bytes of a body that are read at once.
+const BODY_BYTES_AT_ONCE: usize = 16 * 1024;
+/// Bytes that are read behind a request that is open, to see whether its client has left.
+const MAX_BYTES_AHEAD: usize = 2 * 1024;
 
 /// The socket of a client's connection.
 ///
+/// It hands the HTTP library no more than can be used: one head, then the body as far as its reader asks
+/// for it, then nothing until the reply was taken. So the library holds little of what a client sends,
+/// and others run in between.
+///
 /// While the server closes, an idle connection ends once all that has arrived on it was read, so that
 /// a request that crosses the close is still served. After the last reply the socket is read for a
 /// while before it is closed.
 pub(super) struct ClientStream {
     stream: TcpStream,
     connection: Rc<OpenConnection>,
+    arrived: ArrivedBytes,
+    /// True if bytes were handed over since the library has last seen all that there is.
+    has_handed_over: bool,
+    /// True if a client that has closed its sending side still gets its answer.
+    allows_half_closed: bool,
     /// Resolves when the server closes; `None` once it has.
     closing: Option<LocalBoxFuture<'static, ()>>,
     /// Ends the reading after the last reply; `None` before it.
@@ -43,14 +61,19 @@
 }
 
 impl ClientStream {
+    /// Takes a seat in the room for a connection that was accepted.
     pub(super) fn new(
         stream: TcpStream,
+        room: &Rc<ClientRoom>,
         closing: LocalBoxFuture<'static, ()>,
-        write_timeout: Duration,
+        (write_timeout, allows_half_closed): (Duration, bool),
     ) -> Self {
         Self {
             stream,
-            connection: Rc::default(),
+            connection: Rc::new(OpenConnection::new(room)),
+            arrived: ArrivedBytes::default(),
+            has_handed_over: false,
+            allows_half_closed,
             closing: Some(closing),
             linger: None,
             write_timeout,
@@ -87,17 +110,113 @@
         SockRef::from(&self.stream).peek(&mut byte).is_ok()
     }
 
+    /// Reads from the socket if nothing waits to be handed over. It is ready once something does, or
+    /// the client has closed.
+    fn poll_fill(&mut self, context: &mut Context<'_>, count: usize) -> Poll<io::Result<()>> {
+        if self.arrived.is_empty() && !self.arrived.has_ended() {
+            ready!(self.arrived.poll_fill(&self.stream, context, count))?;
+            self.connection.set_bytes_ahead(!self.arrived.is_empty());
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    fn hand_over(&mut self, count: usize, buffer: &mut ReadBuf<'_>) {
+        self.arrived.hand_over(count, buffer);
+        self.connection.set_bytes_ahead(!self.arrived.is_empty());
+        self.has_handed_over = true;
+    }
+
+    /// Waits for the head of the next request, and hands over what has come of it.
+    fn poll_head(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled = self.poll_fill(context, HEAD_BYTES_AT_ONCE)?;
+        if filled.is_pending() {
+            let is_ending = self.connection.is_idle()
+                && (self.is_closing(context) || self.connection.is_unwanted());
+            return match is_ending && !self.has_waiting_bytes() {
+                // No bytes stand for the end of the connection.
+                true => Poll::Ready(Ok(())),
+                false => Poll::Pending,
+            };
+        }
+        if self.arrived.is_empty() {
+            return Poll::Ready(Ok(()));
+        }
+        if !self.connection.may_arrive(context.waker()) {
+            return Poll::Pending;
+        }
+        let count = self.arrived.scan_head(buffer.remaining());
+        self.connection.record_head(count);
+        self.hand_over(count, buffer);
+        Poll::Ready(Ok(()))
+    }
+
+    /// Waits for more of the body of the open request, and hands it over.
+    fn poll_body(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        ready!(self.poll_fill(context, BODY_BYTES_AT_ONCE))?;
+        if self.arrived.is_empty() {
+            return Poll::Ready(Ok(()));
+        }
+        let count = self
+            .connection
+            .take_body(self.arrived.first(buffer.remaining()));
+        self.hand_over(count, buffer);
+        if let Some(window) = self.connection.next_window() {
+            // Without it the body only takes longer.
+            let _ = SockRef::from(&self.stream).set_recv_buffer_size(window);
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    /// Waits for the client to leave while its request is answered.
+    fn poll_leaving(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        while !self.arrived.has_ended() && self.arrived.len() < MAX_BYTES_AHEAD {
+            let count = MAX_BYTES_AHEAD - self.arrived.len();
+            ready!(self.arrived.poll_fill(&self.stream, context, count))?;
+            self.connection.set_bytes_ahead(!self.arrived.is_empty());
+        }
+        let has_left =
+            self.arrived.has_ended() && (self.arrived.is_empty() || !self.allows_half_closed);
+        match has_left {
+            true => Poll::Ready(Ok(())),
+            false => Poll::Pending,
+        }
+    }
+
+    /// Returns once the library should look again, after it was handed something.
+    fn poll_again(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let has_more = !self.arrived.is_empty()
+            || self.arrived.has_ended()
+            || self.stream.poll_read_ready(context)?.is_ready();
+        if has_more {
+            context.waker().wake_by_ref();
+        }
+        Poll::Pending
+    }
+
     /// Reads and drops what still arrives, until the client closes or the time is over.
     fn poll_linger(&mut self, context: &mut Context<'_>) -> Poll<()> {
         let mut bytes = [0; DISCARD_BUFFER_BYTES];
-        loop {
+        for _ in 0..MAX_DISCARDS {
             let mut buffer = ReadBuf::new(&mut bytes);
             match Pin::new(&mut self.stream).poll_read(context, &mut buffer) {
                 Poll::Ready(Ok(())) if !buffer.filled().is_empty() => {}
                 Poll::Ready(_) => return Poll::Ready(()),
-                Poll::Pending => break,
+                Poll::Pending => return self.poll_linger_time(context),
             }
         }
+        context.waker().wake_by_ref();
+        self.poll_linger_time(context)
+    }
+
+    fn poll_linger_time(&mut self, context: &mut Context<'_>) -> Poll<()> {
         match &mut self.linger {
             Some(linger) => linger.as_mut().poll(context),
             None => Poll::Ready(()),
@@ -117,25 +236,19 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let known_bytes = buffer.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if buffer.filled().len() > known_bytes {
-            self.connection.record_read();
+        self.connection.wake_reader(context.waker());
+        if self.connection.must_end() {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
         }
-        if read.is_ready() {
-            return read;
-        }
-        if !self.connection.is_idle() {
-            // It ends at the earliest once it is.
-            self.connection.wake_when_idle(context.waker());
-            return Poll::Pending;
+        if std::mem::take(&mut self.has_handed_over) {
+            return self.poll_again(context);
         }
-        self.connection.wake_when_unwanted(context.waker());
-        let is_ending = self.is_closing(context) || self.connection.is_unwanted();
-        match is_ending && !self.has_waiting_bytes() {
-            // No bytes stand for the end of the connection.
-            true => Poll::Ready(Ok(())),
-            false => Poll::Pending,
+        match self.connection.demand() {
+            InputDemand::Head => self.poll_head(context, buffer),
+            InputDemand::Body => self.poll_body(context, buffer),
+            InputDemand::Hold => Poll::Pending,
+            InputDemand::Answer => self.poll_leaving(context),
+            InputDemand::End => Poll::Ready(Ok(())),
         }
     }
 }
@@ -146,10 +259,17 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        if self.connection.must_end() {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
         if let Poll::Ready(written) = Pin::new(&mut self.stream).poll_write(context, bytes) {
             self.write_stall = None;
+            self.connection
+                .record_taken(written.as_ref().copied().unwrap_or(0));
             return Poll::Ready(written);
         }
+        self.connection.wake_reader(context.waker());
+        self.connection.record_unread(bytes.len());
         let timeout = self.write_timeout;
         let stall = self
             .write_stall
@@ -168,12 +288,14 @@
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.linger.is_none() {
             ready!(Pin::new(&mut self.stream).poll_shutdown(context))?;
-            if self.connection.is_unwanted() {
-                // It was idle, and others wait for its descriptor.
-                return Poll::Ready(Ok(()));
-            }
             self.linger = Some(Box::pin(sleep(LINGER_TIME)));
         }
+        self.connection.wake_reader(context.waker());
+        let is_unwanted = self.connection.is_unwanted();
+        if self.connection.must_end() || is_unwanted && !self.has_waiting_bytes() {
+            // Others wait for its room, and no bytes are unread for which it would be reset.
+            return Poll::Ready(Ok(()));
+        }
         self.poll_linger(context).map(Ok)
     }
 }
--- /dev/null
+++ b/crates/setup/src/http/connection_cost.rs
@@ -0,0 +1,36 @@
+//! What an open connection of a client costs at the most, in bytes.
+
+/// Bytes that the kernel keeps for a connection until they are read.
+pub(super) const RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
+/// Bytes that the kernel keeps for a connection on which a long body arrives, so that clients far away
+/// need not wait for each few of them to be read.
+pub(super) const WIDE_BUFFER_BYTES: usize = 256 * 1024;
+/// Length from which on a body is long, in bytes.
+pub(super) const LONG_BODY_BYTES: usize = 64 * 1024;
+/// An open connection: its task, the buffers of the HTTP library, and what is read at once of a head.
+const TASK_BYTES: usize = 14 * 1024;
+/// A request that arrives: its head as parsed, and the future that reads its body.
+const REQUEST_BYTES: usize = 12 * 1024;
+/// The run of a request.
+const RUN_BYTES: usize = 28 * 1024;
+/// Length of a head that is part of what an open connection costs, in bytes.
+const SHORT_HEAD_BYTES: usize = 8 * 1024;
+
+/// An idle connection.
+pub(super) const OPEN_BYTES: usize = TASK_BYTES + RECEIVE_BUFFER_BYTES;
+
+/// Returns what a connection costs while a request arrives, of whose head this many bytes have come: a
+/// buffer has up to twice the size of what it holds.
+pub(super) fn arriving_bytes(head_bytes: usize) -> usize {
+    OPEN_BYTES + REQUEST_BYTES + 2 * head_bytes.saturating_sub(SHORT_HEAD_BYTES)
+}
+
+/// Returns what a connection costs while its request runs.
+pub(super) fn running_bytes() -> usize {
+    OPEN_BYTES + REQUEST_BYTES + RUN_BYTES
+}
+
+/// Returns what a connection costs while its client leaves this many bytes unread.
+pub(super) fn unread_bytes(reply_bytes: usize) -> usize {
+    running_bytes() + 2 * reply_bytes
+}
--- a/crates/setup/src/http/http_server.rs
+++ b/crates/setup/src/http/http_server.rs
@@ -1,16 +1,19 @@
 use {
     crate::http::{
-        OpenConnection, client_stream::ClientStream, follow_reply, stream_acceptor::StreamAcceptor,
+        OpenConnection, RequestBody, body_framing::BodyFraming, client_stream::ClientStream,
+        connection_cost::RECEIVE_BUFFER_BYTES, follow_reply, stream_acceptor::StreamAcceptor,
     },
     actix_http::{
-        ConnectionType, Extensions, HttpService, Payload, Request, Response, StatusCode,
+        ConnectionType, Extensions, HttpService, Request, Response, StatusCode,
         body::{BodySize, BoxBody, MessageBody},
         header::{CONTENT_TYPE, HeaderValue},
     },
     actix_service::ServiceFactory,
     bytes::{Bytes, BytesMut},
     futures_util::{FutureExt, StreamExt},
+    room::ClientRoom,
     serde::Serialize,
+    socket2::SockRef,
     std::{
         cell::Cell,
         convert::Infallible,
@@ -41,8 +44,8 @@
     pub idle_timeout: Duration,
     /// Time after which a client that takes nothing of its reply is disconnected.
     pub write_timeout: Duration,
-    /// Number of connections that may be open at once. For a further one an idle one is closed; if
-    /// there is none, it waits for a while and is closed then.
+    /// Number of connections that may be open at once. For a further one another one is closed that
+    /// gives way (see [`ClientRoom`]); if there is none, it waits for a while and is closed then.
     pub max_connections: usize,
     /// Longest time that the shutdown waits for open connections.
     pub close_timeout: Duration,
@@ -67,9 +70,12 @@
 /// Serves HTTP/1.1 on the listener; every request runs on this thread. Once `closing` is true, it
 /// accepts no more connections than wait then, and returns when the open ones have ended after their
 /// current answers, or after `close_timeout`. A request that has arrived by then is still answered.
+/// All that clients make the server hold, but for the bodies that handlers keep, takes the room. A
+/// handler reads a body through [`RequestBody`]: nothing of it is read before it is asked for.
 pub async fn serve_http<Handler, Answer>(
     listener: TcpListener,
     limits: HttpLimits,
+    room: Rc<ClientRoom>,
     closing: watch::Receiver<bool>,
     handler: Handler,
 ) where
@@ -91,10 +97,13 @@
     let Ok(service) = factory.new_service(()).await else {
         return;
     };
+    // Connections take it over; without it the kernel keeps more for each than is counted.
+    let _ = SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
     let open_count = Rc::new(Cell::new(0));
     let acceptor = StreamAcceptor::new(
         listener,
         limits,
+        room,
         closing.clone(),
         Rc::clone(&open_count),
         service,
@@ -123,13 +132,18 @@
     Answer: Future<Output = HttpReply>,
 {
     let connection = OpenConnection::of(&request);
-    let open_reply = connection.as_ref().map(OpenConnection::begin_request);
+    let open_reply = connection
+        .as_ref()
+        .map(|connection| connection.begin_request(BodyFraming::of(&request)));
     // A connection holds the future of its request, also while it has none.
     let answer = Box::pin(handler(request));
     async move {
         let answer = AssertUnwindSafe(answer).catch_unwind();
         let mut reply = answer.await.unwrap_or_else(|_| panic_reply());
-        if *closing.borrow() {
+        let may_stay = connection
+            .as_ref()
+            .is_none_or(|connection| connection.record_answered());
+        if *closing.borrow() || !may_stay {
             reply.head_mut().set_connection_type(ConnectionType::Close);
         }
         Ok(match (connection, open_reply) {
@@ -155,8 +169,8 @@
 
 /// Reads a whole body. Returns `None` if it has more than `limit` bytes, is cut off, or is not
 /// complete after `timeout`; the reply must then be passed through [`close_unread`].
-pub async fn read_body(payload: &mut Payload, limit: usize, timeout: Duration) -> Option<Bytes> {
-    actix_rt::time::timeout(timeout, collect_body(payload, limit))
+pub async fn read_body(body: &mut RequestBody, limit: usize, timeout: Duration) -> Option<Bytes> {
+    actix_rt::time::timeout(timeout, collect_body(body, limit))
         .await
         .ok()
         .flatten()
@@ -164,12 +178,13 @@
 
 /// Returns the reply to a request whose body was not read to its end, so that the connection is
 /// closed after it. The server would otherwise read the rest for as long as the client sends it.
-pub fn close_unread(mut reply: HttpReply, payload: Payload) -> HttpReply {
+pub fn close_unread(mut reply: HttpReply, request_body: RequestBody) -> HttpReply {
+    request_body.refuse_rest();
     reply.head_mut().set_connection_type(ConnectionType::Close);
     reply.map_body(|_, body| {
         let body = UnreadBody {
             body,
-            _payload: payload,
+            _request_body: request_body,
         };
         body.boxed()
     })
@@ -179,7 +194,7 @@
 /// request only once it was dropped.
 struct UnreadBody {
     body: BoxBody,
-    _payload: Payload,
+    _request_body: RequestBody,
 }
 
 impl MessageBody for UnreadBody {
@@ -197,9 +212,9 @@
     }
 }
 
-async fn collect_body(payload: &mut Payload, limit: usize) -> Option<Bytes> {
+async fn collect_body(chunks: &mut RequestBody, limit: usize) -> Option<Bytes> {
     let mut body = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
+    while let Some(chunk) = chunks.next().await {
         let chunk = chunk.ok()?;
         if body.len() + chunk.len() > limit {
             return None;
--- a/crates/setup/src/http/mod.rs
+++ b/crates/setup/src/http/mod.rs
@@ -1,9 +1,15 @@
 //! An HTTP server whose connections end without losing requests or replies.
 
+mod arrived_bytes;
+mod body_framing;
+mod chunk_scanner;
 mod client_stream;
+mod connection_cost;
 mod followed_body;
 mod http_server;
 mod open_connection;
+mod read_upload;
+mod request_body;
 mod stream_acceptor;
 
 pub use {
@@ -13,4 +19,6 @@
         text_reply,
     },
     open_connection::{OpenConnection, ReplyFollower},
+    read_upload::{UploadFault, UploadLimits, WholeUpload, read_upload},
+    request_body::RequestBody,
 };
--- a/crates/setup/src/http/open_connection.rs
+++ b/crates/setup/src/http/open_connection.rs
@@ -1,9 +1,18 @@
 use {
+    crate::http::{
+        body_framing::BodyFraming,
+        connection_cost::{
+            LONG_BODY_BYTES, OPEN_BYTES, RECEIVE_BUFFER_BYTES, WIDE_BUFFER_BYTES, arriving_bytes,
+            running_bytes, unread_bytes,
+        },
+    },
     actix_http::Request,
+    room::{ClientRoom, ClientSeat, SeatEnd, SeatState},
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
         task::Waker,
+        time::Instant,
     },
 };
 
@@ -16,24 +25,71 @@
     fn on_written(&mut self);
 }
 
+/// What the HTTP library may be handed of what arrives on a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum InputDemand {
+    /// The head of the next request.
+    Head,
+    /// More of the body of the open request.
+    Body,
+    /// Nothing: the body of the open request has not arrived whole, and nobody asks for it.
+    Hold,
+    /// Nothing: the open request has arrived whole.
+    Answer,
+    /// The end: the last request was answered before it had arrived whole.
+    End,
+}
+
 /// What is known of one connection of a client, shared by its socket and its requests.
-#[derive(Default)]
 pub struct OpenConnection {
+    /// Its room.
+    seat: Rc<ClientSeat>,
     /// Requests whose replies have not been passed to the socket whole.
     open_replies: Cell<usize>,
-    /// True while bytes were read that belong to no request that has begun.
-    has_unparsed_bytes: Cell<bool>,
+    /// Bytes of a head that were handed over and belong to no request that has begun.
+    head_bytes: Cell<usize>,
+    /// True while bytes have arrived that were not handed over.
+    has_bytes_ahead: Cell<bool>,
+    /// What is still to come of the body of the open request.
+    framing: RefCell<BodyFraming>,
+    /// Bytes of the body of the open request that were handed over.
+    body_bytes: Cell<usize>,
+    /// Bytes that the kernel keeps for the connection beyond what it keeps for each.
+    wide_bytes: Cell<usize>,
+    /// True while the handler of the open request waits for more of its body.
+    wants_body: Cell<bool>,
+    /// True once the handler takes no more of the body.
+    is_body_refused: Cell<bool>,
+    /// True once the handler has returned its reply.
+    is_answered: Cell<bool>,
+    /// True once a request was answered before it had arrived whole.
+    is_spent: Cell<bool>,
     /// Followers of replies whose last byte waits to be written.
     ending: RefCell<Vec<Box<dyn ReplyFollower>>>,
-    /// Wakes the reader of the connection once the connection is idle.
-    idle_waker: RefCell<Option<Waker>>,
-    /// True once the connection is to end as soon as it is idle.
-    is_unwanted: Cell<bool>,
     /// Wakes the reader of the connection.
-    read_waker: RefCell<Option<Waker>>,
+    reader: RefCell<Option<Waker>>,
 }
 
 impl OpenConnection {
+    /// Creates an idle connection, which takes a seat in the room.
+    pub(super) fn new(room: &Rc<ClientRoom>) -> Self {
+        Self {
+            seat: room.take_seat(OPEN_BYTES, Instant::now()),
+            open_replies: Cell::default(),
+            head_bytes: Cell::default(),
+            has_bytes_ahead: Cell::default(),
+            framing: RefCell::default(),
+            body_bytes: Cell::default(),
+            wide_bytes: Cell::default(),
+            wants_body: Cell::default(),
+            is_body_refused: Cell::default(),
+            is_answered: Cell::default(),
+            is_spent: Cell::default(),
+            ending: RefCell::default(),
+            reader: RefCell::default(),
+        }
+    }
+
     /// Returns the connection on which the request came; `None` if [`crate::serve_http`] did not
     /// accept it.
     pub fn of(request: &Request) -> Option<Rc<Self>> {
@@ -42,60 +98,184 @@
 
     /// Returns true if no request is open and none has begun to arrive.
     pub(super) fn is_idle(&self) -> bool {
-        self.open_replies.get() == 0 && !self.has_unparsed_bytes.get()
+        self.open_replies.get() == 0 && self.head_bytes.get() == 0 && !self.has_bytes_ahead.get()
+    }
+
+    /// Returns true if the connection has to end as soon as it is idle.
+    pub(super) fn is_unwanted(&self) -> bool {
+        self.seat.end().is_some()
+    }
+
+    /// Returns true if the connection has to end at once.
+    pub(super) fn must_end(&self) -> bool {
+        self.seat.end() == Some(SeatEnd::Now)
     }
 
-    /// Has the waker woken once the connection is idle.
-    pub(super) fn wake_when_idle(&self, waker: &Waker) {
-        let mut idle_waker = self.idle_waker.borrow_mut();
-        if !idle_waker
-            .as_ref()
-            .is_some_and(|known| known.will_wake(waker))
-        {
-            *idle_waker = Some(waker.clone());
+    /// Has the waker woken once more may be handed over, or the connection has to end.
+    pub(super) fn wake_reader(&self, waker: &Waker) {
+        self.seat.wake_on_end(waker);
+        let mut reader = self.reader.borrow_mut();
+        if !reader.as_ref().is_some_and(|known| known.will_wake(waker)) {
+            *reader = Some(waker.clone());
         }
     }
 
-    /// Ends the connection as soon as it is idle.
-    pub(super) fn end_when_idle(&self) {
-        self.is_unwanted.set(true);
-        if let Some(waker) = self.read_waker.take() {
-            waker.wake();
+    /// Returns what the HTTP library may be handed now.
+    pub(super) fn demand(&self) -> InputDemand {
+        if self.open_replies.get() == 0 {
+            return match self.is_spent.get() {
+                true => InputDemand::End,
+                false => InputDemand::Head,
+            };
+        }
+        if self.framing.borrow().is_whole() {
+            return InputDemand::Answer;
+        }
+        // The library drops the rest of a body that nobody reads.
+        let is_dropped = self.is_answered.get() && !self.is_body_refused.get();
+        match self.wants_body.get() || is_dropped {
+            true => InputDemand::Body,
+            false => InputDemand::Hold,
         }
     }
 
-    /// Returns true if the connection is to end as soon as it is idle.
-    pub(super) fn is_unwanted(&self) -> bool {
-        self.is_unwanted.get()
+    /// Records that bytes have arrived, or that all that has arrived was handed over.
+    pub(super) fn set_bytes_ahead(&self, has_bytes: bool) {
+        self.has_bytes_ahead.set(has_bytes);
     }
 
-    /// Has the waker woken if the connection is to end.
-    pub(super) fn wake_when_unwanted(&self, waker: &Waker) {
-        self.read_waker.replace(Some(waker.clone()));
+    /// Returns true if there is room for a request to arrive; the waker is woken once there is.
+    pub(super) fn may_arrive(&self, waker: &Waker) -> bool {
+        let now = Instant::now();
+        self.seat.set_state(SeatState::Arriving, now);
+        self.resize(arriving_bytes(self.head_bytes.get()), now);
+        !self.must_end() && self.seat.may_grow(waker, now)
     }
 
-    /// Records that bytes have arrived. While a request is open they belong to its body.
-    pub(super) fn record_read(&self) {
-        if self.open_replies.get() == 0 {
-            self.has_unparsed_bytes.set(true);
+    /// Records that bytes of a head were handed over.
+    pub(super) fn record_head(&self, count: usize) {
+        self.head_bytes.set(self.head_bytes.get() + count);
+        self.seat.record_progress(count, Instant::now());
+    }
+
+    /// Returns how many of these bytes of the body can be handed over; they count as handed over.
+    pub(super) fn take_body(&self, bytes: &[u8]) -> usize {
+        self.wants_body.set(false);
+        let mut framing = self.framing.borrow_mut();
+        let count = framing.take(bytes);
+        self.body_bytes.set(self.body_bytes.get() + count);
+        self.seat.record_progress(count, Instant::now());
+        if framing.is_whole() {
+            self.begin_run();
         }
+        count
     }
 
     /// Records that the head of a request was read, and counts the request as open until its reply
     /// is over.
-    pub(super) fn begin_request(self: &Rc<Self>) -> OpenReply {
-        self.has_unparsed_bytes.set(false);
+    pub(super) fn begin_request(self: &Rc<Self>, framing: BodyFraming) -> OpenReply {
         self.open_replies.set(self.open_replies.get() + 1);
+        self.head_bytes.set(0);
+        self.body_bytes.set(0);
+        self.wants_body.set(false);
+        self.is_body_refused.set(false);
+        self.is_answered.set(false);
+        if framing.is_whole() {
+            self.begin_run();
+        }
+        self.framing.replace(framing);
         OpenReply {
             connection: Rc::clone(self),
         }
     }
 
+    /// Returns the bytes that the kernel should keep from now on, if that has changed: more while a long
+    /// body arrives, provided that there is room for them without others giving way.
+    pub(super) fn next_window(&self) -> Option<usize> {
+        let framing = self.framing.borrow();
+        let is_long = framing.has_left(LONG_BODY_BYTES)
+            || !framing.is_whole() && self.body_bytes.get() >= LONG_BODY_BYTES;
+        let (is_wide, now) = (self.wide_bytes.get() > 0, Instant::now());
+        let more_bytes = WIDE_BUFFER_BYTES - RECEIVE_BUFFER_BYTES;
+        if is_long && !is_wide && self.seat.has_space(more_bytes) {
+            self.wide_bytes.set(more_bytes);
+            self.seat.resize(self.seat.bytes() + more_bytes, now);
+            return Some(WIDE_BUFFER_BYTES);
+        }
+        if framing.is_whole() && is_wide {
+            self.wide_bytes.set(0);
+            self.seat.resize(self.seat.bytes() - more_bytes, now);
+            return Some(RECEIVE_BUFFER_BYTES);
+        }
+        None
+    }
+
+    /// Takes this many bytes, and those that the kernel keeps beyond what it keeps for each connection.
+    fn resize(&self, bytes: usize, now: Instant) {
+        self.seat.resize(bytes + self.wide_bytes.get(), now);
+    }
+
+    /// Records that the open request has arrived whole.
+    fn begin_run(&self) {
+        let now = Instant::now();
+        self.seat.set_state(SeatState::Served, now);
+        self.resize(running_bytes(), now);
+    }
+
+    /// Has more of the body of the open request handed over.
+    pub(super) fn want_body(&self) {
+        if !self.wants_body.replace(true) {
+            self.wake();
+        }
+    }
+
+    /// Has nothing more of the body of the open request handed over.
+    pub(super) fn refuse_body(&self) {
+        self.is_body_refused.set(true);
+    }
+
+    /// Records that the handler of the open request has returned its reply; returns true if the connection
+    /// may stay open after it: the request has arrived whole, and nobody else needs the room.
+    pub(super) fn record_answered(&self) -> bool {
+        self.is_answered.set(true);
+        self.framing.borrow().is_whole() && !self.is_unwanted()
+    }
+
+    /// Records that the client leaves this many bytes of a reply unread.
+    pub(super) fn record_unread(&self, count: usize) {
+        let now = Instant::now();
+        self.seat.set_state(SeatState::Arriving, now);
+        self.resize(unread_bytes(count), now);
+    }
+
+    /// Records that the client has taken bytes of a reply.
+    pub(super) fn record_taken(&self, count: usize) {
+        self.seat.record_progress(count, Instant::now());
+    }
+
     /// Records that the last byte of a reply waits to be written.
     pub(super) fn end_reply(&self, follower: Box<dyn ReplyFollower>) {
         self.ending.borrow_mut().push(follower);
     }
 
+    /// Records that all that was waiting to be written has been passed to the socket.
+    pub(super) fn record_flushed(&self) {
+        let written = std::mem::take(&mut *self.ending.borrow_mut());
+        let has_replies = !written.is_empty();
+        for mut follower in written {
+            follower.on_written();
+        }
+        if self.open_replies.get() > 0 {
+            if self.framing.borrow().is_whole() {
+                self.seat.set_state(SeatState::Served, Instant::now());
+            }
+            return;
+        }
+        if has_replies {
+            self.end_request();
+        }
+    }
+
     /// Records that the connection has ended: replies that were not written are over. They know of the
     /// connection, and would keep it otherwise.
     pub(super) fn close(&self) {
@@ -103,16 +283,20 @@
         drop(unwritten);
     }
 
-    /// Records that all that was waiting to be written has been passed to the socket.
-    pub(super) fn record_flushed(&self) {
-        let written = std::mem::take(&mut *self.ending.borrow_mut());
-        for mut follower in written {
-            follower.on_written();
+    /// Records that the reply of the last open request was written.
+    fn end_request(&self) {
+        if !std::mem::take(&mut *self.framing.borrow_mut()).is_whole() {
+            self.is_spent.set(true);
         }
-        if self.is_idle()
-            && let Some(waker) = self.idle_waker.take()
-        {
-            waker.wake();
+        let now = Instant::now();
+        self.seat.set_state(SeatState::Idle, now);
+        self.resize(OPEN_BYTES, now);
+        self.wake();
+    }
+
+    fn wake(&self) {
+        if let Some(reader) = self.reader.take() {
+            reader.wake();
         }
     }
 }
--- /dev/null
+++ b/crates/setup/src/http/read_upload.rs
@@ -0,0 +1,120 @@
+use {
+    crate::http::RequestBody,
+    bytes::Bytes,
+    futures_util::StreamExt,
+    room::{NoRoom, UploadLease, UploadRoom},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Why the body of a request was not read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UploadFault {
+    /// It is too long, was cut, or came too slowly.
+    Unusable,
+    /// There is no room for it now.
+    NoRoom,
+}
+
+impl From<NoRoom> for UploadFault {
+    fn from(_: NoRoom) -> Self {
+        Self::NoRoom
+    }
+}
+
+/// Limits on the body of one request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UploadLimits {
+    /// Longest body, in bytes.
+    pub bytes: usize,
+    /// Time within which the whole body has to arrive.
+    pub timeout: Duration,
+}
+
+/// The whole body of a request, which takes room until the lease is dropped.
+pub struct WholeUpload {
+    /// Its bytes, in pieces none of which is empty.
+    pub pieces: Vec<Bytes>,
+    /// Its room; `None` if there are no bytes.
+    pub lease: Option<UploadLease>,
+}
+
+impl WholeUpload {
+    /// Returns the body in one piece, which takes its room until its last clone is dropped.
+    pub fn into_bytes(mut self) -> Bytes {
+        let bytes = match self.pieces.len() {
+            0 | 1 => self.pieces.pop().unwrap_or_default(),
+            _ => Bytes::from(std::mem::take(&mut self.pieces).concat()),
+        };
+        Bytes::from_owner(LeasedUpload {
+            bytes,
+            _lease: self.lease,
+        })
+    }
+}
+
+/// A body in one piece with its room.
+struct LeasedUpload {
+    bytes: Bytes,
+    _lease: Option<UploadLease>,
+}
+
+impl AsRef<[u8]> for LeasedUpload {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Reads the whole body of a request into the room.
+///
+/// # Errors
+///
+/// The reply must then be passed through [`crate::close_unread`].
+pub async fn read_upload(
+    room: &Arc<UploadRoom>,
+    body: &mut RequestBody,
+    limits: UploadLimits,
+) -> Result<WholeUpload, UploadFault> {
+    if body.is_empty() {
+        return Ok(WholeUpload {
+            pieces: Vec::new(),
+            lease: None,
+        });
+    }
+    let length = body.stated_length();
+    if length.is_some_and(|length| length > limits.bytes) {
+        return Err(UploadFault::Unusable);
+    }
+    let lease = room.admit(length, Instant::now())?;
+    let reading = collect_chunks(body, &lease, limits.bytes);
+    let outcome = tokio::select! {
+        biased;
+        outcome = actix_rt::time::timeout(limits.timeout, reading) => outcome,
+        () = lease.until_evicted() => return Err(UploadFault::NoRoom),
+    };
+    outcome.unwrap_or(Err(UploadFault::Unusable))?;
+    let mut lease = lease.finish()?;
+    Ok(WholeUpload {
+        pieces: lease.take_pieces(),
+        lease: Some(lease),
+    })
+}
+
+async fn collect_chunks(
+    body: &mut RequestBody,
+    lease: &UploadLease,
+    limit: usize,
+) -> Result<(), UploadFault> {
+    let mut length = 0;
+    while let Some(chunk) = body.next().await {
+        let chunk = chunk.map_err(|_| UploadFault::Unusable)?;
+        length += chunk.len();
+        if length > limit {
+            return Err(UploadFault::Unusable);
+        }
+        lease.push(&chunk, Instant::now())?;
+    }
+    Ok(())
+}
--- a/crates/setup/src/http/stream_acceptor.rs
+++ b/crates/setup/src/http/stream_acceptor.rs
@@ -1,15 +1,16 @@
 use {
     crate::http::{
-        HttpLimits, OpenConnection, client_stream::ClientStream, http_server::wait_closing,
+        HttpLimits, client_stream::ClientStream, connection_cost::OPEN_BYTES,
+        http_server::wait_closing,
     },
     actix_service::Service,
     futures_util::FutureExt,
+    room::ClientRoom,
     socket2::SockRef,
     std::{
-        cell::{Cell, RefCell},
-        collections::VecDeque,
+        cell::Cell,
         net::SocketAddr,
-        rc::{Rc, Weak},
+        rc::Rc,
         time::{Duration, Instant},
     },
     tokio::{
@@ -20,8 +21,6 @@
 
 /// Pause after a failed `accept`, for instance because no file descriptors are left.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
-/// Connections that are remembered in any case, ended ones included.
-const MIN_REMEMBERED: usize = 64;
 /// Longest time for which a connection waits until another one has ended.
 const ROOM_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time between two checks whether another one has ended.
@@ -51,10 +50,9 @@
 pub(super) struct StreamAcceptor<S> {
     listener: TcpListener,
     limits: HttpLimits,
+    room: Rc<ClientRoom>,
     closing: watch::Receiver<bool>,
     open_count: Rc<Cell<usize>>,
-    /// Connections in the order in which they were accepted, ended ones included.
-    connections: RefCell<VecDeque<Weak<OpenConnection>>>,
     service: Rc<S>,
 }
 
@@ -62,6 +60,7 @@
     pub fn new(
         listener: TcpListener,
         limits: HttpLimits,
+        room: Rc<ClientRoom>,
         closing: watch::Receiver<bool>,
         open_count: Rc<Cell<usize>>,
         service: S,
@@ -69,9 +68,9 @@
         Self {
             listener,
             limits,
+            room,
             closing,
             open_count,
-            connections: RefCell::default(),
             service: Rc::new(service),
         }
     }
@@ -86,33 +85,22 @@
         }
     }
 
-    /// Waits until one more connection may be open, for a while.
+    /// Waits until one more connection may be open, for a while; others give way to it.
     async fn make_room(&self) {
         let deadline = Instant::now() + ROOM_TIMEOUT;
-        while self.open_count.get() >= self.limits.max_connections && Instant::now() < deadline {
-            self.end_idle_connection();
+        while !self.has_room() && Instant::now() < deadline {
+            let now = Instant::now();
+            self.room.make_room(OPEN_BYTES, now);
+            if self.room.staying_count() >= self.limits.max_connections {
+                self.room.end_one(now);
+            }
             actix_rt::time::sleep(ROOM_POLL_INTERVAL).await;
         }
     }
 
-    /// Remembers an open connection, and forgets the ended ones from time to time.
-    fn remember(&self, connection: &Rc<OpenConnection>) {
-        let mut connections = self.connections.borrow_mut();
-        if connections.len() > 2 * self.open_count.get() + MIN_REMEMBERED {
-            connections.retain(|connection| connection.strong_count() > 0);
-        }
-        connections.push_back(Rc::downgrade(connection));
-    }
-
-    /// Ends the oldest connection that is idle.
-    fn end_idle_connection(&self) {
-        let mut connections = self.connections.borrow_mut();
-        connections.retain(|connection| connection.strong_count() > 0);
-        let mut open = connections.iter().filter_map(Weak::upgrade);
-        let idle = open.find(|connection| connection.is_idle() && !connection.is_unwanted());
-        if let Some(idle) = idle {
-            idle.end_when_idle();
-        }
+    /// Returns true if one more connection may be open.
+    fn has_room(&self) -> bool {
+        self.open_count.get() < self.limits.max_connections && self.room.has_space(OPEN_BYTES)
     }
 
     /// Accepts the connections that wait: closing the listener would reset them. The runtime may not
@@ -129,16 +117,17 @@
     }
 
     fn serve(&self, stream: TcpStream, address: SocketAddr) {
-        if self.open_count.get() >= self.limits.max_connections {
+        if !self.has_room() {
+            self.room.count_refused();
             return;
         }
         let guard = ConnectionGuard::register(&self.open_count);
         let stream = ClientStream::new(
             stream,
+            &self.room,
             wait_closing(self.closing.clone()).boxed_local(),
-            self.limits.write_timeout,
+            (self.limits.write_timeout, self.limits.allows_half_closed),
         );
-        self.remember(stream.connection());
         let service = Rc::clone(&self.service);
         actix_rt::spawn(serve_stream(service, stream, address, guard));
     }
--- a/crates/setup/src/lib.rs
+++ b/crates/setup/src/lib.rs
@@ -11,8 +11,9 @@
 
 pub use {
     http::{
-        HttpBody, HttpLimits, HttpReply, OpenConnection, ReplyFollower, close_unread, follow_reply,
-        json_reply, read_body, serve_http, text_reply,
+        HttpBody, HttpLimits, HttpReply, OpenConnection, ReplyFollower, RequestBody, UploadFault,
+        UploadLimits, WholeUpload, close_unread, follow_reply, json_reply, read_body, read_upload,
+        serve_http, text_reply,
     },
     log_setup::{LogLevel, LogOutput, open_log},
     metric_registry::MetricRegistry,
--- a/crates/setup/tests/http_server.rs
+++ b/crates/setup/tests/http_server.rs
@@ -2,6 +2,7 @@
 
 use {
     actix_http::Request,
+    room::ClientRoom,
     setup::{HttpLimits, OpenConnection, ReplyFollower, follow_reply, serve_http, text_reply},
     std::{
         cell::Cell,
@@ -17,6 +18,8 @@
 
 /// Length of a reply that does not fit into the buffers of a connection.
 const REPLY_BYTES: usize = 64 * 1024 * 1024;
+/// Room for the reply and what the library copies of it.
+const ROOM_BYTES: usize = 4 * REPLY_BYTES;
 const WRITE_TIMEOUT: Duration = Duration::from_millis(300);
 
 #[actix_rt::test]
@@ -28,8 +31,9 @@
         ..HttpLimits::default()
     };
     let (_closing, inbox) = watch::channel(false);
+    let room = ClientRoom::new(ROOM_BYTES);
     let handler = async |_| text_reply(actix_http::StatusCode::OK, "r".repeat(REPLY_BYTES));
-    actix_rt::spawn(serve_http(listener, limits, inbox, handler));
+    actix_rt::spawn(serve_http(listener, limits, room, inbox, handler));
     let mut stream = TcpStream::connect(address).await.expect("connects");
     let head = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n";
     stream.write_all(head).await.expect("writes");
@@ -73,7 +77,13 @@
             async move { reply }
         }
     };
-    actix_rt::spawn(serve_http(listener, HttpLimits::default(), inbox, handler));
+    actix_rt::spawn(serve_http(
+        listener,
+        HttpLimits::default(),
+        ClientRoom::new(ROOM_BYTES),
+        inbox,
+        handler,
+    ));
     let mut stream = TcpStream::connect(address).await.expect("connects");
     let head = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n";
     stream.write_all(head).await.expect("writes");
--- a/crates/stand/src/serve/engine.rs
+++ b/crates/stand/src/serve/engine.rs
@@ -14,7 +14,7 @@
         body::{BodyStream, MessageBody},
         header::{CONTENT_TYPE, HeaderValue},
     },
-    setup::{HttpReply, ReadyLine, json_reply, read_body, text_reply},
+    setup::{HttpReply, ReadyLine, RequestBody, json_reply, read_body, text_reply},
     stand::{EngineOrder, StandControl},
     std::{
         cell::{Cell, RefCell},
@@ -200,7 +200,12 @@
 
     /// Applies an order and starts loading the models that it adds; a refused order gets a 409.
     async fn take_order(self: Rc<Self>, mut request: Request) -> HttpReply {
-        let body = read_body(&mut request.take_payload(), MAX_ORDER_BYTES, ORDER_TIMEOUT).await;
+        let body = read_body(
+            &mut RequestBody::take(&mut request),
+            MAX_ORDER_BYTES,
+            ORDER_TIMEOUT,
+        )
+        .await;
         let order: EngineOrder = match serde_json::from_slice(&body.unwrap_or_default()) {
             Ok(order) => order,
             Err(error) => return text_reply(StatusCode::BAD_REQUEST, error.to_string()),
--- a/crates/stand/src/serve/platform.rs
+++ b/crates/stand/src/serve/platform.rs
@@ -7,7 +7,7 @@
     },
     actix_http::{Method, Request, Response, StatusCode, body::MessageBody},
     bytes::Bytes,
-    setup::{HttpReply, ReadyLine, json_reply, read_body, text_reply},
+    setup::{HttpReply, ReadyLine, RequestBody, json_reply, read_body, text_reply},
     stand::{PlatformFault, PlatformMode},
     std::{
         cell::{Cell, RefCell},
@@ -143,8 +143,8 @@
     }
 
     async fn answer_operator(self: Rc<Self>, mut request: Request) -> HttpReply {
-        let mut payload = request.take_payload();
-        let Some(body) = read_body(&mut payload, MAX_VALUE_BYTES, VALUE_TIMEOUT).await else {
+        let mut body = RequestBody::take(&mut request);
+        let Some(body) = read_body(&mut body, MAX_VALUE_BYTES, VALUE_TIMEOUT).await else {
             return text_reply(
                 StatusCode::PAYLOAD_TOO_LARGE,
                 "the body is too long, truncated or late",
--- a/crates/stand/src/serve/proxy.rs
+++ b/crates/stand/src/serve/proxy.rs
@@ -9,7 +9,7 @@
     anyhow::Context,
     rand::SeedableRng,
     rand_chacha::ChaCha8Rng,
-    setup::{HttpReply, ReadyLine, json_reply, read_body, text_reply},
+    setup::{HttpReply, ReadyLine, RequestBody, json_reply, read_body, text_reply},
     stand::{ProxyDestination, ProxyFault},
     std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
@@ -87,7 +87,12 @@
 impl ProxyControl {
     /// Answers an operator with the faults in force; a request to another path changes nothing.
     async fn answer(self: Rc<Self>, mut request: Request) -> HttpReply {
-        let body = read_body(&mut request.take_payload(), MAX_BODY_BYTES, BODY_TIMEOUT).await;
+        let body = read_body(
+            &mut RequestBody::take(&mut request),
+            MAX_BODY_BYTES,
+            BODY_TIMEOUT,
+        )
+        .await;
         let body = body.unwrap_or_default();
         let outcome = match (request.method(), request.path()) {
             (&Method::POST, "/fault") => {
--- a/crates/stand/src/serve/target_call.rs
+++ b/crates/stand/src/serve/target_call.rs
@@ -35,8 +35,8 @@
 impl TargetCall {
     /// Reads a call from a request; the error names the missing or invalid part.
     pub async fn read(mut request: Request) -> Result<Self, String> {
-        let mut payload = request.take_payload();
-        let input = setup::read_body(&mut payload, MAX_INPUT_BYTES, INPUT_TIMEOUT).await;
+        let mut body = setup::RequestBody::take(&mut request);
+        let input = setup::read_body(&mut body, MAX_INPUT_BYTES, INPUT_TIMEOUT).await;
         let input = input.ok_or("the input is truncated, too long or late")?;
         let headers = &request.head().headers;
         Ok(Self {
--- a/crates/stand/src/serve/target_core.rs
+++ b/crates/stand/src/serve/target_core.rs
@@ -10,7 +10,7 @@
     },
     rand::{Rng, SeedableRng},
     rand_chacha::ChaCha8Rng,
-    setup::{HttpReply, json_reply, read_body, text_reply},
+    setup::{HttpReply, RequestBody, json_reply, read_body, text_reply},
     stand::{CallOutcome, StandControl, TargetHealth},
     std::{
         cell::{Ref, RefCell, RefMut},
@@ -143,7 +143,7 @@
 
     async fn change_control(&self, mut request: Request) -> HttpReply {
         let body = read_body(
-            &mut request.take_payload(),
+            &mut RequestBody::take(&mut request),
             MAX_CONTROL_BYTES,
             CONTROL_TIMEOUT,
         )
--- a/crates/wire/src/frame_decoder.rs
+++ b/crates/wire/src/frame_decoder.rs
@@ -15,6 +15,8 @@
 pub struct FrameDecoder<F> {
     authenticator: MessageAuthenticator,
     buffer: Vec<u8>,
+    /// Longest frame that is accepted, in bytes.
+    limit: usize,
     failure: Option<DropReason>,
     frame: PhantomData<F>,
 }
@@ -24,6 +26,7 @@
         Self {
             authenticator,
             buffer: Vec::new(),
+            limit: MAX_FRAME_BYTES,
             failure: None,
             frame: PhantomData,
         }
@@ -31,6 +34,17 @@
 }
 
 impl<F: DeserializeOwned> FrameDecoder<F> {
+    /// Sets the longest frame that is accepted from now on, in bytes, for instance while it is not known
+    /// whether the sender has the key.
+    pub fn set_limit(&mut self, limit: usize) {
+        self.limit = limit.min(MAX_FRAME_BYTES);
+    }
+
+    /// Returns the number of bytes that wait for the rest of their frame.
+    pub fn waiting_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Appends received bytes; after a failure they are ignored.
     pub fn push(&mut self, bytes: &[u8]) {
         if self.failure.is_none() {
@@ -73,7 +87,7 @@
             return Ok(None);
         };
         let length = usize::try_from(u32::from_le_bytes(*prefix)).unwrap_or(usize::MAX);
-        if length > MAX_FRAME_BYTES {
+        if length > self.limit {
             return Err(DropReason::TooLong);
         }
         let Some(sealed) = rest.get(..length) else {
