--- a/crates/setup/src/http/read_upload.rs
+++ b/crates/setup/src/http/read_upload.rs
@@ -1,5 +1,6 @@
 use {
-    crate::http::RequestBody,
+    crate::http::{RequestBody, body_framing::MAX_CHUNKS_AT_ONCE},
+    actix_http::error::PayloadError,
     bytes::Bytes,
     futures_util::StreamExt,
     room::{NoRoom, UploadLease, UploadRoom},
@@ -108,13 +109,24 @@
     limit: usize,
 ) -> Result<(), UploadFault> {
     let mut length = 0;
-    while let Some(chunk) = body.next().await {
-        let chunk = chunk.map_err(|_| UploadFault::Unusable)?;
-        length += chunk.len();
+    let mut batches = body.ready_chunks(MAX_CHUNKS_AT_ONCE);
+    while let Some(batch) = batches.next().await {
+        let bytes = join_chunks(batch)?;
+        length += bytes.len();
         if length > limit {
             return Err(UploadFault::Unusable);
         }
-        lease.push(&chunk, Instant::now())?;
+        lease.push(&bytes, Instant::now())?;
     }
     Ok(())
 }
+
+/// Joins the chunks that were handed over at once, so that short ones cost little more than long ones.
+fn join_chunks(mut batch: Vec<Result<Bytes, PayloadError>>) -> Result<Bytes, UploadFault> {
+    if batch.len() == 1 {
+        return batch.remove(0).map_err(|_| UploadFault::Unusable);
+    }
+    let chunks: Result<Vec<Bytes>, PayloadError> = batch.into_iter().collect();
+    let chunks = chunks.map_err(|_| UploadFault::Unusable)?;
+    Ok(Bytes::from(chunks.concat()))
+}
