--- a/crates/setup/src/http/client_stream.rs
+++ b/crates/setup/src/http/client_stream.rs
@@ -25,7 +25,7 @@
 /// Bytes of a head that are read at once.
 const HEAD_BYTES_AT_ONCE: usize = 4 * 1024;
 /// Bytes of a body that are read at once.
-const BODY_BYTES_AT_ONCE: usize = 16 * 1024;
+const BODY_BYTES_AT_ONCE: usize = 8 * 1024;
 /// Bytes that are read behind a request that is open, to see whether its client has left.
 const MAX_BYTES_AHEAD: usize = 2 * 1024;
 
