--- a/crates/setup/src/http/open_connection.rs
+++ b/crates/setup/src/http/open_connection.rs
@@ -45,8 +45,6 @@
     has_bytes_ahead: Cell<bool>,
     /// What is still to come of the body of the open request.
     framing: RefCell<BodyFraming>,
-    /// Bytes of the body of the open request that were handed over.
-    body_bytes: Cell<usize>,
     /// Bytes that the kernel keeps for the connection beyond what it keeps for each.
     wide_bytes: Cell<usize>,
     /// True while the handler of the open request waits for more of its body.
@@ -72,7 +70,6 @@
             head_bytes: Cell::default(),
             has_bytes_ahead: Cell::default(),
             framing: RefCell::default(),
-            body_bytes: Cell::default(),
             wide_bytes: Cell::default(),
             wants_body: Cell::default(),
             is_body_refused: Cell::default(),
@@ -156,7 +153,6 @@
         self.wants_body.set(false);
         let mut framing = self.framing.borrow_mut();
         let count = framing.take(bytes);
-        self.body_bytes.set(self.body_bytes.get() + count);
         self.seat.record_progress(count, Instant::now());
         if framing.is_whole() {
             self.begin_run();
@@ -168,7 +164,6 @@
     /// is over.
     pub(super) fn begin_request(self: &Rc<Self>, framing: BodyFraming) -> OpenReply {
         self.head_bytes.set(0);
-        self.body_bytes.set(0);
         self.wants_body.set(false);
         self.is_body_refused.set(false);
         self.is_answered.set(false);
@@ -179,12 +174,11 @@
         OpenReply::new(self)
     }
 
-    /// Returns the bytes that the kernel should keep from now on, if that has changed: more while a long
-    /// body arrives, provided that there is room for them without others giving way.
+    /// Returns the bytes that the kernel should keep from now on, if that has changed: more while a body
+    /// arrives that states to be long, provided that there is room for them without others giving way.
     pub(super) fn next_window(&self) -> Option<usize> {
         let framing = self.framing.borrow();
-        let is_long = framing.has_left(LONG_BODY_BYTES)
-            || !framing.is_whole() && self.body_bytes.get() >= LONG_BODY_BYTES;
+        let is_long = framing.has_left(LONG_BODY_BYTES);
         let (is_wide, now) = (self.wide_bytes.get() > 0, Instant::now());
         let more_bytes = WIDE_BUFFER_BYTES - RECEIVE_BUFFER_BYTES;
         if is_long && !is_wide && self.seat.has_space(more_bytes) {
