--- a/crates/proofs/tests/crowds/crowd_program.rs
+++ b/crates/proofs/tests/crowds/crowd_program.rs
@@ -21,7 +21,7 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Time after which the program counts as hanging: it reads what the kernels of a crowd that has gone still
 /// had to send, which takes as long as the machine needs.
-const CLOSE_TIMEOUT: Duration = Duration::from_secs(120);
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Descriptors that a program may have open for targets and the platform beyond those that it had
 /// before the crowd.
 const SPARE_DESCRIPTORS: usize = 16;
