--- a/crates/proofs/tests/whole_answers.rs
+++ b/crates/proofs/tests/whole_answers.rs
@@ -9,7 +9,10 @@
     proofs::{FleetHarness, FleetPlan, RunOutcome, RunRequest, TestCaller, wait_until},
     serde_json::json,
     stand::{CallOutcome, EchoRule, EchoStage},
-    std::{fs, time::Duration},
+    std::{
+        fs,
+        time::{Duration, Instant},
+    },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpSocket, TcpStream},
@@ -18,6 +21,10 @@
 
 const WAIT_TIMEOUT: Duration = Duration::from_secs(15);
 const ENGINES: [&str; 2] = ["model1", "model2"];
+/// Number of streams that run beside each other.
+const STREAMS_AT_ONCE: u64 = 6;
+/// Time within which an engine that dies has exited.
+const EXIT_DELAY: Duration = Duration::from_secs(1);
 /// Memory that an entry may use in total, in bytes.
 const MAX_MEMORY_BYTES: u64 = 256 * 1024 * 1024;
 /// Number of tokens of an answer that its caller does not read.
@@ -69,19 +76,11 @@
     outcomes
 }
 
-/// Guards against streams that are cut, or repeat or lose tokens, when an engine dies in the middle
-/// of them and another engine continues them.
-#[actix_rt::test]
-async fn stream_resumes_on_another_engine() {
-    let mut fleet = FleetHarness::start(FleetPlan::small(1)).await.unwrap();
-    fleet
-        .control_target("model1", &json!({ "die_after_tokens": 7 }))
-        .await
-        .unwrap();
+/// Runs streams beside each other, each of which must be answered whole.
+async fn assert_whole_streams(entry: &str, ids: impl Iterator<Item = u64>) {
     let caller = TestCaller::new();
-    let entry = fleet.caller_address("h1");
-    let runs = (0..6).map(|number| {
-        let (caller, entry) = (caller.clone(), entry.clone());
+    let runs = ids.map(|number| {
+        let (caller, entry) = (caller.clone(), entry.to_string());
         actix_rt::spawn(async move {
             let id = format!("r{number}");
             let request = RunRequest::new("farm", "read", &id, b"hay tokens=30").streamed();
@@ -97,7 +96,29 @@
             "{outcome:?}"
         );
     }
-    fleet.wait_for_exit("model1", WAIT_TIMEOUT).await.unwrap();
+}
+
+/// Guards against streams that are cut, or repeat or lose tokens, when an engine dies in the middle
+/// of them and another engine continues them.
+#[actix_rt::test]
+async fn stream_resumes_on_another_engine() {
+    let mut fleet = FleetHarness::start(FleetPlan::small(1)).await.unwrap();
+    fleet
+        .control_target("model1", &json!({ "die_after_tokens": 7 }))
+        .await
+        .unwrap();
+    let entry = fleet.caller_address("h1");
+    // Which engine runs a stream follows from its prompt: all of one round may run on the other one.
+    let deadline = Instant::now() + WAIT_TIMEOUT;
+    let mut first_id = 0;
+    loop {
+        assert_whole_streams(&entry, first_id..first_id + STREAMS_AT_ONCE).await;
+        first_id += STREAMS_AT_ONCE;
+        match fleet.wait_for_exit("model1", EXIT_DELAY).await {
+            Ok(_) => return,
+            Err(error) => assert!(Instant::now() < deadline, "{error}"),
+        }
+    }
 }
 
 /// Guards against a stream that looks complete, or is reported as not run, when all engines die in
