--- a/crates/room/src/upload/upload_buffer.rs
+++ b/crates/room/src/upload/upload_buffer.rs
@@ -1,14 +1,17 @@
 use bytes::Bytes;
 
-/// Size of a whole piece, in bytes.
+/// Size of a piece of a long body, in bytes.
 const PIECE_BYTES: usize = 64 * 1024;
-/// Sizes that a piece has before it is whole, in bytes.
-const PART_BYTES: [usize; 2] = [4 * 1024, 16 * 1024];
+/// Bytes that a body may have with its first pieces, which are shorter so that short bodies take little.
+const FIRST_BYTES: [usize; 3] = [4 * 1024, 16 * 1024, PIECE_BYTES];
 
-/// Collects a body in pieces, so that it takes no more memory than is counted for it.
+/// Collects a body in pieces, so that it takes no more memory than is counted for it. No piece is moved
+/// as the body grows: the memory that it leaves would be counted for nobody.
 #[derive(Default)]
 pub(super) struct UploadBuffer {
-    whole_pieces: Vec<Bytes>,
+    full_pieces: Vec<Bytes>,
+    /// Bytes in full pieces.
+    full_bytes: usize,
     /// Piece that is being filled.
     piece: Vec<u8>,
 }
@@ -20,30 +23,20 @@
         if self.spare_bytes() > 0 {
             return 0;
         }
-        let is_whole = self.piece.len() == PIECE_BYTES;
-        let known = match is_whole {
-            true => 0,
-            false => self.piece.capacity(),
-        };
-        let mut steps = PART_BYTES.into_iter().chain([PIECE_BYTES]);
-        let step = steps.find(|step| *step > known);
-        let whole_count = self.whole_pieces.len() + usize::from(is_whole);
-        let rest = length.map_or(usize::MAX, |length| {
-            length.saturating_sub(whole_count * PIECE_BYTES)
-        });
-        let step = step.unwrap_or(PIECE_BYTES);
-        step.min(rest).saturating_sub(known)
+        let known = self.full_bytes + self.piece.len();
+        let mut first_sizes = FIRST_BYTES.into_iter();
+        let next_size = first_sizes.find(|size| *size > known);
+        let next_size = next_size.unwrap_or(known + PIECE_BYTES);
+        next_size.min(length.unwrap_or(usize::MAX)) - known
     }
 
     /// Takes the bytes that `next_growth` has returned.
     pub fn grow(&mut self, growth: usize) {
-        if self.piece.len() == PIECE_BYTES {
-            let whole_piece = std::mem::take(&mut self.piece);
-            self.whole_pieces.push(Bytes::from(whole_piece));
+        let piece = std::mem::replace(&mut self.piece, Vec::with_capacity(growth));
+        if !piece.is_empty() {
+            self.full_bytes += piece.len();
+            self.full_pieces.push(Bytes::from(piece));
         }
-        let known = self.piece.len();
-        self.piece
-            .reserve_exact(self.piece.capacity() + growth - known);
     }
 
     /// Adds bytes as far as there is space; returns their number.
@@ -55,10 +48,8 @@
 
     /// Returns all that has arrived, in pieces.
     pub fn into_pieces(self) -> Vec<Bytes> {
-        let pieces = self
-            .whole_pieces
-            .into_iter()
-            .chain([Bytes::from(self.piece)]);
+        let last_piece = Bytes::from(self.piece);
+        let pieces = self.full_pieces.into_iter().chain([last_piece]);
         pieces.filter(|piece| !piece.is_empty()).collect()
     }
 
