--- a/crates/setup/src/http/client_stream.rs
+++ b/crates/setup/src/http/client_stream.rs
@@ -25,7 +25,10 @@
 /// Bytes of a head that are read at once.
 const HEAD_BYTES_AT_ONCE: usize = 4 * 1024;
 /// Bytes of a body that are read at once.
-const BODY_BYTES_AT_ONCE: usize = 8 * 1024;
+const BODY_BYTES_AT_ONCE: usize = 7 * 1024;
+/// Bytes that stay free in the buffer of the HTTP library: with fewer, it takes a larger one before it has
+/// parsed what it was handed.
+const FREE_BUFFER_BYTES: usize = 1024;
 /// Bytes that are read behind a request that is open, to see whether its client has left.
 const MAX_BYTES_AHEAD: usize = 2 * 1024;
 
@@ -144,7 +147,7 @@
         if !self.connection.may_arrive(context.waker()) {
             return Poll::Pending;
         }
-        let count = self.arrived.scan_head(buffer.remaining());
+        let count = self.arrived.scan_head(usable_bytes(buffer));
         self.connection.record_head(count);
         self.hand_over(count, buffer);
         Poll::Ready(Ok(()))
@@ -160,9 +163,8 @@
         if self.arrived.is_empty() {
             return Poll::Ready(Ok(()));
         }
-        let count = self
-            .connection
-            .take_body(self.arrived.first(buffer.remaining()));
+        let bytes = self.arrived.first(usable_bytes(buffer));
+        let count = self.connection.take_body(bytes);
         self.hand_over(count, buffer);
         if let Some(window) = self.connection.next_window() {
             // Without it the body only takes longer.
@@ -198,6 +200,12 @@
     }
 }
 
+/// Returns how many bytes can be handed over without making the buffer of the library larger, or one, by
+/// which it takes as much as a long head needs.
+fn usable_bytes(buffer: &ReadBuf<'_>) -> usize {
+    buffer.remaining().saturating_sub(FREE_BUFFER_BYTES).max(1)
+}
+
 impl Drop for ClientStream {
     fn drop(&mut self) {
         self.connection.close();
