--- a/crates/setup/src/http/body_framing.rs
+++ b/crates/setup/src/http/body_framing.rs
@@ -7,7 +7,7 @@
 };
 
 /// Chunks that are handed over at once: the HTTP library keeps an entry for each, however short it is.
-pub(super) const MAX_CHUNKS_AT_ONCE: usize = 64;
+const MAX_CHUNKS_AT_ONCE: usize = 64;
 
 /// Where the body of a request ends on its connection.
 #[derive(Debug, Default)]
--- a/crates/setup/src/http/chunk_scanner.rs
+++ b/crates/setup/src/http/chunk_scanner.rs
@@ -34,26 +34,36 @@
     /// Scans until this many chunks have ended, or the body has; returns the number of bytes scanned.
     pub fn scan(&mut self, bytes: &[u8], max_chunks: usize) -> usize {
         let (mut at, mut chunk_count) = (0, 0);
-        while at < bytes.len() && !self.has_ended() && chunk_count < max_chunks {
-            if self.state == ScanState::Data {
-                let rest = usize::try_from(self.size).unwrap_or(usize::MAX);
-                let count = rest.min(bytes.len() - at);
-                self.size -= count as u64;
-                at += count;
-                if self.size == 0 {
-                    self.state = ScanState::DataEnd;
+        while at < bytes.len() && chunk_count < max_chunks {
+            match self.state {
+                ScanState::Ended => break,
+                ScanState::Data => {
+                    at += self.skip_data(bytes.len() - at);
+                    continue;
                 }
-                continue;
+                ScanState::DataEnd if bytes[at] == b'\n' => {
+                    self.state = ScanState::Size;
+                    chunk_count += 1;
+                }
+                _ => self.step(bytes[at]),
             }
-            let was_behind_data = self.state == ScanState::DataEnd;
-            self.step(bytes[at]);
             at += 1;
-            chunk_count += usize::from(was_behind_data && self.state == ScanState::Size);
         }
         at
     }
 
-    /// Scans one byte that is not in a chunk.
+    /// Passes over bytes of a chunk, of which this many are there; returns their number.
+    fn skip_data(&mut self, available: usize) -> usize {
+        let rest = usize::try_from(self.size).unwrap_or(usize::MAX);
+        let count = rest.min(available);
+        self.size -= count as u64;
+        if self.size == 0 {
+            self.state = ScanState::DataEnd;
+        }
+        count
+    }
+
+    /// Scans one byte of a line that is not the end of a chunk.
     fn step(&mut self, byte: u8) {
         self.state = match (self.state, byte) {
             (ScanState::Size | ScanState::Extension, b'\n') => match self.size {
@@ -67,7 +77,6 @@
                 }
                 None => ScanState::Extension,
             },
-            (ScanState::DataEnd, b'\n') => ScanState::Size,
             (ScanState::TrailerStart, b'\n') => ScanState::Ended,
             (ScanState::TrailerStart, b'\r') => ScanState::TrailerStart,
             (ScanState::Trailer, b'\n') => ScanState::TrailerStart,
--- a/crates/setup/src/http/read_upload.rs
+++ b/crates/setup/src/http/read_upload.rs
@@ -1,8 +1,7 @@
 use {
-    crate::http::{RequestBody, body_framing::MAX_CHUNKS_AT_ONCE},
-    actix_http::error::PayloadError,
-    bytes::Bytes,
-    futures_util::StreamExt,
+    crate::http::RequestBody,
+    bytes::{Bytes, BytesMut},
+    futures_util::{FutureExt, StreamExt},
     room::{NoRoom, UploadLease, UploadRoom},
     std::{
         sync::Arc,
@@ -109,9 +108,7 @@
     limit: usize,
 ) -> Result<(), UploadFault> {
     let mut length = 0;
-    let mut batches = body.ready_chunks(MAX_CHUNKS_AT_ONCE);
-    while let Some(batch) = batches.next().await {
-        let bytes = join_chunks(batch)?;
+    while let Some(bytes) = next_bytes(body).await? {
         length += bytes.len();
         if length > limit {
             return Err(UploadFault::Unusable);
@@ -121,12 +118,21 @@
     Ok(())
 }
 
-/// Joins the chunks that were handed over at once, so that short ones cost little more than long ones.
-fn join_chunks(mut batch: Vec<Result<Bytes, PayloadError>>) -> Result<Bytes, UploadFault> {
-    if batch.len() == 1 {
-        return batch.remove(0).map_err(|_| UploadFault::Unusable);
+/// Waits for more of the body and returns what was handed over at once, `None` at its end. Chunks are
+/// joined, so that short ones cost little more than long ones.
+async fn next_bytes(body: &mut RequestBody) -> Result<Option<Bytes>, UploadFault> {
+    let Some(first) = body.next().await else {
+        return Ok(None);
+    };
+    let first = first.map_err(|_| UploadFault::Unusable)?;
+    let Some(second) = body.next().now_or_never().flatten() else {
+        return Ok(Some(first));
+    };
+    let mut joined = BytesMut::from(first);
+    let mut next = Some(second);
+    while let Some(chunk) = next {
+        joined.extend_from_slice(&chunk.map_err(|_| UploadFault::Unusable)?);
+        next = body.next().now_or_never().flatten();
     }
-    let chunks: Result<Vec<Bytes>, PayloadError> = batch.into_iter().collect();
-    let chunks = chunks.map_err(|_| UploadFault::Unusable)?;
-    Ok(Bytes::from(chunks.concat()))
+    Ok(Some(joined.freeze()))
 }
