--- a/crates/room/src/client/client_room.rs
+++ b/crates/room/src/client/client_room.rs
@@ -2,9 +2,10 @@
     crate::client::{ClientSeat, RoomCounts},
     std::{
         cell::{Cell, RefCell},
+        future::poll_fn,
         rc::{Rc, Weak},
         sync::Arc,
-        task::Waker,
+        task::{Poll, Waker},
         time::Instant,
     },
 };
@@ -119,6 +120,19 @@
         self.counts.count_refused();
     }
 
+    /// Waits until bytes are given back and the room is not exceeded.
+    pub async fn until_freed(&self) {
+        let mut is_waiting = false;
+        poll_fn(|context| {
+            if std::mem::replace(&mut is_waiting, true) {
+                return Poll::Ready(());
+            }
+            self.wait(context.waker());
+            Poll::Pending
+        })
+        .await;
+    }
+
     pub(super) fn is_exceeded(&self) -> bool {
         self.held.get() > self.limit
     }
--- a/crates/setup/src/http/stream_acceptor.rs
+++ b/crates/setup/src/http/stream_acceptor.rs
@@ -21,7 +21,7 @@
 
 /// Pause after a failed `accept`, for instance because no file descriptors are left.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
-/// Longest time for which a connection waits until another one has ended.
+/// Longest time for which connections wait until another one has ended.
 const ROOM_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time between two checks whether another one has ended.
 const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(10);
@@ -77,25 +77,39 @@
 
     pub async fn accept_streams(&self) {
         loop {
-            self.make_room().await;
             match self.listener.accept().await {
-                Ok((stream, address)) => self.serve(stream, address),
+                Ok((stream, address)) => {
+                    let has_room = self.make_room().await;
+                    self.serve(stream, address);
+                    if !has_room {
+                        // Those behind it have waited meanwhile; in turn, the last would wait for all.
+                        self.accept_waiting();
+                    }
+                }
                 Err(_) => actix_rt::time::sleep(ACCEPT_RETRY_PAUSE).await,
             }
         }
     }
 
-    /// Waits until one more connection may be open, for a while; others give way to it.
-    async fn make_room(&self) {
+    /// Waits until one more connection may be open, for a while; others give way to it. Returns false if
+    /// none may be open by then.
+    async fn make_room(&self) -> bool {
         let deadline = Instant::now() + ROOM_TIMEOUT;
-        while !self.has_room() && Instant::now() < deadline {
+        while !self.has_room() {
             let now = Instant::now();
+            if now >= deadline {
+                return false;
+            }
             self.room.make_room(OPEN_BYTES, now);
             if self.room.staying_count() >= self.limits.max_connections {
                 self.room.end_one(now);
             }
-            actix_rt::time::sleep(ROOM_POLL_INTERVAL).await;
+            tokio::select! {
+                () = self.room.until_freed() => {}
+                () = actix_rt::time::sleep(ROOM_POLL_INTERVAL) => {}
+            }
         }
+        true
     }
 
     /// Returns true if one more connection may be open.
