--- a/crates/relay/src/caller/caller_server.rs
+++ b/crates/relay/src/caller/caller_server.rs
@@ -1,6 +1,9 @@
 use {
     crate::{
-        caller::RelayDraft,
+        caller::{
+            RelayDraft,
+            head_check::{check_head, find_route},
+        },
         dialect::{HeaderList, RelayRefusal},
         drain::until_exit_limit,
         filters::FilterChain,
@@ -20,7 +23,7 @@
     room::UPLOAD_TIMEOUT,
     setup::{
         HttpReply, OpenConnection, RequestBody, UploadFault, UploadLimits, close_unread,
-        follow_reply, read_upload,
+        discard_body, follow_reply, read_upload,
     },
     slog::{info, warn},
     std::{
@@ -29,8 +32,6 @@
     },
 };
 
-/// Time after which a caller should retry if this entry has no sufficiently recent configuration.
-const NO_PLAN_RETRY_DELAY: Duration = Duration::from_millis(400);
 /// Time after which a caller should retry if there was no room for the body of its request.
 const NO_ROOM_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Maximum length of a request's body: 4 MiB and a margin of 64 KiB.
@@ -38,6 +39,12 @@
     bytes: 4 * 1024 * 1024 + 64 * 1024,
     timeout: UPLOAD_TIMEOUT,
 };
+/// What is read and dropped of the body of a request that is refused by its head, so that its connection
+/// stays usable.
+const DISCARD_LIMITS: UploadLimits = UploadLimits {
+    bytes: 64 * 1024,
+    timeout: Duration::from_secs(1),
+};
 /// Time after which a caller should retry if a fault of this entry has ended its request.
 const PANIC_RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -102,6 +109,13 @@
     };
     open.set_id(&head.request_id);
     let mut body = RequestBody::take(&mut request);
+    if let Err(refusal) = check_head(core, &head) {
+        if discard_body(&mut body, DISCARD_LIMITS).await {
+            guard.record_read();
+            return refuse(core, &open, refusal);
+        }
+        return close_unread(refuse(core, &open, refusal), body);
+    }
     let body = match read_upload(&core.upload_room, &mut body, UPLOAD_LIMITS).await {
         Ok(upload) => CallBody::uploaded(upload),
         Err(fault) => {
@@ -168,23 +182,9 @@
     body: CallBody,
     arrived: Instant,
 ) -> Result<RelayDraft, RelayRefusal> {
-    let Some(plan) = core.plan() else {
-        let refusal = RelayRefusal::not_run(FailureReason::NoSheet, "no configuration yet");
-        return Err(refusal.retry_after(NO_PLAN_RETRY_DELAY));
-    };
-    let Some(rule) = plan.route(&head.host, head.path_without_query()) else {
-        let detail = format!(
-            "configuration {} has no route for this host and path",
-            plan.version
-        );
-        return Err(match core.can_reject_unknown() {
-            true => RelayRefusal::not_run(FailureReason::UnknownPipeline, detail),
-            false => RelayRefusal::not_run(FailureReason::NoSheet, detail)
-                .retry_after(NO_PLAN_RETRY_DELAY),
-        });
-    };
+    let (plan, rule) = find_route(core, &head)?;
     let draw = core.random.borrow_mut().random();
-    RelayDraft::new(head, body, &plan, rule, arrived, draw)
+    RelayDraft::new(head, body, &plan, &rule, arrived, draw)
 }
 
 fn refuse(core: &RelayCore, request: &OpenRequest, refusal: RelayRefusal) -> HttpReply {
--- a/crates/relay/src/caller/mod.rs
+++ b/crates/relay/src/caller/mod.rs
@@ -1,6 +1,7 @@
 mod answer_body;
 mod auxiliary_server;
 mod caller_server;
+mod head_check;
 mod relay_draft;
 
 pub use {
--- a/crates/relay/src/filters/mod.rs
+++ b/crates/relay/src/filters/mod.rs
@@ -8,5 +8,5 @@
 pub use {
     admission_filter::expected_stages_time,
     filter_chain::{FilterChain, FilterResult, RequestFilter},
-    key_filter::stale_keys_refusal,
+    key_filter::{find_key_owner, stale_keys_refusal},
 };
--- a/crates/setup/src/http/mod.rs
+++ b/crates/setup/src/http/mod.rs
@@ -22,6 +22,6 @@
     },
     open_connection::OpenConnection,
     open_reply::ReplyFollower,
-    read_upload::{UploadFault, UploadLimits, WholeUpload, read_upload},
+    read_upload::{UploadFault, UploadLimits, WholeUpload, discard_body, read_upload},
     request_body::RequestBody,
 };
--- a/crates/setup/src/http/read_upload.rs
+++ b/crates/setup/src/http/read_upload.rs
@@ -102,6 +102,32 @@
     })
 }
 
+/// Reads the rest of a body and drops it. Returns false if it is longer than the limits allow, is cut, or
+/// comes too slowly; the reply must then be passed through [`crate::close_unread`].
+pub async fn discard_body(body: &mut RequestBody, limits: UploadLimits) -> bool {
+    if body.is_empty() {
+        return true;
+    }
+    let length = body.stated_length();
+    if length.is_some_and(|length| length > limits.bytes) {
+        return false;
+    }
+    let dropping = drop_chunks(body, limits.bytes);
+    let outcome = actix_rt::time::timeout(limits.timeout, dropping).await;
+    outcome.unwrap_or(false)
+}
+
+async fn drop_chunks(body: &mut RequestBody, limit: usize) -> bool {
+    let mut length = 0;
+    loop {
+        match body.next().await {
+            None => return true,
+            Some(Ok(chunk)) if length + chunk.len() <= limit => length += chunk.len(),
+            Some(_) => return false,
+        }
+    }
+}
+
 async fn collect_chunks(
     body: &mut RequestBody,
     lease: &UploadLease,
--- a/crates/setup/src/lib.rs
+++ b/crates/setup/src/lib.rs
@@ -12,8 +12,8 @@
 pub use {
     http::{
         HttpBody, HttpLimits, HttpReply, OpenConnection, ReplyFollower, RequestBody, UploadFault,
-        UploadLimits, WholeUpload, close_unread, follow_reply, json_reply, read_body, read_upload,
-        serve_http, text_reply,
+        UploadLimits, WholeUpload, close_unread, discard_body, follow_reply, json_reply, read_body,
+        read_upload, serve_http, text_reply,
     },
     log_setup::{LogLevel, LogOutput, open_log},
     metric_registry::MetricRegistry,
