--- a/crates/room/src/client/client_room.rs
+++ b/crates/room/src/client/client_room.rs
@@ -1,12 +1,12 @@
 use {
-    crate::client::{ClientSeat, RoomCounts},
+    crate::client::{ClientSeat, RoomCounts, client_seat::YOUNG_TIME},
     std::{
         cell::{Cell, RefCell},
         future::poll_fn,
         rc::{Rc, Weak},
         sync::Arc,
         task::{Poll, Waker},
-        time::Instant,
+        time::{Duration, Instant},
     },
 };
 
@@ -89,17 +89,30 @@
     /// is not enough.
     pub fn make_room(&self, bytes: usize, now: Instant) -> bool {
         while self.held.get() - self.ending.get() + bytes > self.limit {
-            if !self.end_one(now) {
+            if !self.end_one(now, Duration::ZERO) {
                 return false;
             }
         }
         true
     }
 
-    /// Has the connection end that gives way first; returns false if none does.
-    pub fn end_one(&self, now: Instant) -> bool {
+    /// Has connections give way to a new one, of this number of bytes, until there will be room for it and
+    /// no more than this number of others stay; those on which a request has just begun to arrive do not.
+    pub fn make_room_for_new(&self, bytes: usize, max_others: usize, now: Instant) {
+        let is_full = || self.held.get() - self.ending.get() + bytes > self.limit;
+        while is_full() || self.staying_count() > max_others {
+            if !self.end_one(now, YOUNG_TIME) {
+                return;
+            }
+        }
+    }
+
+    /// Has the connection end that gives way first, of those whose request has been arriving for a while;
+    /// returns false if none does.
+    fn end_one(&self, now: Instant, min_arriving: Duration) -> bool {
         let seats = self.seats.borrow();
         let ranked = seats.iter().filter_map(Weak::upgrade);
+        let ranked = ranked.filter(|seat| !seat.is_young_arrival(now, min_arriving));
         let ranked = ranked.filter_map(|seat| Some((seat.rank(now)?, seat)));
         // Of equal ones the first, which is the oldest.
         let first = ranked.reduce(|first, next| match next.0 > first.0 {
--- a/crates/room/src/client/client_seat.rs
+++ b/crates/room/src/client/client_seat.rs
@@ -14,7 +14,7 @@
 /// Bytes that a transfer counts as moved, and time as passed, before it begins, so that one that has just
 /// begun does not count as slow.
 const YOUNG_BYTES: usize = 16 * 1024;
-const YOUNG_TIME: Duration = Duration::from_millis(100);
+pub(super) const YOUNG_TIME: Duration = Duration::from_millis(100);
 
 /// What a connection does, as far as it matters for who gives way.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -174,6 +174,12 @@
         self.bytes.get()
     }
 
+    /// Returns true if a request arrives, and has for less than this time.
+    pub(super) fn is_young_arrival(&self, now: Instant, young_time: Duration) -> bool {
+        let age = now.saturating_duration_since(self.since.get());
+        self.state.get() == SeatState::Arriving && age < young_time
+    }
+
     /// Returns how soon it gives way; `None` if it does not, or ends already.
     pub(super) fn rank(&self, now: Instant) -> Option<SeatRank> {
         if self.is_ending.get() {
--- a/crates/room/tests/client_room.rs
+++ b/crates/room/tests/client_room.rs
@@ -75,6 +75,25 @@
     assert_eq!(seats[1].end(), None);
 }
 
+/// Guards against requests that arrive and are ended, before they were read, for connections that come
+/// right after them.
+#[test]
+fn a_request_that_has_just_begun_does_not_give_way_to_a_new_connection() {
+    let room = ClientRoom::new(2 * SEAT_BYTES);
+    let start = Instant::now();
+    let seats = take_seats(&room, 2, start);
+    for seat in &seats {
+        seat.set_state(SeatState::Arriving, start);
+    }
+    room.make_room_for_new(SEAT_BYTES, 2, start + Duration::from_millis(20));
+    assert!(seats.iter().all(|seat| seat.end().is_none()));
+    room.make_room_for_new(SEAT_BYTES, 2, start + Duration::from_millis(200));
+    assert_eq!(seats[0].end(), Some(SeatEnd::Now));
+    assert_eq!(seats[1].end(), None);
+    room.make_room_for_new(0, 0, start + Duration::from_millis(200));
+    assert_eq!(seats[1].end(), Some(SeatEnd::Now), "one alone may be open");
+}
+
 /// One thing that happens to one of the connections.
 #[derive(Debug, Clone)]
 enum SeatStep {
--- a/crates/setup/src/http/stream_acceptor.rs
+++ b/crates/setup/src/http/stream_acceptor.rs
@@ -100,10 +100,8 @@
             if now >= deadline {
                 return false;
             }
-            self.room.make_room(OPEN_BYTES, now);
-            if self.room.staying_count() >= self.limits.max_connections {
-                self.room.end_one(now);
-            }
+            let max_others = self.limits.max_connections.saturating_sub(1);
+            self.room.make_room_for_new(OPEN_BYTES, max_others, now);
             tokio::select! {
                 () = self.room.until_freed() => {}
                 () = actix_rt::time::sleep(ROOM_POLL_INTERVAL) => {}
