--- a/crates/relay/src/client_rooms.rs
+++ b/crates/relay/src/client_rooms.rs
@@ -40,6 +40,11 @@
         }
     }
 
+    /// Returns the rooms of the connections on which answers of targets are written.
+    pub fn of_answers(&self) -> [Rc<ClientRoom>; 2] {
+        [Rc::clone(&self.callers), Rc::clone(&self.hops)]
+    }
+
     /// Brings the metrics up to date.
     pub fn update_metrics(&self, core: &RelayCore) {
         for (address, room) in self.by_address() {
--- a/crates/relay/src/run/run_request.rs
+++ b/crates/relay/src/run/run_request.rs
@@ -83,7 +83,12 @@
 ) -> Result<Result<SendOutcome, SendFault>, RelayRefusal> {
     source.record_event();
     let due = run.draft.deadline;
-    let reading = run.core.answer_room.read(&mut reply);
+    let taking = run.core.answer_room.take(&reply.headers);
+    let Ok(lease) = tokio::time::timeout_at(due.into(), taking).await else {
+        source.set_outcome(ServiceOutcome::Failed);
+        return Err(run.deadline_refusal(true));
+    };
+    let reading = async { lease?.read(&mut reply).await };
     let read_result = tokio::time::timeout_at(due.into(), reading).await;
     let body = match read_result {
         Ok(Ok(body)) if !is_cut_short(run, &reply, &body) => body,
--- a/crates/relay/src/shared/relay_core.rs
+++ b/crates/relay/src/shared/relay_core.rs
@@ -177,6 +177,7 @@
             ..CrashTrackerSettings::default()
         };
         let memory = settings.memory_shares();
+        let client_rooms = ClientRooms::new(memory);
         let ledger = RequestLedger::new();
         let metrics = RelayMetrics::new(&ledger);
         Rc::new(Self {
@@ -184,9 +185,9 @@
             metrics,
             ledger,
             exit: ExitPlan::default(),
-            client_rooms: ClientRooms::new(memory),
+            answer_room: AnswerRoom::new(memory.answer_bytes(), client_rooms.of_answers()),
+            client_rooms,
             upload_room: UploadRoom::new(memory.upload_bytes()),
-            answer_room: AnswerRoom::new(memory.answer_bytes()),
             run_times: RefCell::default(),
             batch_service: BatchService::new(peer_key),
             connections: ConnectionPool::new(TARGET_PATIENCE, log.clone()),
--- a/crates/room/src/client/client_room.rs
+++ b/crates/room/src/client/client_room.rs
@@ -1,5 +1,8 @@
 use {
-    crate::client::{ClientSeat, RoomCounts, client_seat::YOUNG_TIME},
+    crate::client::{
+        ClientSeat, RoomCounts,
+        client_seat::{SeatRank, YOUNG_TIME},
+    },
     std::{
         cell::{Cell, RefCell},
         future::poll_fn,
@@ -107,6 +110,20 @@
         }
     }
 
+    /// Has the connection end whose client has stopped for the longest time, if one has.
+    pub fn end_stopped(&self, now: Instant) {
+        let seats = self.seats.borrow();
+        let seats = seats.iter().filter_map(Weak::upgrade);
+        let stopped = seats.filter_map(|seat| match seat.rank(now) {
+            Some(SeatRank::Stopped(seconds)) => Some((seconds, seat)),
+            _ => None,
+        });
+        let longest = stopped.max_by(|left, right| left.0.total_cmp(&right.0));
+        if let Some((_, seat)) = longest {
+            self.tell_end(&seat);
+        }
+    }
+
     /// Has the connection end that gives way first, of those whose request has been arriving for a while;
     /// returns false if none does.
     fn end_one(&self, now: Instant, min_arriving: Duration) -> bool {
@@ -122,10 +139,14 @@
         let Some((_, seat)) = first else {
             return false;
         };
+        self.tell_end(&seat);
+        true
+    }
+
+    fn tell_end(&self, seat: &ClientSeat) {
         self.ending.set(self.ending.get() + seat.tell_end());
         self.ending_count.set(self.ending_count.get() + 1);
         self.counts.count_ended();
-        true
     }
 
     /// Counts a connection that was closed since there was no room.
--- a/crates/room/tests/client_room.rs
+++ b/crates/room/tests/client_room.rs
@@ -94,6 +94,21 @@
     assert_eq!(seats[1].end(), Some(SeatEnd::Now), "one alone may be open");
 }
 
+#[test]
+fn only_clients_that_have_stopped_give_way_to_answers() {
+    let room = ClientRoom::new(3 * SEAT_BYTES);
+    let start = Instant::now();
+    let seats = take_seats(&room, 3, start);
+    seats[1].set_state(SeatState::Arriving, start);
+    seats[2].set_state(SeatState::Arriving, start);
+    let later = start + Duration::from_secs(5);
+    seats[2].record_progress(1, later);
+    room.end_stopped(later);
+    room.end_stopped(later);
+    let ends: Vec<_> = seats.iter().map(|seat| seat.end()).collect();
+    assert_eq!(ends, [None, Some(SeatEnd::Now), None]);
+}
+
 /// One thing that happens to one of the connections.
 #[derive(Debug, Clone)]
 enum SeatStep {
--- a/crates/setup/src/http/client_stream.rs
+++ b/crates/setup/src/http/client_stream.rs
@@ -251,7 +251,10 @@
             return Poll::Ready(written);
         }
         self.connection.wake_reader(context.waker());
-        self.connection.record_unread(bytes.len());
+        if let Some(window) = self.connection.record_unread(bytes.len()) {
+            // Without it the reply only takes longer.
+            let _ = SockRef::from(&self.stream).set_send_buffer_size(window);
+        }
         let timeout = self.write_timeout;
         let stall = self
             .write_stall
--- a/crates/setup/src/http/connection_cost.rs
+++ b/crates/setup/src/http/connection_cost.rs
@@ -2,6 +2,11 @@
 
 /// Bytes that the kernel keeps for a connection until they are read.
 pub(super) const RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
+/// Bytes of replies that the kernel keeps for a connection until they are taken.
+pub(super) const SEND_BUFFER_BYTES: usize = 16 * 1024;
+/// Bytes of replies that the kernel keeps for a connection whose client does not take a long reply at once,
+/// so that clients far away need not wait for each few of them to be sent.
+pub(super) const WIDE_SEND_BYTES: usize = 256 * 1024;
 /// Bytes that the kernel keeps for a connection on which a long body arrives, so that clients far away
 /// need not wait for each few of them to be read.
 pub(super) const WIDE_BUFFER_BYTES: usize = 256 * 1024;
@@ -30,7 +35,8 @@
     OPEN_BYTES + REQUEST_BYTES + RUN_BYTES
 }
 
-/// Returns what a connection costs while its client leaves this many bytes unread.
+/// Returns what a connection costs while its client leaves this many bytes unread that the kernel does not
+/// keep.
 pub(super) fn unread_bytes(reply_bytes: usize) -> usize {
-    running_bytes() + 2 * reply_bytes
+    running_bytes() + SEND_BUFFER_BYTES + 2 * reply_bytes
 }
--- a/crates/setup/src/http/http_server.rs
+++ b/crates/setup/src/http/http_server.rs
@@ -1,7 +1,11 @@
 use {
     crate::http::{
-        OpenConnection, RequestBody, body_framing::BodyFraming, client_stream::ClientStream,
-        connection_cost::RECEIVE_BUFFER_BYTES, follow_reply, stream_acceptor::StreamAcceptor,
+        OpenConnection, RequestBody,
+        body_framing::BodyFraming,
+        client_stream::ClientStream,
+        connection_cost::{RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES},
+        follow_reply,
+        stream_acceptor::StreamAcceptor,
     },
     actix_http::{
         ConnectionType, Extensions, HttpService, Request, Response, StatusCode,
@@ -97,8 +101,9 @@
     let Ok(service) = factory.new_service(()).await else {
         return;
     };
-    // Connections take it over; without it the kernel keeps more for each than is counted.
+    // Connections take them over; without them the kernel keeps more for each than is counted.
     let _ = SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+    let _ = SockRef::from(&listener).set_send_buffer_size(SEND_BUFFER_BYTES);
     let open_count = Rc::new(Cell::new(0));
     let acceptor = StreamAcceptor::new(
         listener,
--- a/crates/setup/src/http/open_connection.rs
+++ b/crates/setup/src/http/open_connection.rs
@@ -3,8 +3,8 @@
         ReplyFollower,
         body_framing::BodyFraming,
         connection_cost::{
-            LONG_BODY_BYTES, OPEN_BYTES, RECEIVE_BUFFER_BYTES, WIDE_BUFFER_BYTES, arriving_bytes,
-            running_bytes, unread_bytes,
+            LONG_BODY_BYTES, OPEN_BYTES, RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES,
+            WIDE_BUFFER_BYTES, WIDE_SEND_BYTES, arriving_bytes, running_bytes, unread_bytes,
         },
         open_reply::OpenReply,
     },
@@ -45,8 +45,11 @@
     has_bytes_ahead: Cell<bool>,
     /// What is still to come of the body of the open request.
     framing: RefCell<BodyFraming>,
-    /// Bytes that the kernel keeps for the connection beyond what it keeps for each.
+    /// Bytes that arrive and that the kernel keeps for the connection beyond what it keeps for each.
     wide_bytes: Cell<usize>,
+    /// The same for bytes of replies. They stay until the connection ends: the kernel does not tell when
+    /// they have been taken.
+    wide_send_bytes: Cell<usize>,
     /// True while the handler of the open request waits for more of its body.
     wants_body: Cell<bool>,
     /// True once the handler takes no more of the body.
@@ -71,6 +74,7 @@
             has_bytes_ahead: Cell::default(),
             framing: RefCell::default(),
             wide_bytes: Cell::default(),
+            wide_send_bytes: Cell::default(),
             wants_body: Cell::default(),
             is_body_refused: Cell::default(),
             is_answered: Cell::default(),
@@ -196,7 +200,8 @@
 
     /// Takes this many bytes, and those that the kernel keeps beyond what it keeps for each connection.
     fn resize(&self, bytes: usize, now: Instant) {
-        self.seat.resize(bytes + self.wide_bytes.get(), now);
+        let wide_bytes = self.wide_bytes.get() + self.wide_send_bytes.get();
+        self.seat.resize(bytes + wide_bytes, now);
     }
 
     /// Records that the open request has arrived whole.
@@ -225,11 +230,20 @@
         self.framing.borrow().is_whole() && !self.is_unwanted()
     }
 
-    /// Records that the client leaves this many bytes of a reply unread.
-    pub(super) fn record_unread(&self, count: usize) {
+    /// Records that the client leaves this many bytes of a reply unread. Returns the bytes that the kernel
+    /// should keep from now on, if that has changed: more, provided that there is room for them without
+    /// others giving way.
+    pub(super) fn record_unread(&self, count: usize) -> Option<usize> {
         let now = Instant::now();
         self.seat.set_state(SeatState::Arriving, now);
         self.resize(unread_bytes(count), now);
+        let more_bytes = WIDE_SEND_BYTES - SEND_BUFFER_BYTES;
+        if self.wide_send_bytes.get() > 0 || !self.seat.has_space(more_bytes) {
+            return None;
+        }
+        self.wide_send_bytes.set(more_bytes);
+        self.seat.resize(self.seat.bytes() + more_bytes, now);
+        Some(WIDE_SEND_BYTES)
     }
 
     /// Records that the client has taken bytes of a reply.
