--- a/crates/relay/src/run/answer_source.rs
+++ b/crates/relay/src/run/answer_source.rs
@@ -53,6 +53,13 @@
         }
     }
 
+    /// Leaves a wait for room of this entry out of the time that the target has needed.
+    pub fn exclude_wait(&mut self, wait: Duration) {
+        if let Self::Target(slot) = self {
+            slot.exclude_wait(wait);
+        }
+    }
+
     /// Records the end of a stream.
     pub fn record_end(&mut self, ends_with_connection: bool) {
         if let Self::Target(slot) = self {
--- a/crates/relay/src/run/call_slot.rs
+++ b/crates/relay/src/run/call_slot.rs
@@ -21,6 +21,8 @@
     service: ServiceId,
     pick: ServicePick,
     started: Instant,
+    /// Time for which the call has waited for this entry.
+    waited: Duration,
     /// Whether the first event of the answer was recorded.
     has_first_event: bool,
     /// Place that the owner of the engine's group has given the request; `None` if this entry has
@@ -63,6 +65,7 @@
             proof: Rc::new(ProcessProof::new(core, service, listed)),
             pick,
             started: now,
+            waited: Duration::ZERO,
             has_first_event: false,
             place,
             pass,
@@ -116,6 +119,11 @@
         }
     }
 
+    /// Leaves a wait for room of this entry out of the time that the target has needed.
+    pub fn exclude_wait(&mut self, wait: Duration) {
+        self.waited += wait;
+    }
+
     /// Sets the outcome that is recorded when the slot is dropped.
     pub fn set_outcome(&mut self, outcome: ServiceOutcome) {
         self.outcome = outcome;
@@ -139,6 +147,7 @@
         }
         let now = Instant::now();
         let elapsed = now.saturating_duration_since(self.started);
+        let elapsed = elapsed.saturating_sub(self.waited);
         if let Some(pool) = self.core.pools.borrow_mut().get_mut(&self.service) {
             pool.record_end(&self.pick, self.outcome, self.has_first_event, elapsed, now);
         }
--- a/crates/relay/src/run/run_request.rs
+++ b/crates/relay/src/run/run_request.rs
@@ -83,11 +83,13 @@
 ) -> Result<Result<SendOutcome, SendFault>, RelayRefusal> {
     source.record_event();
     let due = run.draft.deadline;
+    let waits_since = Instant::now();
     let taking = run.core.answer_room.take(&reply.headers);
     let Ok(lease) = tokio::time::timeout_at(due.into(), taking).await else {
-        source.set_outcome(ServiceOutcome::Failed);
+        // The target has answered: the wait says nothing of it.
         return Err(run.deadline_refusal(true));
     };
+    source.exclude_wait(waits_since.elapsed());
     let reading = async { lease?.read(&mut reply).await };
     let read_result = tokio::time::timeout_at(due.into(), reading).await;
     let body = match read_result {
