--- a/crates/setup/src/http/mod.rs
+++ b/crates/setup/src/http/mod.rs
@@ -7,6 +7,7 @@
 mod connection_cost;
 mod followed_body;
 mod http_server;
+mod kernel_buffers;
 mod open_connection;
 mod open_reply;
 mod read_upload;
--- a/crates/setup/src/http/open_connection.rs
+++ b/crates/setup/src/http/open_connection.rs
@@ -2,10 +2,8 @@
     crate::http::{
         ReplyFollower,
         body_framing::BodyFraming,
-        connection_cost::{
-            LONG_BODY_BYTES, OPEN_BYTES, RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES,
-            WIDE_BUFFER_BYTES, WIDE_SEND_BYTES, arriving_bytes, running_bytes, unread_bytes,
-        },
+        connection_cost::{OPEN_BYTES, arriving_bytes, running_bytes, unread_bytes},
+        kernel_buffers::KernelBuffers,
         open_reply::OpenReply,
     },
     actix_http::Request,
@@ -45,11 +43,8 @@
     has_bytes_ahead: Cell<bool>,
     /// What is still to come of the body of the open request.
     framing: RefCell<BodyFraming>,
-    /// Bytes that arrive and that the kernel keeps for the connection beyond what it keeps for each.
-    wide_bytes: Cell<usize>,
-    /// The same for bytes of replies. They stay until the connection ends: the kernel does not tell when
-    /// they have been taken.
-    wide_send_bytes: Cell<usize>,
+    /// What the kernel keeps for the connection.
+    buffers: KernelBuffers,
     /// True while the handler of the open request waits for more of its body.
     wants_body: Cell<bool>,
     /// True once the handler takes no more of the body.
@@ -73,8 +68,7 @@
             head_bytes: Cell::default(),
             has_bytes_ahead: Cell::default(),
             framing: RefCell::default(),
-            wide_bytes: Cell::default(),
-            wide_send_bytes: Cell::default(),
+            buffers: KernelBuffers::default(),
             wants_body: Cell::default(),
             is_body_refused: Cell::default(),
             is_answered: Cell::default(),
@@ -178,30 +172,15 @@
         OpenReply::new(self)
     }
 
-    /// Returns the bytes that the kernel should keep from now on, if that has changed: more while a body
-    /// arrives that states to be long, provided that there is room for them without others giving way.
+    /// Returns the bytes that the kernel should keep of what arrives from now on, if that has changed.
     pub(super) fn next_window(&self) -> Option<usize> {
-        let framing = self.framing.borrow();
-        let is_long = framing.has_left(LONG_BODY_BYTES);
-        let (is_wide, now) = (self.wide_bytes.get() > 0, Instant::now());
-        let more_bytes = WIDE_BUFFER_BYTES - RECEIVE_BUFFER_BYTES;
-        if is_long && !is_wide && self.seat.has_space(more_bytes) {
-            self.wide_bytes.set(more_bytes);
-            self.seat.resize(self.seat.bytes() + more_bytes, now);
-            return Some(WIDE_BUFFER_BYTES);
-        }
-        if framing.is_whole() && is_wide {
-            self.wide_bytes.set(0);
-            self.seat.resize(self.seat.bytes() - more_bytes, now);
-            return Some(RECEIVE_BUFFER_BYTES);
-        }
-        None
+        self.buffers
+            .next_receive(&self.seat, &self.framing.borrow())
     }
 
     /// Takes this many bytes, and those that the kernel keeps beyond what it keeps for each connection.
     fn resize(&self, bytes: usize, now: Instant) {
-        let wide_bytes = self.wide_bytes.get() + self.wide_send_bytes.get();
-        self.seat.resize(bytes + wide_bytes, now);
+        self.seat.resize(bytes + self.buffers.extra_bytes(), now);
     }
 
     /// Records that the open request has arrived whole.
@@ -231,19 +210,12 @@
     }
 
     /// Records that the client leaves this many bytes of a reply unread. Returns the bytes that the kernel
-    /// should keep from now on, if that has changed: more, provided that there is room for them without
-    /// others giving way.
+    /// should keep of replies from now on, if that has changed.
     pub(super) fn record_unread(&self, count: usize) -> Option<usize> {
         let now = Instant::now();
         self.seat.set_state(SeatState::Arriving, now);
         self.resize(unread_bytes(count), now);
-        let more_bytes = WIDE_SEND_BYTES - SEND_BUFFER_BYTES;
-        if self.wide_send_bytes.get() > 0 || !self.seat.has_space(more_bytes) {
-            return None;
-        }
-        self.wide_send_bytes.set(more_bytes);
-        self.seat.resize(self.seat.bytes() + more_bytes, now);
-        Some(WIDE_SEND_BYTES)
+        self.buffers.next_send(&self.seat)
     }
 
     /// Records that the client has taken bytes of a reply.
