--- a/crates/entry/src/data/caller_server.rs
+++ b/crates/entry/src/data/caller_server.rs
@@ -2,7 +2,7 @@
     crate::{
         data::{
             AddressAnswer, EntryCore, RequestDraft, RequestHead, entry_core::RunningGuard,
-            failure_answer::refusal_reply, run_driver::start_run,
+            failure_answer::refusal_reply, head_check::check_head, run_driver::start_run,
         },
         filters::{FilterChain, FilterEnd, has_valid_credential},
         shared::ControlMessage,
@@ -13,7 +13,7 @@
     pipe::RunPlan,
     setup::{
         HttpReply, OpenConnection, RequestBody, UploadFault, UploadLimits, close_unread,
-        follow_reply, json_reply, read_upload, text_reply,
+        discard_body, follow_reply, json_reply, read_upload, text_reply,
     },
     slog::info,
     std::{rc::Rc, time::Instant},
@@ -97,6 +97,14 @@
         timeout: core.settings.limits.body_time,
     };
     let mut body = RequestBody::take(&mut request);
+    if let Err(refusal) = check_head(&core, &head, pipeline) {
+        let is_read = discard_body(&mut body, UploadLimits::DISCARD).await;
+        let reply = refuse(&core, Some(&head), refusal.reason, refusal.detail);
+        return match is_read {
+            true => reply,
+            false => close_unread(reply, body),
+        };
+    }
     let body = match read_upload(&core.upload_room, &mut body, limits).await {
         Ok(upload) => upload.into_bytes(),
         Err(fault) => {
@@ -184,7 +192,7 @@
 
 /// Reports the sheet version that the caller has seen to the controllers, if it has a valid proof;
 /// called while this entry has no sheet.
-fn report_seen_sheet(core: &EntryCore, head: &RequestHead) {
+pub(super) fn report_seen_sheet(core: &EntryCore, head: &RequestHead) {
     let seen = head
         .seen_sheet_text
         .as_deref()
--- a/crates/entry/src/data/mod.rs
+++ b/crates/entry/src/data/mod.rs
@@ -5,6 +5,7 @@
 mod caller_server;
 mod entry_core;
 mod failure_answer;
+mod head_check;
 mod join_registry;
 mod line_buffer;
 mod outbound_client;
--- a/crates/entry/src/data/start_entry.rs
+++ b/crates/entry/src/data/start_entry.rs
@@ -4,7 +4,10 @@
         control::{ControlInputs, run_control},
         data::{EntryCore, caller_server::answer_caller, entry_core::CoreParts},
         filters::FilterChain,
-        shared::{ControlMessage, EntryPhase, EventRecorder, FleetView, report_room, wall_us},
+        shared::{
+            ControlMessage, EntryPhase, EventRecorder, FleetView, report_room, report_uploads,
+            wall_us,
+        },
     },
     actix_rt::Arbiter,
     room::ClientRoom,
@@ -125,6 +128,8 @@
         core.metrics.clone(),
         core.log.clone(),
     ));
+    let upload_room = Arc::clone(&core.upload_room);
+    actix_rt::spawn(report_uploads(upload_room, core.metrics.clone()));
     tokio::join!(
         serve_http(caller_listener, limits, room, shutdown_receiver, handler),
         async {
--- a/crates/entry/src/shared/mod.rs
+++ b/crates/entry/src/shared/mod.rs
@@ -9,5 +9,5 @@
     entry_phase::EntryPhase,
     event_recorder::{EventRecorder, wall_us},
     fleet_view::FleetView,
-    report_room::report_room,
+    report_room::{report_room, report_uploads},
 };
--- a/crates/entry/src/shared/report_room.rs
+++ b/crates/entry/src/shared/report_room.rs
@@ -1,5 +1,5 @@
 use {
-    room::RoomCounts,
+    room::{RoomCounts, UploadRoom},
     setup::MetricRegistry,
     slog::{Logger, warn},
     std::{sync::Arc, time::Duration},
@@ -34,3 +34,11 @@
         known = now;
     }
 }
+
+/// Reports the room of bodies in metrics, for as long as the process runs.
+pub async fn report_uploads(room: Arc<UploadRoom>, metrics: MetricRegistry) {
+    loop {
+        actix_rt::time::sleep(REPORT_INTERVAL).await;
+        metrics.gauge("uploads.bytes", room.held() as u64);
+    }
+}
--- a/crates/proofs/tests/crowds/crowd_program.rs
+++ b/crates/proofs/tests/crowds/crowd_program.rs
@@ -22,6 +22,8 @@
 /// Time after which the program counts as hanging: it reads what the kernels of a crowd that has gone still
 /// had to send, which takes as long as the machine needs.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time within which requests are refused by their heads: half of that in which bodies have to arrive.
+const HEAD_REFUSAL_TIMEOUT: Duration = Duration::from_secs(5);
 /// Descriptors that a program may have open for targets and the platform beyond those that it had
 /// before the crowd.
 const SPARE_DESCRIPTORS: usize = 16;
@@ -89,6 +91,21 @@
         panic!("an ordinary caller is not served beside the crowd");
     }
 
+    /// Waits, while a crowd of strangers is there, until some were refused and no body takes room.
+    pub async fn wait_for_refusals(&self) -> anyhow::Result<()> {
+        let process = self.harness.process(&self.name);
+        let url = format!("http://{}/metrics", process.address("operators"));
+        let description = "strangers are refused and no body takes room";
+        wait_until(description, HEAD_REFUSAL_TIMEOUT, async || {
+            let counters = self.harness.probe().get::<serde_json::Value>(&url).await;
+            counters.is_ok_and(|counters| {
+                let refused = counters["refused.bad_credential"].as_u64();
+                refused.is_some_and(|count| count > 0) && counters["uploads.bytes"] == 0
+            })
+        })
+        .await
+    }
+
     /// Checks, after the crowd has gone, that the program lives, has kept to its memory and its
     /// descriptors, and answers an ordinary request.
     pub async fn finish(mut self) -> anyhow::Result<()> {
--- a/crates/proofs/tests/crowds/entry.rs
+++ b/crates/proofs/tests/crowds/entry.rs
@@ -42,6 +42,23 @@
     assert_bounded("operators", 1).await
 }
 
+/// Guards against bodies of strangers that are kept until they are whole or late.
+#[actix_rt::test]
+async fn entry_bodies_with_a_credential_that_nobody_has() -> anyhow::Result<()> {
+    let mut program = CrowdProgram::start("h1").await?;
+    let heads = chunked_heads(CROWD);
+    let crowd = Crowd::open(
+        program.address("callers")?,
+        heads.map(|head| head.replace("farm-secret", "secret-of-nobody")),
+        unfinished_chunks(BODY_BYTES, BODY_BYTES),
+        AnswerUse::Read,
+    );
+    program.hold(&crowd).await;
+    program.wait_for_refusals().await?;
+    drop(crowd);
+    program.finish().await
+}
+
 #[actix_rt::test]
 async fn entry_requests_in_line_with_answers_left_unread() -> anyhow::Result<()> {
     let mut program = CrowdProgram::start("h1").await?;
--- a/crates/relay/src/caller/caller_server.rs
+++ b/crates/relay/src/caller/caller_server.rs
@@ -39,12 +39,6 @@
     bytes: 4 * 1024 * 1024 + 64 * 1024,
     timeout: UPLOAD_TIMEOUT,
 };
-/// What is read and dropped of the body of a request that is refused by its head, so that its connection
-/// stays usable.
-const DISCARD_LIMITS: UploadLimits = UploadLimits {
-    bytes: 64 * 1024,
-    timeout: Duration::from_secs(1),
-};
 /// Time after which a caller should retry if a fault of this entry has ended its request.
 const PANIC_RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -110,7 +104,7 @@
     open.set_id(&head.request_id);
     let mut body = RequestBody::take(&mut request);
     if let Err(refusal) = check_head(core, &head) {
-        if discard_body(&mut body, DISCARD_LIMITS).await {
+        if discard_body(&mut body, UploadLimits::DISCARD).await {
             guard.record_read();
             return refuse(core, &open, refusal);
         }
--- a/crates/setup/src/http/read_upload.rs
+++ b/crates/setup/src/http/read_upload.rs
@@ -33,6 +33,15 @@
     pub timeout: Duration,
 }
 
+impl UploadLimits {
+    /// What is read and dropped of the body of a request that is refused by its head, so that its
+    /// connection stays usable: 64 KiB that come within a second.
+    pub const DISCARD: Self = Self {
+        bytes: 64 * 1024,
+        timeout: Duration::from_secs(1),
+    };
+}
+
 /// The whole body of a request, which takes room until the lease is dropped.
 pub struct WholeUpload {
     /// Its bytes, in pieces none of which is empty.
