--- a/crates/setup/src/http/stream_acceptor.rs
+++ b/crates/setup/src/http/stream_acceptor.rs
@@ -22,7 +22,7 @@
 /// Pause after a failed `accept`, for instance because no file descriptors are left.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// Longest time for which connections wait until another one has ended.
-const ROOM_TIMEOUT: Duration = Duration::from_millis(250);
+const ROOM_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time between two checks whether another one has ended.
 const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
--- a/crates/setup/tests/http_server.rs
+++ b/crates/setup/tests/http_server.rs
@@ -25,7 +25,7 @@
 const FULL_ROOM_BYTES: usize = 256 * 1024;
 /// Connections that find no room.
 const WAITING_CONNECTIONS: usize = 100;
-/// Time within which all of them are refused; one that waits does so for a quarter of a second.
+/// Time within which all of them are refused; one that waits does so for a second.
 const REFUSAL_LIMIT: Duration = Duration::from_secs(10);
 
 #[actix_rt::test]
