--- a/crates/proofs/tests/crowds/crowd_program.rs
+++ b/crates/proofs/tests/crowds/crowd_program.rs
@@ -77,10 +77,11 @@
         Ok(self.harness.process(&self.name).address(role).parse()?)
     }
 
-    /// Waits until the crowd has sent what it can; while it stays, an ordinary caller that comes again
+    /// Waits until the crowd has sent what it can and the program uses no more for it; while it stays, an ordinary caller that comes again
     /// is answered.
     pub async fn hold(&mut self, crowd: &Crowd) {
         crowd.settle().await;
+        self.watch.settle().await;
         self.assert_lives();
         for number in 0..ORDINARY_TRIES {
             if self.is_answered(&format!("during-{number}")).await {
--- a/crates/setup/src/http/connection_cost.rs
+++ b/crates/setup/src/http/connection_cost.rs
@@ -12,6 +12,9 @@
 pub(super) const WIDE_BUFFER_BYTES: usize = 256 * 1024;
 /// Length from which on a body is long, in bytes.
 pub(super) const LONG_BODY_BYTES: usize = 64 * 1024;
+/// Length of the unsent part of a reply from which on the reply is long, in bytes. The HTTP library holds up to
+/// 32 KiB of a reply that is written in pieces.
+pub(super) const LONG_REPLY_BYTES: usize = 16 * 1024;
 /// An open connection: its task, the buffers of the HTTP library, and what is read at once of a head.
 const TASK_BYTES: usize = 14 * 1024;
 /// A request that arrives: its head as parsed, and the future that reads its body.
--- a/crates/setup/src/http/kernel_buffers.rs
+++ b/crates/setup/src/http/kernel_buffers.rs
@@ -2,8 +2,8 @@
     crate::http::{
         body_framing::BodyFraming,
         connection_cost::{
-            LONG_BODY_BYTES, RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES, WIDE_BUFFER_BYTES,
-            WIDE_SEND_BYTES,
+            LONG_BODY_BYTES, LONG_REPLY_BYTES, RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES,
+            WIDE_BUFFER_BYTES, WIDE_SEND_BYTES,
         },
     },
     room::ClientSeat,
@@ -40,12 +40,13 @@
         None
     }
 
-    /// Returns the size that the buffer for replies should have from now on, now that a client does not
-    /// take one at once, if that has changed: more, provided that there is room for it without others giving
-    /// way.
-    pub fn next_send(&self, seat: &ClientSeat) -> Option<usize> {
+    /// Returns the size that the buffer for replies should have from now on, now that a client leaves this
+    /// many bytes of one unread, if that has changed: more for a long reply, provided that there is room for
+    /// it without others giving way. Short replies, one behind the other, would only fill it.
+    pub fn next_send(&self, seat: &ClientSeat, unread_bytes: usize) -> Option<usize> {
         let more_bytes = WIDE_SEND_BYTES - SEND_BUFFER_BYTES;
-        widen(&self.send_bytes, more_bytes, seat).then_some(WIDE_SEND_BYTES)
+        let is_long = unread_bytes >= LONG_REPLY_BYTES;
+        (is_long && widen(&self.send_bytes, more_bytes, seat)).then_some(WIDE_SEND_BYTES)
     }
 }
 
--- a/crates/setup/src/http/open_connection.rs
+++ b/crates/setup/src/http/open_connection.rs
@@ -215,7 +215,7 @@
         let now = Instant::now();
         self.seat.set_state(SeatState::Arriving, now);
         self.resize(unread_bytes(count), now);
-        self.buffers.next_send(&self.seat)
+        self.buffers.next_send(&self.seat, count)
     }
 
     /// Records that the client has taken bytes of a reply.
