--- a/crates/relay/src/memory/answer_room.rs
+++ b/crates/relay/src/memory/answer_room.rs
@@ -1,6 +1,7 @@
 use {
     crate::{
         dialect::{HeaderList, header_value},
+        memory::SlicedBody,
         target::{CallFault, CallReply},
     },
     bytes::Bytes,
@@ -34,18 +35,6 @@
     clients: Vec<Rc<ClientRoom>>,
 }
 
-/// A whole answer with its room.
-struct LeasedAnswer {
-    bytes: Bytes,
-    _permit: OwnedSemaphorePermit,
-}
-
-impl AsRef<[u8]> for LeasedAnswer {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
-
 impl AnswerRoom {
     /// Creates an empty room for this number of bytes, or for one answer if that is more. The answers are
     /// written on connections of these rooms.
@@ -108,22 +97,27 @@
 }
 
 impl AnswerLease {
-    /// Reads the whole body of the answer, which keeps its room until its last clone is dropped.
+    /// Reads the whole body of the answer, which keeps its room until it has been passed on.
     ///
     /// # Errors
     ///
     /// Fails if the connection ends before the body does, or if the body is too long.
-    pub async fn read(self, reply: &mut CallReply) -> Result<Bytes, CallFault> {
-        let Some(mut permit) = self.permit else {
-            return reply.read_body(SHORT_ANSWER_BYTES).await;
+    pub async fn read(mut self, reply: &mut CallReply) -> Result<SlicedBody, CallFault> {
+        let limit = match self.permit {
+            Some(_) => MAX_ANSWER_BYTES,
+            None => SHORT_ANSWER_BYTES,
         };
-        let bytes = reply.read_body(MAX_ANSWER_BYTES).await?;
-        let spare_units = permit.num_permits().saturating_sub(units(bytes.len()));
-        drop(permit.split(spare_units));
-        Ok(Bytes::from_owner(LeasedAnswer {
-            bytes,
-            _permit: permit,
-        }))
+        let pieces = reply.read_pieces(limit).await?;
+        self.shrink(pieces.iter().map(Bytes::len).sum());
+        Ok(SlicedBody::new(pieces, self))
+    }
+
+    /// Gives back the room that so many bytes do not need.
+    pub(super) fn shrink(&mut self, byte_count: usize) {
+        if let Some(permit) = &mut self.permit {
+            let spare_units = permit.num_permits().saturating_sub(units(byte_count));
+            drop(permit.split(spare_units));
+        }
     }
 }
 
--- a/crates/relay/src/memory/sliced_body.rs
+++ b/crates/relay/src/memory/sliced_body.rs
@@ -1,7 +1,9 @@
 use {
+    crate::memory::answer_room::AnswerLease,
     actix_http::body::{BodySize, MessageBody},
     bytes::Bytes,
     std::{
+        collections::VecDeque,
         convert::Infallible,
         pin::Pin,
         task::{Context, Poll},
@@ -11,15 +13,39 @@
 /// Size of the slices in which a body is passed on, in bytes.
 const SLICE_BYTES: usize = 16 * 1024;
 
-/// Body that is passed to the server in slices: the server copies what it has not written yet.
+/// Body of an answer that is passed to the server in slices: the server copies what it has not written yet.
+/// It gives its room back as its pieces are passed on.
 pub struct SlicedBody {
-    rest: Bytes,
+    /// None of them is empty.
+    pieces: VecDeque<Bytes>,
+    length: usize,
+    lease: AnswerLease,
 }
 
 impl SlicedBody {
-    /// Creates a body with these bytes.
-    pub fn new(bytes: Bytes) -> Self {
-        Self { rest: bytes }
+    /// Creates a body of these pieces.
+    pub(super) fn new(pieces: Vec<Bytes>, lease: AnswerLease) -> Self {
+        Self {
+            length: pieces.iter().map(Bytes::len).sum(),
+            pieces: pieces.into(),
+            lease,
+        }
+    }
+
+    /// Returns true if there are no bytes.
+    pub fn is_empty(&self) -> bool {
+        self.length == 0
+    }
+
+    fn next_slice(&mut self) -> Option<Bytes> {
+        let piece = self.pieces.front_mut()?;
+        let slice = piece.split_to(piece.len().min(SLICE_BYTES));
+        self.length -= slice.len();
+        if piece.is_empty() {
+            self.pieces.pop_front();
+            self.lease.shrink(self.length);
+        }
+        Some(slice)
     }
 }
 
@@ -27,15 +53,13 @@
     type Error = Infallible;
 
     fn size(&self) -> BodySize {
-        BodySize::Sized(self.rest.len() as u64)
+        BodySize::Sized(self.length as u64)
     }
 
     fn poll_next(
         mut self: Pin<&mut Self>,
         _context: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, Infallible>>> {
-        let count = self.rest.len().min(SLICE_BYTES);
-        let slice = self.rest.split_to(count);
-        Poll::Ready((count > 0).then_some(Ok(slice)))
+        Poll::Ready(self.next_slice().map(Ok))
     }
 }
--- a/crates/relay/src/run/run_request.rs
+++ b/crates/relay/src/run/run_request.rs
@@ -125,12 +125,7 @@
     reply
         .headers
         .retain(|(name, _)| name != "content-length" && name != "keep-alive");
-    let answer = build_reply(
-        &run.core,
-        reply.status,
-        &reply.headers,
-        SlicedBody::new(body),
-    );
+    let answer = build_reply(&run.core, reply.status, &reply.headers, body);
     // Another entry has done all that can be done before it passes a failure on.
     Ok(Ok(match has_failed && source.slot().is_some() {
         true => SendOutcome::Failure(answer),
@@ -139,7 +134,7 @@
 }
 
 /// Returns true if an engine's answer that ends with its connection has ended before it began.
-fn is_cut_short(run: &RelayRun, reply: &CallReply, body: &[u8]) -> bool {
+fn is_cut_short(run: &RelayRun, reply: &CallReply, body: &SlicedBody) -> bool {
     let is_from_engine = !run.draft.prefixes.is_empty();
     is_from_engine && reply.ends_with_connection && body.is_empty()
 }
--- a/crates/relay/src/target/call_reply.rs
+++ b/crates/relay/src/target/call_reply.rs
@@ -9,7 +9,9 @@
     bytes::{Bytes, BytesMut},
     http_body_util::BodyExt,
     hyper::body::{Body, Incoming},
+    room::BodyBuffer,
     std::{
+        future::Future,
         rc::Rc,
         time::{Duration, Instant},
     },
@@ -116,6 +118,20 @@
         Ok(body)
     }
 
+    /// Reads and returns the whole body in pieces.
+    ///
+    /// # Errors
+    ///
+    /// Fails like `read_body`.
+    pub async fn read_pieces(&mut self, limit: usize) -> Result<Vec<Bytes>, CallFault> {
+        let Some(body) = self.body.take() else {
+            return Ok(Vec::new());
+        };
+        let pieces = read_in_task(collect_pieces(body, limit)).await?;
+        self.return_to_pool();
+        Ok(pieces)
+    }
+
     /// Reads the whole body; the connection does not go back to the pool by itself.
     ///
     /// # Errors
@@ -133,14 +149,11 @@
         })
     }
 
-    /// Reads the whole body in a task of its own, since each chunk wakes all that waits for it.
     async fn read_data(&mut self, limit: usize) -> Result<Bytes, CallFault> {
         let Some(body) = self.body.take() else {
             return Ok(Bytes::new());
         };
-        let mut task = ReadingTask(actix_rt::spawn(collect(body, limit)));
-        let read = (&mut task.0).await;
-        read.unwrap_or_else(|error| Err(CallFault::Broken(error.to_string())))
+        read_in_task(collect_bytes(body, limit)).await
     }
 
     /// Closes the connection; the rest of the body is not read.
@@ -156,9 +169,9 @@
 }
 
 /// A task that reads a body; aborted when dropped.
-struct ReadingTask(JoinHandle<Result<Bytes, CallFault>>);
+struct ReadingTask<Read>(JoinHandle<Result<Read, CallFault>>);
 
-impl Drop for ReadingTask {
+impl<Read> Drop for ReadingTask<Read> {
     fn drop(&mut self) {
         self.0.abort();
     }
@@ -178,18 +191,51 @@
     }
 }
 
-async fn collect(mut body: Incoming, limit: usize) -> Result<Bytes, CallFault> {
+/// Reads a body in a task of its own, since each chunk wakes all that waits for it.
+async fn read_in_task<Read: 'static>(
+    reading: impl Future<Output = Result<Read, CallFault>> + 'static,
+) -> Result<Read, CallFault> {
+    let mut task = ReadingTask(actix_rt::spawn(reading));
+    let read = (&mut task.0).await;
+    read.unwrap_or_else(|error| Err(CallFault::Broken(error.to_string())))
+}
+
+async fn collect_bytes(body: Incoming, limit: usize) -> Result<Bytes, CallFault> {
+    let length = stated_length(&body).unwrap_or(0).min(limit);
+    let mut bytes = BytesMut::with_capacity(length);
+    collect(body, limit, |chunk| bytes.extend_from_slice(chunk)).await?;
+    Ok(bytes.freeze())
+}
+
+async fn collect_pieces(body: Incoming, limit: usize) -> Result<Vec<Bytes>, CallFault> {
+    let length = stated_length(&body);
+    let mut buffer = BodyBuffer::default();
+    collect(body, limit, |chunk| buffer.extend(chunk, length)).await?;
+    Ok(buffer.into_pieces())
+}
+
+/// Returns the length of a body in bytes; `None` if its head does not state it.
+fn stated_length(body: &Incoming) -> Option<usize> {
+    let length = body.size_hint().exact()?;
+    Some(usize::try_from(length).unwrap_or(usize::MAX))
+}
+
+/// Passes each chunk of a body on.
+async fn collect(
+    mut body: Incoming,
+    limit: usize,
+    mut keep: impl FnMut(&[u8]),
+) -> Result<(), CallFault> {
     if body.size_hint().lower() > limit as u64 {
         return Err(CallFault::TooLong);
     }
-    let length = body.size_hint().exact().unwrap_or(0);
-    let length = usize::try_from(length).unwrap_or(limit).min(limit);
-    let mut bytes = BytesMut::with_capacity(length);
+    let mut length = 0;
     while let Some(chunk) = next_data(&mut body).await? {
-        if bytes.len() + chunk.len() > limit {
+        length += chunk.len();
+        if length > limit {
             return Err(CallFault::TooLong);
         }
-        bytes.extend_from_slice(&chunk);
+        keep(&chunk);
     }
-    Ok(bytes.freeze())
+    Ok(())
 }
--- a/crates/room/src/lib.rs
+++ b/crates/room/src/lib.rs
@@ -3,12 +3,14 @@
 //!
 //! All is decided here without I/O; who reads and writes takes room before it does.
 
+mod body_buffer;
 mod client;
 mod machine_memory;
 mod memory_shares;
 mod upload;
 
 pub use {
+    body_buffer::BodyBuffer,
     client::{ClientRoom, ClientSeat, RoomCounts, SeatEnd, SeatState},
     machine_memory::machine_memory,
     memory_shares::{MIN_MEMORY_MB, MemoryFault, MemoryShares},
--- a/crates/room/src/upload/arriving_upload.rs
+++ b/crates/room/src/upload/arriving_upload.rs
@@ -1,5 +1,5 @@
 use {
-    crate::upload::upload_buffer::UploadBuffer,
+    crate::BodyBuffer,
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -25,7 +25,7 @@
     pub stated_length: Option<usize>,
     /// Bytes that it holds.
     pub received: usize,
-    pub buffer: UploadBuffer,
+    pub buffer: BodyBuffer,
     /// Wakes its reader once its room was given to others.
     pub evicted: Arc<Notify>,
 }
@@ -38,7 +38,7 @@
             length,
             stated_length,
             received: 0,
-            buffer: UploadBuffer::default(),
+            buffer: BodyBuffer::default(),
             evicted: Arc::default(),
         }
     }
--- a/crates/room/src/upload/mod.rs
+++ b/crates/room/src/upload/mod.rs
@@ -1,7 +1,6 @@
 //! The room of request bodies, and which bodies give way where it is short.
 
 mod arriving_upload;
-mod upload_buffer;
 mod upload_lease;
 mod upload_room;
 
