--- a/crates/relay/src/caller/answer_body.rs
+++ b/crates/relay/src/caller/answer_body.rs
@@ -6,13 +6,14 @@
         fmt,
         pin::Pin,
         rc::Rc,
+        sync::Arc,
         task::{Context, Poll, ready},
     },
-    tokio::sync::mpsc,
+    tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc},
 };
 
-/// Maximum number of chunks of an answer that are buffered for a slow caller.
-const MAX_QUEUED_CHUNKS: usize = 16;
+/// Bytes of an answer that may wait for a slow caller; a longer chunk waits alone.
+const MAX_QUEUED_BYTES: usize = 16 * 1024;
 
 /// Error that ends the body of an answer early: the caller's connection is closed, so that the
 /// answer does not look complete.
@@ -30,14 +31,15 @@
 /// Passes an answer on to its caller while it arrives. The answer is cut when this is dropped, unless
 /// it was finished.
 pub struct AnswerSender {
-    chunks: mpsc::Sender<Bytes>,
+    chunks: mpsc::UnboundedSender<QueuedChunk>,
+    room: Arc<Semaphore>,
     is_finished: Rc<Cell<bool>>,
 }
 
 impl AnswerSender {
     /// Creates a sender and the body that consists of what it sends.
     pub fn open() -> (Self, AnswerBody) {
-        let (sender, chunks) = mpsc::channel(MAX_QUEUED_CHUNKS);
+        let (sender, chunks) = mpsc::unbounded_channel();
         let is_finished = Rc::new(Cell::new(false));
         let body = AnswerBody {
             chunks,
@@ -45,6 +47,7 @@
         };
         let sender = Self {
             chunks: sender,
+            room: Arc::new(Semaphore::new(MAX_QUEUED_BYTES)),
             is_finished,
         };
         (sender, body)
@@ -56,7 +59,17 @@
     ///
     /// Fails if the caller has left.
     pub async fn send(&self, chunk: Bytes) -> Result<(), CallerLeft> {
-        self.chunks.send(chunk).await.map_err(|_| CallerLeft)
+        let count = chunk.len().min(MAX_QUEUED_BYTES);
+        let count = u32::try_from(count).unwrap_or(u32::MAX);
+        let permit = tokio::select! {
+            permit = Arc::clone(&self.room).acquire_many_owned(count) => permit,
+            () = self.until_caller_left() => return Err(CallerLeft),
+        };
+        let chunk = QueuedChunk {
+            bytes: chunk,
+            _permit: permit.map_err(|_| CallerLeft)?,
+        };
+        self.chunks.send(chunk).map_err(|_| CallerLeft)
     }
 
     /// Waits until the caller has left.
@@ -70,13 +83,19 @@
     }
 }
 
+/// Part of an answer that waits for its caller.
+struct QueuedChunk {
+    bytes: Bytes,
+    _permit: OwnedSemaphorePermit,
+}
+
 /// The caller has left before its answer was complete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallerLeft;
 
 /// Body of an answer that is passed on while it arrives.
 pub struct AnswerBody {
-    chunks: mpsc::Receiver<Bytes>,
+    chunks: mpsc::UnboundedReceiver<QueuedChunk>,
     /// True once the sender has said that the answer is complete.
     is_finished: Rc<Cell<bool>>,
 }
@@ -94,7 +113,7 @@
     ) -> Poll<Option<Result<Bytes, BodyCut>>> {
         let chunk = ready!(self.chunks.poll_recv(context));
         Poll::Ready(match chunk {
-            Some(chunk) => Some(Ok(chunk)),
+            Some(chunk) => Some(Ok(chunk.bytes)),
             None if self.is_finished.get() => None,
             None => Some(Err(BodyCut)),
         })
--- a/crates/relay/tests/answer_body.rs
+++ b/crates/relay/tests/answer_body.rs
@@ -3,6 +3,7 @@
 use {
     actix_http::body::MessageBody,
     bytes::Bytes,
+    futures_util::FutureExt,
     relay::{AnswerBody, AnswerSender, BodyCut},
     std::{future::poll_fn, pin::Pin},
 };
@@ -23,6 +24,30 @@
     assert_eq!(next_chunk(&mut body).await, None);
 }
 
+/// Guards against chunks of any size that wait for a caller that does not read.
+#[actix_rt::test]
+async fn few_bytes_wait_for_a_caller_that_does_not_read() {
+    let (sender, mut body) = AnswerSender::open();
+    let chunk = Bytes::from_static(&[b'e'; 10_000]);
+    sender.send(chunk.clone()).await.unwrap();
+    let mut second = Box::pin(sender.send(chunk.clone()));
+    assert!((&mut second).now_or_never().is_none());
+    assert_eq!(next_chunk(&mut body).await, Some(Ok(chunk)));
+    assert_eq!(second.now_or_never(), Some(Ok(())));
+}
+
+#[actix_rt::test]
+async fn a_chunk_that_is_longer_than_may_wait_waits_alone() {
+    let (sender, mut body) = AnswerSender::open();
+    let chunk = Bytes::from(vec![b'e'; 100_000]);
+    sender.send(chunk.clone()).await.unwrap();
+    assert!(sender.send(chunk.clone()).now_or_never().is_none());
+    assert_eq!(next_chunk(&mut body).await, Some(Ok(chunk)));
+    drop(body);
+    let late = sender.send(Bytes::from_static(b"1")).await;
+    assert!(late.is_err());
+}
+
 /// Task that forwards a stream and dies.
 async fn forward_and_panic(sender: AnswerSender) {
     sender.send(Bytes::from_static(b"1")).await.unwrap();
--- a/crates/setup/src/http/client_stream.rs
+++ b/crates/setup/src/http/client_stream.rs
@@ -208,6 +208,10 @@
 
 impl Drop for ClientStream {
     fn drop(&mut self) {
+        if self.connection.must_end() || self.write_stall.is_some() {
+            // The kernel would keep what the client does not take, for a connection that nobody counts.
+            let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        }
         self.connection.close();
     }
 }
--- a/crates/setup/src/http/connection_cost.rs
+++ b/crates/setup/src/http/connection_cost.rs
@@ -21,6 +21,9 @@
 const REQUEST_BYTES: usize = 12 * 1024;
 /// The run of a request.
 const RUN_BYTES: usize = 28 * 1024;
+/// What waits behind a streamed reply that is left unread: in the process, and in the kernel for the connection that
+/// it comes from.
+const STREAM_BYTES: usize = 160 * 1024;
 /// Length of a head that is part of what an open connection costs, in bytes.
 const SHORT_HEAD_BYTES: usize = 8 * 1024;
 
@@ -40,6 +43,10 @@
 
 /// Returns what a connection costs while its client leaves this many bytes unread that the kernel does not
 /// keep.
-pub(super) fn unread_bytes(reply_bytes: usize) -> usize {
-    running_bytes() + SEND_BUFFER_BYTES + 2 * reply_bytes
+pub(super) fn unread_bytes(reply_bytes: usize, is_streamed: bool) -> usize {
+    let stream_bytes = match is_streamed {
+        true => STREAM_BYTES,
+        false => 0,
+    };
+    running_bytes() + SEND_BUFFER_BYTES + 2 * reply_bytes + stream_bytes
 }
--- a/crates/setup/src/http/http_server.rs
+++ b/crates/setup/src/http/http_server.rs
@@ -145,9 +145,10 @@
     async move {
         let answer = AssertUnwindSafe(answer).catch_unwind();
         let mut reply = answer.await.unwrap_or_else(|_| panic_reply());
+        let is_streamed = reply.body().size() == BodySize::Stream;
         let may_stay = connection
             .as_ref()
-            .is_none_or(|connection| connection.record_answered());
+            .is_none_or(|connection| connection.record_answered(is_streamed));
         if *closing.borrow() || !may_stay {
             reply.head_mut().set_connection_type(ConnectionType::Close);
         }
--- a/crates/setup/src/http/open_connection.rs
+++ b/crates/setup/src/http/open_connection.rs
@@ -51,6 +51,8 @@
     is_body_refused: Cell<bool>,
     /// True once the handler has returned its reply.
     is_answered: Cell<bool>,
+    /// True if the reply of the open request is streamed.
+    is_streamed: Cell<bool>,
     /// True once a request was answered before it had arrived whole.
     is_spent: Cell<bool>,
     /// Followers of replies whose last byte waits to be written.
@@ -72,6 +74,7 @@
             wants_body: Cell::default(),
             is_body_refused: Cell::default(),
             is_answered: Cell::default(),
+            is_streamed: Cell::default(),
             is_spent: Cell::default(),
             ending: RefCell::default(),
             reader: RefCell::default(),
@@ -202,10 +205,11 @@
         self.is_body_refused.set(true);
     }
 
-    /// Records that the handler of the open request has returned its reply; returns true if the connection
-    /// may stay open after it: the request has arrived whole, and nobody else needs the room.
-    pub(super) fn record_answered(&self) -> bool {
+    /// Records that the handler of the open request has returned its reply, which may be streamed; returns true
+    /// if the connection may stay open after it: the request has arrived whole, and nobody else needs the room.
+    pub(super) fn record_answered(&self, is_streamed: bool) -> bool {
         self.is_answered.set(true);
+        self.is_streamed.set(is_streamed);
         self.framing.borrow().is_whole() && !self.is_unwanted()
     }
 
@@ -214,7 +218,7 @@
     pub(super) fn record_unread(&self, count: usize) -> Option<usize> {
         let now = Instant::now();
         self.seat.set_state(SeatState::Arriving, now);
-        self.resize(unread_bytes(count), now);
+        self.resize(unread_bytes(count, self.is_streamed.get()), now);
         self.buffers.next_send(&self.seat, count)
     }
 
