--- a/crates/relay/src/shared/relay_core.rs
+++ b/crates/relay/src/shared/relay_core.rs
@@ -190,7 +190,7 @@
             upload_room: UploadRoom::new(memory.upload_bytes()),
             run_times: RefCell::default(),
             batch_service: BatchService::new(peer_key),
-            connections: ConnectionPool::new(TARGET_PATIENCE, log.clone()),
+            connections: ConnectionPool::with_short_windows(TARGET_PATIENCE, log.clone()),
             control_connections: ConnectionPool::new(PEER_PATIENCE, log.clone()),
             settings: RefCell::new(settings),
             dialects,
--- a/crates/relay/src/target/call_reply.rs
+++ b/crates/relay/src/target/call_reply.rs
@@ -3,6 +3,7 @@
         dialect::HeaderList,
         target::{
             WholeReply, connection_pool::ConnectionPool, pooled_connection::PooledConnection,
+            target_stream::SHORT_WINDOW_BYTES,
         },
     },
     actix_rt::task::JoinHandle,
@@ -127,6 +128,7 @@
         let Some(body) = self.body.take() else {
             return Ok(Vec::new());
         };
+        self.widen_window(&body);
         let pieces = read_in_task(collect_pieces(body, limit)).await?;
         self.return_to_pool();
         Ok(pieces)
@@ -153,9 +155,22 @@
         let Some(body) = self.body.take() else {
             return Ok(Bytes::new());
         };
+        self.widen_window(&body);
         read_in_task(collect_bytes(body, limit)).await
     }
 
+    /// Has the kernel keep more while a long body is read.
+    fn widen_window(&self, body: &Incoming) {
+        let window = self
+            .connection
+            .as_ref()
+            .and_then(|connection| connection.window.as_ref());
+        let is_long = stated_length(body).is_none_or(|length| length > SHORT_WINDOW_BYTES);
+        if let Some(window) = window.filter(|_| is_long) {
+            window.widen();
+        }
+    }
+
     /// Closes the connection; the rest of the body is not read.
     pub fn close(&mut self) {
         self.connection = None;
--- a/crates/relay/src/target/connection_pool.rs
+++ b/crates/relay/src/target/connection_pool.rs
@@ -8,6 +8,7 @@
             configure_socket,
             hop_headers::{end_to_end_headers, is_hop_header, keep_alive_timeout},
             pooled_connection::{IdleConnection, PooledConnection},
+            target_stream::TargetStream,
         },
     },
     hyper::{
@@ -49,14 +50,26 @@
     idle: RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>,
     dial_count: Cell<u64>,
     patience: Duration,
+    has_short_windows: bool,
     log: Logger,
 }
 
 impl ConnectionPool {
     /// Creates an empty pool, whose connections wait for the time `patience` for an acknowledgement.
     pub fn new(patience: Duration, log: Logger) -> Rc<Self> {
+        Self::create(patience, false, log)
+    }
+
+    /// Creates an empty pool like `new`. The kernel keeps little of what arrives on its connections, except
+    /// while a long answer is read whole.
+    pub fn with_short_windows(patience: Duration, log: Logger) -> Rc<Self> {
+        Self::create(patience, true, log)
+    }
+
+    fn create(patience: Duration, has_short_windows: bool, log: Logger) -> Rc<Self> {
         Rc::new(Self {
             patience,
+            has_short_windows,
             idle: RefCell::default(),
             dial_count: Cell::new(0),
             log,
@@ -148,6 +161,9 @@
         connection: PooledConnection,
         idle_timeout: Option<Duration>,
     ) {
+        if let Some(window) = &connection.window {
+            window.shorten();
+        }
         let pool = Rc::clone(self);
         let expires_at = Instant::now()
             + idle_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |timeout| {
@@ -211,6 +227,11 @@
         address: SocketAddr,
     ) -> Result<PooledConnection, CallFault> {
         configure_socket(&stream, self.patience, &self.log);
+        let stream = match self.has_short_windows {
+            true => TargetStream::with_short_window(stream),
+            false => TargetStream::new(stream),
+        };
+        let window = stream.window().cloned();
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
@@ -228,6 +249,7 @@
             address,
             opened_at: Instant::now(),
             is_new: true,
+            window,
             marks: AnswerMarks::default(),
         })
     }
--- a/crates/relay/src/target/mod.rs
+++ b/crates/relay/src/target/mod.rs
@@ -6,6 +6,7 @@
 mod hop_headers;
 mod pooled_connection;
 mod socket_setup;
+mod target_stream;
 mod whole_reply;
 
 pub use {
--- a/crates/relay/src/target/pooled_connection.rs
+++ b/crates/relay/src/target/pooled_connection.rs
@@ -1,5 +1,8 @@
 use {
-    crate::{memory::BodyReader, target::answer_marks::AnswerMarks},
+    crate::{
+        memory::BodyReader,
+        target::{answer_marks::AnswerMarks, target_stream::WindowControl},
+    },
     actix_rt::task::JoinHandle,
     hyper::client::conn::http1::SendRequest,
     std::{net::SocketAddr, time::Instant},
@@ -15,6 +18,8 @@
     pub(super) opened_at: Instant,
     /// True until the first answer has been read.
     pub(super) is_new: bool,
+    /// `None` if the kernel chooses how much it keeps of what arrives.
+    pub(super) window: Option<WindowControl>,
     pub(super) marks: AnswerMarks,
 }
 
