--- a/crates/room/src/memory_shares.rs
+++ b/crates/room/src/memory_shares.rs
@@ -4,6 +4,8 @@
 pub const MIN_MEMORY_MB: f64 = 64.0;
 /// Bytes in a MB of the settings.
 const BYTES_PER_MB: f64 = 1_000_000.0;
+/// Memory that the program takes before it serves anything, in bytes. It is not divided.
+const PROGRAM_BYTES: u64 = 16_000_000;
 /// Share of the memory for the bodies of requests.
 const UPLOAD_SHARE: f64 = 0.5;
 /// Share of the memory for answers that are not streamed.
@@ -55,7 +57,7 @@
     ///
     /// ```
     /// let shares = room::MemoryShares::of_settings(Some(100.0)).unwrap();
-    /// assert_eq!(shares.upload_bytes(), 50_000_000);
+    /// assert_eq!(shares.upload_bytes(), 42_000_000);
     /// assert!(room::MemoryShares::of_settings(Some(10.0)).is_err());
     /// ```
     pub fn of_settings(memory_mb: Option<f64>) -> Result<Self, MemoryFault> {
@@ -100,6 +102,6 @@
     }
 
     fn share(self, share: f64) -> usize {
-        (self.bytes as f64 * share) as usize
+        (self.bytes.saturating_sub(PROGRAM_BYTES) as f64 * share) as usize
     }
 }
