--- a/crates/room/src/client/client_room.rs
+++ b/crates/room/src/client/client_room.rs
@@ -61,6 +61,11 @@
         })
     }
 
+    /// Returns the bytes that connections may take.
+    pub fn limit(&self) -> usize {
+        self.limit
+    }
+
     /// Returns the figures of the room.
     pub fn counts(&self) -> &Arc<RoomCounts> {
         &self.counts
--- a/crates/setup/src/http/connection_cost.rs
+++ b/crates/setup/src/http/connection_cost.rs
@@ -1,5 +1,7 @@
 //! What an open connection of a client costs at the most, in bytes.
 
+use std::ops::RangeInclusive;
+
 /// Bytes that the kernel keeps for a connection until they are read.
 pub(super) const RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
 /// Bytes of replies that the kernel keeps for a connection until they are taken.
@@ -27,9 +29,23 @@
 /// Length of a head that is part of what an open connection costs, in bytes.
 const SHORT_HEAD_BYTES: usize = 8 * 1024;
 
+/// What the kernel keeps for a connection that it has accepted and the process has not, in bytes: a buffer takes half as
+/// much again as its size.
+const WAITING_BYTES: usize = RECEIVE_BUFFER_BYTES * 3 / 2;
+/// Part of an address's room, as a divisor, that such connections may take beside it.
+const WAITING_DIVISOR: usize = 4;
+/// Least and greatest number of such connections.
+const WAITING_COUNTS: RangeInclusive<usize> = 16..=128;
+
 /// An idle connection.
 pub(super) const OPEN_BYTES: usize = TASK_BYTES + RECEIVE_BUFFER_BYTES;
 
+/// Returns how many connections to an address with this room may wait to be accepted.
+pub(super) fn waiting_count(room_bytes: usize) -> usize {
+    let count = room_bytes / WAITING_DIVISOR / WAITING_BYTES;
+    count.clamp(*WAITING_COUNTS.start(), *WAITING_COUNTS.end())
+}
+
 /// Returns what a connection costs while a request arrives, of whose head this many bytes have come: a
 /// buffer has up to twice the size of what it holds.
 pub(super) fn arriving_bytes(head_bytes: usize) -> usize {
--- a/crates/setup/src/http/http_server.rs
+++ b/crates/setup/src/http/http_server.rs
@@ -3,7 +3,7 @@
         OpenConnection, RequestBody,
         body_framing::BodyFraming,
         client_stream::ClientStream,
-        connection_cost::{RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES},
+        connection_cost::{RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES, waiting_count},
         follow_reply,
         stream_acceptor::StreamAcceptor,
     },
@@ -101,9 +101,7 @@
     let Ok(service) = factory.new_service(()).await else {
         return;
     };
-    // Connections take them over; without them the kernel keeps more for each than is counted.
-    let _ = SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
-    let _ = SockRef::from(&listener).set_send_buffer_size(SEND_BUFFER_BYTES);
+    bound_kernel(&listener, &room);
     let open_count = Rc::new(Cell::new(0));
     let acceptor = StreamAcceptor::new(
         listener,
@@ -125,6 +123,16 @@
     }
 }
 
+/// Bounds what the kernel keeps for connections to the listener; without it, it keeps more than is counted.
+fn bound_kernel(listener: &TcpListener, room: &ClientRoom) {
+    let socket = SockRef::from(listener);
+    // Connections take the sizes over.
+    let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+    let _ = socket.set_send_buffer_size(SEND_BUFFER_BYTES);
+    let count = waiting_count(room.limit());
+    let _ = socket.listen(i32::try_from(count).unwrap_or(i32::MAX));
+}
+
 /// Passes a request to the handler. The reply is followed until it was written, and closes its
 /// connection once the server closes.
 fn answer_request<Handler, Answer>(
