--- a/crates/room/src/client/client_room.rs
+++ b/crates/room/src/client/client_room.rs
@@ -105,7 +105,8 @@
     }
 
     /// Has connections give way to a new one, of this number of bytes, until there will be room for it and
-    /// no more than this number of others stay; those on which a request has just begun to arrive do not.
+    /// no more than this number of others stay; those that have just been accepted, or on which a request has just
+    /// begun to arrive, do not.
     pub fn make_room_for_new(&self, bytes: usize, max_others: usize, now: Instant) {
         let is_full = || self.held.get() - self.ending.get() + bytes > self.limit;
         while is_full() || self.staying_count() > max_others {
--- a/crates/room/src/client/client_seat.rs
+++ b/crates/room/src/client/client_seat.rs
@@ -58,6 +58,8 @@
     progressed: Cell<Instant>,
     /// Bytes that were moved in this state.
     moved_bytes: Cell<usize>,
+    /// True until a request has begun to arrive.
+    is_new: Cell<bool>,
     end: Cell<Option<SeatEnd>>,
     /// True while the room counts its bytes as given back soon.
     is_ending: Cell<bool>,
@@ -74,6 +76,7 @@
             since: Cell::new(now),
             progressed: Cell::new(now),
             moved_bytes: Cell::new(0),
+            is_new: Cell::new(true),
             end: Cell::new(None),
             is_ending: Cell::new(false),
             waker: RefCell::default(),
@@ -112,6 +115,9 @@
         {
             self.room.keep(self.bytes.get());
         }
+        if state != SeatState::Idle {
+            self.is_new.set(false);
+        }
         if self.state.replace(state) != state {
             self.since.set(now);
             self.progressed.set(now);
@@ -174,10 +180,12 @@
         self.bytes.get()
     }
 
-    /// Returns true if a request arrives, and has for less than this time.
+    /// Returns true if its first request is awaited, or a request arrives, and has been for less than this
+    /// time.
     pub(super) fn is_young_arrival(&self, now: Instant, young_time: Duration) -> bool {
         let age = now.saturating_duration_since(self.since.get());
-        self.state.get() == SeatState::Arriving && age < young_time
+        let is_awaited = self.is_new.get() || self.state.get() == SeatState::Arriving;
+        is_awaited && age < young_time
     }
 
     /// Returns how soon it gives way; `None` if it does not, or ends already.
--- a/crates/room/tests/client_room.rs
+++ b/crates/room/tests/client_room.rs
@@ -94,6 +94,24 @@
     assert_eq!(seats[1].end(), Some(SeatEnd::Now), "one alone may be open");
 }
 
+/// Guards against connections that come at once and end each other before the first byte of a request.
+#[test]
+fn a_connection_that_was_just_accepted_does_not_give_way_to_a_new_one() {
+    let room = ClientRoom::new(2 * SEAT_BYTES);
+    let start = Instant::now();
+    let seats = take_seats(&room, 2, start);
+    seats[1].set_state(SeatState::Served, start);
+    let soon = start + Duration::from_millis(20);
+    room.make_room_for_new(SEAT_BYTES, 2, soon);
+    assert!(seats.iter().all(|seat| seat.end().is_none()));
+    seats[1].set_state(SeatState::Idle, soon);
+    room.make_room_for_new(SEAT_BYTES, 2, soon);
+    assert_eq!(seats[0].end(), None, "it has had no request yet");
+    assert_eq!(seats[1].end(), Some(SeatEnd::WhenIdle), "it was served");
+    room.make_room_for_new(2 * SEAT_BYTES, 2, start + Duration::from_millis(200));
+    assert_eq!(seats[0].end(), Some(SeatEnd::WhenIdle));
+}
+
 #[test]
 fn only_clients_that_have_stopped_give_way_to_answers() {
     let room = ClientRoom::new(3 * SEAT_BYTES);
