--- a/crates/room/src/memory_shares.rs
+++ b/crates/room/src/memory_shares.rs
@@ -5,9 +5,9 @@
 /// Bytes in a MB of the settings.
 const BYTES_PER_MB: f64 = 1_000_000.0;
 /// Memory that the program takes before it serves anything, in bytes. It is not divided.
-const PROGRAM_BYTES: u64 = 16_000_000;
+const PROGRAM_BYTES: u64 = 20_000_000;
 /// Share of the memory for the bodies of requests.
-const UPLOAD_SHARE: f64 = 0.5;
+const UPLOAD_SHARE: f64 = 0.45;
 /// Share of the memory for answers that are not streamed.
 const ANSWER_SHARE: f64 = 0.15;
 /// Share of the memory for the connections of clients at all addresses.
@@ -37,7 +37,8 @@
 
 impl std::error::Error for MemoryFault {}
 
-/// What the parts of a process may use of its memory. The rest is for the program, its state and streams.
+/// What the parts of a process may use of its memory. The rest is for its state, holes in its heap, and what the kernel
+/// keeps of answers that arrive.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MemoryShares {
     bytes: u64,
@@ -57,7 +58,7 @@
     ///
     /// ```
     /// let shares = room::MemoryShares::of_settings(Some(100.0)).unwrap();
-    /// assert_eq!(shares.upload_bytes(), 42_000_000);
+    /// assert_eq!(shares.upload_bytes(), 36_000_000);
     /// assert!(room::MemoryShares::of_settings(Some(10.0)).is_err());
     /// ```
     pub fn of_settings(memory_mb: Option<f64>) -> Result<Self, MemoryFault> {
