--- a/review/stand-2/src/case_setup.rs
+++ b/review/stand-2/src/case_setup.rs
@@ -9,12 +9,16 @@
     },
     std::{
         io,
+        net::{IpAddr, Ipv4Addr, SocketAddr},
         path::{Path, PathBuf},
         sync::Arc,
         time::Duration,
     },
 };
 
+/// Any port of the first loopback address.
+pub const ANY_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
 /// Whether the rule held.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CaseVerdict {
@@ -76,6 +80,7 @@
         (event_ms, pause_ms): (u64, u64),
     ) -> io::Result<Arc<StandReplica>> {
         let spec = ReplicaSpec {
+            address: ANY_ADDRESS,
             id: format!("i-{service}-{number}"),
             service: service.to_string(),
             version: version.to_string(),
--- a/review/stand-2/src/cases/late_stream.rs
+++ b/review/stand-2/src/cases/late_stream.rs
@@ -44,6 +44,7 @@
         resumes: false,
         timeout_ms: 20_000,
         goal_ms: 1_800,
+        stages: &[],
     };
     let plan = plan_text(1, &[route], &["models-a"], &[], &["key-a"]);
     fleet.store.put("op/config", &plan);
--- a/review/stand-2/src/cases/moved_route.rs
+++ b/review/stand-2/src/cases/moved_route.rs
@@ -85,6 +85,7 @@
         resumes: true,
         timeout_ms: 6_000,
         goal_ms: 1_900,
+        stages: &[],
     };
     plan_text(version, &[route], &SERVICES, &[], &["key-a"])
 }
--- a/review/stand-2/src/cases/older_copy_start.rs
+++ b/review/stand-2/src/cases/older_copy_start.rs
@@ -101,6 +101,7 @@
         resumes: false,
         timeout_ms: 600,
         goal_ms: 100,
+        stages: &[],
     };
     plan_text(version, &[route], &[], &["desk"], keys)
 }
--- a/review/stand-2/src/cases/silence_after_restart.rs
+++ b/review/stand-2/src/cases/silence_after_restart.rs
@@ -37,6 +37,7 @@
         resumes: true,
         timeout_ms: 10_000,
         goal_ms: 500,
+        stages: &[],
     };
     let plan = plan_text(1, &[route], &["models-a"], &[], &["key-a"]);
     fleet.store.put("op/config", &plan);
--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -10,6 +10,7 @@
 mod http_text;
 mod plan_text;
 mod run_record;
+mod stage_replica;
 mod stand_replica;
 mod stand_store;
 mod test_caller;
@@ -56,6 +57,7 @@
         "older-copy-start" => cases::older_copy_start::run(&fleet(2)?),
         "late-stream" => cases::late_stream::run(&fleet(2)?),
         "silence-after-restart" => cases::silence_after_restart::run(&fleet(2)?),
+        "reused-address" => cases::reused_address::run(&fleet(2)?),
         other => Err(io::Error::other(format!("no case {other}"))),
     }
 }
--- a/review/stand-2/src/run_record.rs
+++ b/review/stand-2/src/run_record.rs
@@ -12,6 +12,8 @@
 pub struct RunRecord {
     begun: Instant,
     file: Mutex<BufWriter<File>>,
+    /// Ids of the requests that ran.
+    runs: Mutex<Vec<String>>,
 }
 
 impl RunRecord {
@@ -20,6 +22,7 @@
         Ok(Self {
             begun: Instant::now(),
             file: Mutex::new(BufWriter::new(File::create(path)?)),
+            runs: Mutex::default(),
         })
     }
 
@@ -32,4 +35,16 @@
             let _ = file.flush();
         }
     }
+
+    /// Remembers that a request ran.
+    pub fn add_run(&self, request: &str) {
+        if let Ok(mut runs) = self.runs.lock() {
+            runs.push(request.to_string());
+        }
+    }
+
+    /// Returns the ids of the requests that ran.
+    pub fn runs(&self) -> Vec<String> {
+        self.runs.lock().map_or(Vec::new(), |runs| runs.clone())
+    }
 }
--- a/review/stand-2/src/stand_replica.rs
+++ b/review/stand-2/src/stand_replica.rs
@@ -5,6 +5,7 @@
     crate::{
         http_text::{MessageHead, message, read_body},
         run_record::RunRecord,
+        stage_replica::is_live,
         stand_store::StandStore,
     },
     std::{
@@ -31,6 +32,8 @@
 #[derive(Clone)]
 pub struct ReplicaSpec {
     pub id: String,
+    /// Address to listen on; port 0 stands for any.
+    pub address: SocketAddr,
     pub service: String,
     pub version: String,
     /// Time from one event of a stream to the next.
@@ -56,7 +59,7 @@
         store: &Arc<StandStore>,
         record: &Arc<RunRecord>,
     ) -> io::Result<Arc<Self>> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let listener = TcpListener::bind(spec.address)?;
         let born = SystemTime::now().duration_since(UNIX_EPOCH);
         let replica = Arc::new(Self {
             address: listener.local_addr()?,
@@ -132,10 +135,17 @@
             let first_line = "HTTP/1.1 421 Misdirected Request";
             return writer.write_all(&message(first_line, &headers, b""));
         }
+        let inputs = head.header("x-inputs").unwrap_or_default();
+        let mut inputs = inputs.split(',').filter(|name| !name.is_empty());
+        if inputs.any(|name| !is_live(name)) {
+            let headers = [("X-Not-Executed", "1"), ("X-Request-Id", request)];
+            return writer.write_all(&message("HTTP/1.1 409 Conflict", &headers, b""));
+        }
         let tenant = head.header("x-tenant").unwrap_or("nobody");
         let id = &self.spec.id;
         self.record
             .note(format!("run       {request} at {id} for {tenant}"));
+        self.record.add_run(request);
         let outcome = match path.starts_with("/chat/") {
             true => self.write_stream(head, request, writer),
             false => self.write_whole(request, writer),
--- a/review/stand-2/src/stand_store.rs
+++ b/review/stand-2/src/stand_store.rs
@@ -105,6 +105,18 @@
         self.changed.notify_all();
     }
 
+    /// Removes a value, as the store does once its writer has been silent for three heartbeats.
+    pub fn remove(&self, key: &str) {
+        let mut state = self.lock();
+        let contents = &mut state.contents;
+        contents.revision += 1;
+        let revision = contents.revision;
+        contents.values.remove(key);
+        let text = format!("{{\"key\":\"{key}\",\"revision\":{revision},\"removed\":true}}");
+        contents.history.push(StoredChange { revision, text });
+        self.changed.notify_all();
+    }
+
     /// Returns a copy of what the store holds now.
     pub fn copy(&self) -> StoreCopy {
         self.lock().contents.clone()
