--- a/review/stand-2/src/cases/older_copy_start.rs
+++ b/review/stand-2/src/cases/older_copy_start.rs
@@ -24,11 +24,11 @@
 const CALM_TIME: Duration = Duration::from_secs(8);
 /// Time from the copy to the confirmation that takes the key away.
 const COPY_LEAD: Duration = Duration::from_millis(500);
-/// From the confirmation: the store goes away, comes back, a daemon is restarted, and the operator
-/// writes the configuration again.
+/// From the confirmation: the store goes away, comes back, a daemon is restarted twice, and the
+/// operator writes the configuration again.
 const AWAY_AT: Duration = Duration::from_millis(4_200);
 const BACK_AT: Duration = Duration::from_millis(5_200);
-const RESTART_AT: Duration = Duration::from_millis(5_500);
+const RESTARTS_AT: [Duration; 2] = [Duration::from_millis(5_500), Duration::from_millis(6_300)];
 const REWRITE_AT: Duration = Duration::from_millis(7_200);
 const END_AT: Duration = Duration::from_millis(9_000);
 const ASK_INTERVAL: Duration = Duration::from_millis(20);
@@ -66,9 +66,11 @@
         sleep_until(confirmed_at + BACK_AT);
         fleet.store.come_back_from(copy);
         fleet.record.note("the store is back from the copy");
-        sleep_until(confirmed_at + RESTART_AT);
-        edges[1].restart()?;
-        fleet.record.note("daemon 1 killed and started again");
+        for restart_at in RESTARTS_AT {
+            sleep_until(confirmed_at + restart_at);
+            edges[1].restart()?;
+            fleet.record.note("daemon 1 killed and started again");
+        }
         sleep_until(confirmed_at + REWRITE_AT);
         fleet.store.put("op/config", &plan(2, &["key-b"]));
         fleet.record.note("configuration 2 written again");
