Follow only entries whose configurations say whether keys are needed

Cause: in a larger fleet hosts follow one that watches the store. A build between passes on a configuration without keys without the mark that keys are needed, and its absence was taken for leave.

Fix: schema 3 stands for configurations that say it; a host follows only hosts of that schema, or the store.

--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod address_sample;
 mod evidence_refresher;
+mod feed_sources;
 mod gossip_round;
 mod gossip_settings;
 mod holder_choice;
@@ -22,6 +23,7 @@
     evidence_refresher::{
         EvidenceAnswer, EvidenceRefresher, EvidenceRequest, RefreshDecision, store_checkers,
     },
+    feed_sources::feed_sources,
     gossip_round::GossipRound,
     gossip_settings::GossipSettings,
     holder_choice::rank_holders,
--- a/crates/relay/src/dialect/mod.rs
+++ b/crates/relay/src/dialect/mod.rs
@@ -12,7 +12,9 @@
     caller_head::{CallerHead, HeadFault, HeaderList, header_value},
     relay_refusal::RelayRefusal,
     reply_owner::ReplyOwner,
-    store_dialect::{ALL_ITEMS_SCHEMA, StoreChanges, StoreDialect, StoreItem, StorePage},
+    store_dialect::{
+        ALL_ITEMS_SCHEMA, KEY_RULE_SCHEMA, StoreChanges, StoreDialect, StoreItem, StorePage,
+    },
     target_dialect::{ReplyHead, ReplyOutcome, TargetDialect, TargetRequest},
     wire_call::WireCall,
     wire_fault::WireFault,
--- a/crates/relay/src/dialect/store_dialect.rs
+++ b/crates/relay/src/dialect/store_dialect.rs
@@ -6,9 +6,12 @@
     wire::{OLDEST_SCHEMA, SchemaNumber},
 };
 
-/// Schema from which on an entry passes on evacuations and cold targets. Who knows of them follows
-/// only such an entry.
+/// Schema from which on an entry passes on evacuations and cold targets.
 pub const ALL_ITEMS_SCHEMA: SchemaNumber = 2;
+/// Schema from which on the configuration that an entry passes on says whether requests need a key. An
+/// earlier build passes on a configuration without keys as one that needs none, so nobody who knows the
+/// difference follows it.
+pub const KEY_RULE_SCHEMA: SchemaNumber = 3;
 
 /// One item of the platform's store, or a change to one.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/crates/relay/src/state/peer_feed.rs
+++ b/crates/relay/src/state/peer_feed.rs
@@ -1,12 +1,12 @@
 use {
     crate::{
-        dialect::{ALL_ITEMS_SCHEMA, StoreChanges},
+        dialect::{KEY_RULE_SCHEMA, StoreChanges},
         shared::RelayCore,
         stage::{PeerMessage, PeerOutbox, read_frames, write_frames},
         state::{FeedFrame, StoreReplica, feed_server::ALIVE_INTERVAL, store_reader::publish_view},
         target::{PEER_PATIENCE, configure_socket},
     },
-    board::store_checkers,
+    board::{feed_sources, store_checkers},
     slog::{debug, info},
     std::{
         net::SocketAddr,
@@ -49,9 +49,7 @@
     if checkers.contains(&own.host.as_str()) && preferred.is_none() {
         return None;
     }
-    let reads_all = |host: &&str| hosts.peer_schema(host) >= ALL_ITEMS_SCHEMA;
-    let others = checkers.into_iter().filter(|host| *host != own.host);
-    let sources: Vec<&str> = others.filter(reads_all).collect();
+    let sources = feed_sources(&hosts, KEY_RULE_SCHEMA, now);
     if sources.is_empty() {
         return None;
     }
--- a/crates/wire/src/schema_number.rs
+++ b/crates/wire/src/schema_number.rs
@@ -9,4 +9,4 @@
 /// The oldest schema that is still read.
 pub const OLDEST_SCHEMA: SchemaNumber = 1;
 /// The schema of this build.
-pub const NEWEST_SCHEMA: SchemaNumber = 2;
+pub const NEWEST_SCHEMA: SchemaNumber = 3;
