Refuse messages of a schema that has none

Change: messages are read up to the newest schema that adds any. After: the tests of wire, board and relay pass.

--- a/crates/wire/src/message_authenticator.rs
+++ b/crates/wire/src/message_authenticator.rs
@@ -1,4 +1,6 @@
-use crate::{DropReason, NEWEST_SCHEMA, OLDEST_SCHEMA, SchemaNumber, WireError};
+use crate::{
+    DropReason, OLDEST_SCHEMA, SchemaNumber, WireError, schema_number::NEWEST_MESSAGE_SCHEMA,
+};
 
 /// Size of the truncated keyed hash, in bytes.
 const HASH_BYTES: usize = 16;
@@ -30,7 +32,7 @@
     /// Verifies schema number and hash of a sealed message and returns its content.
     pub(crate) fn verify<'a>(&self, sealed: &'a [u8]) -> Result<&'a [u8], DropReason> {
         let schema = *sealed.first().ok_or(DropReason::Truncated)?;
-        if !(OLDEST_SCHEMA..=NEWEST_SCHEMA).contains(&schema) {
+        if !(OLDEST_SCHEMA..=NEWEST_MESSAGE_SCHEMA).contains(&schema) {
             return Err(DropReason::OtherVersion);
         }
         if sealed.len() <= HEADER_BYTES {
--- a/crates/wire/src/schema_number.rs
+++ b/crates/wire/src/schema_number.rs
@@ -10,3 +10,5 @@
 pub const OLDEST_SCHEMA: SchemaNumber = 1;
 /// The schema of this build.
 pub const NEWEST_SCHEMA: SchemaNumber = 3;
+/// The newest schema that adds messages; none is sealed with a later one.
+pub(crate) const NEWEST_MESSAGE_SCHEMA: SchemaNumber = 2;
