Take a late stream on in a stop only if its deadline ends it in time

Cause: what a late stream needs was taken from the longest one of its route before it. Nothing bounds a stream but its deadline. Besides, a stream counted as late by the arrival of its head.

Fix: a stream that has arrived whole late in a stop is refused at once unless its deadline comes in time. The longest times of routes are not needed any more, nor is their line in the doc example.

--- a/crates/limit/src/run_times.rs
+++ b/crates/limit/src/run_times.rs
@@ -6,8 +6,6 @@
 const DEVIATION_WEIGHT: f64 = 0.25;
 /// Number of mean differences above the mean within which most requests end.
 const DEVIATIONS: f64 = 2.0;
-/// Share of the longest time that is left after each request.
-const LONGEST_DECAY: f64 = 0.999;
 /// Maximum number of routes that are remembered; beyond it all are forgotten.
 const MAX_ROUTES: usize = 4_096;
 
@@ -23,10 +21,6 @@
 /// }
 /// let expected = times.expected("chat").unwrap();
 /// assert!(expected >= Duration::from_millis(200) && expected < Duration::from_millis(210));
-///
-/// times.record("chat", Duration::from_secs(4));
-/// times.record("chat", Duration::from_millis(200));
-/// assert!(times.longest("chat").unwrap() > Duration::from_millis(3_900));
 /// ```
 #[derive(Debug, Default)]
 pub struct RunTimes {
@@ -39,8 +33,6 @@
     mean: f64,
     /// Mean difference from the mean.
     deviation: f64,
-    /// Longest time; it fades with each request.
-    longest: f64,
 }
 
 impl RunTimes {
@@ -50,7 +42,6 @@
         if let Some(known) = self.routes.get_mut(route) {
             let difference = time - known.mean;
             known.mean += MEAN_WEIGHT * difference;
-            known.longest = time.max(LONGEST_DECAY * known.longest);
             known.deviation += DEVIATION_WEIGHT * (difference.abs() - known.deviation);
             return;
         }
@@ -60,7 +51,6 @@
         let first = RouteTime {
             mean: time,
             deviation: time / 2.0,
-            longest: time,
         };
         self.routes.insert(route.to_string(), first);
     }
@@ -71,10 +61,4 @@
         let seconds = known.mean + DEVIATIONS * known.deviation;
         Duration::try_from_secs_f64(seconds).ok()
     }
-
-    /// Returns the longest time of a route's recent requests; `None` if none has ended.
-    pub fn longest(&self, route: &str) -> Option<Duration> {
-        let known = self.routes.get(route)?;
-        Duration::try_from_secs_f64(known.longest).ok()
-    }
 }
--- a/crates/relay/src/drain/exit_times.rs
+++ b/crates/relay/src/drain/exit_times.rs
@@ -14,7 +14,7 @@
 /// The times of a shutdown, in the order in which they come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ExitTimes {
-    /// Streams that arrive after this must surely end before they would be cut.
+    /// Streams that have arrived whole after this must surely end before they would be cut.
     pub late_from: Instant,
     /// No connections are accepted after this.
     pub accept_until: Instant,
@@ -37,4 +37,10 @@
             exit_at: now + grace.mul_f64(EXIT_SHARE),
         }
     }
+
+    /// Returns true if a stream that has arrived whole by `now` and has this deadline is late and could
+    /// still run when answers must have begun.
+    pub fn may_cut(&self, deadline: Instant, now: Instant) -> bool {
+        now >= self.late_from && deadline > self.answer_by
+    }
 }
--- a/crates/relay/src/drain/needed_time.rs
+++ b/crates/relay/src/drain/needed_time.rs
@@ -1,18 +1,20 @@
 use {
     crate::{caller::RelayDraft, shared::RelayCore},
-    std::time::Duration,
+    std::time::{Duration, Instant},
 };
 
 /// Returns the time that a request needs from its sending to the end of its answer, as far as it
-/// matters to a shutdown: the expected time, or for a stream that arrives late in a shutdown, and so
-/// could be cut, the longest one.
-pub fn needed_time(core: &RelayCore, draft: &RelayDraft) -> Duration {
-    let run_times = core.run_times.borrow();
-    let name = &draft.rule.name;
-    let is_late = |late_from| draft.arrived >= late_from;
+/// matters to a shutdown: the expected time, or no time that is short enough for a stream that is late
+/// in a shutdown and could go on until it is cut.
+///
+/// How long other streams took says nothing of this one: only its deadline bounds it. `now` is the
+/// time at which the whole request has arrived.
+pub fn needed_time(core: &RelayCore, draft: &RelayDraft, now: Instant) -> Duration {
     let times = core.exit.times();
-    if draft.rule.streaming && times.is_some_and(|times| is_late(times.late_from)) {
-        return run_times.longest(name).unwrap_or(Duration::MAX);
+    let may_be_cut = times.is_some_and(|times| times.may_cut(draft.deadline, now));
+    if draft.rule.streaming && may_be_cut {
+        return Duration::MAX;
     }
-    run_times.expected(name).unwrap_or_default()
+    let run_times = core.run_times.borrow();
+    run_times.expected(&draft.rule.name).unwrap_or_default()
 }
--- a/crates/relay/src/filters/exit_filter.rs
+++ b/crates/relay/src/filters/exit_filter.rs
@@ -21,7 +21,7 @@
         };
         let now = Instant::now();
         let stages_time = expected_stages_time(core, &draft, now);
-        let expected = stages_time.saturating_add(needed_time(core, &draft));
+        let expected = stages_time.saturating_add(needed_time(core, &draft, now));
         let time_left = times.answer_by.saturating_duration_since(now);
         if expected < time_left {
             return Ok(draft);
--- a/crates/relay/src/run/run_request.rs
+++ b/crates/relay/src/run/run_request.rs
@@ -47,7 +47,7 @@
     mut draft: RelayDraft,
     open: Rc<OpenRequest>,
 ) -> Result<HttpReply, RelayRefusal> {
-    open.set_needed_time(needed_time(core, &draft));
+    open.set_needed_time(needed_time(core, &draft, Instant::now()));
     bind_resumption(core, &mut draft).await?;
     let mut run = RelayRun::new(core, draft, open);
     loop {
