Leave a silent target only once another one has the stream

Cause: silence was taken for a loss: the call was closed first, and then asked whether another one is allowed.

Fix: another target is asked only if one may be, and the silent one keeps the stream until then; whichever brings the next event has it. The same question stands before a call without an answer is given up. The reader of streams and the search for a successor are modules of their own.

--- a/crates/relay/src/link/link_check.rs
+++ b/crates/relay/src/link/link_check.rs
@@ -34,6 +34,14 @@
     Elsewhere,
 }
 
+/// What is done about a call whose target is silent.
+#[derive(Clone, Copy)]
+pub struct SilenceRule<'a> {
+    pub repeat: CallRepeat,
+    /// Returns true if the call may be made again now, and could be; else its target is waited for.
+    pub may_leave: &'a dyn Fn() -> bool,
+}
+
 /// Records that a call to a target failed, which may be a fault of this entry's own links.
 pub fn record_call_fault(core: &RelayCore, target: &str, fault: &CallFault) {
     match fault {
@@ -49,8 +57,9 @@
     }
 }
 
-/// Waits for the answer to a call. If the call may be repeated, gives up once the target is silent to
+/// Waits for the answer to a call. If the call may be made again, gives up once the target is silent to
 /// a check as well; if it may also be made by another entry, once the links to all targets are lost.
+/// While it may not, a silent target is waited for: it may go on.
 ///
 /// The socket itself waits long, so that a sound target which falls silent for a second or two loses
 /// no call that may not be repeated.
@@ -58,7 +67,7 @@
     core: &RelayCore,
     target: &str,
     address: SocketAddr,
-    repeat: CallRepeat,
+    rule: SilenceRule<'_>,
     answering: impl Future<Output = Result<T, CallFault>>,
 ) -> Result<T, CallFault> {
     let called_at = Instant::now();
@@ -73,18 +82,18 @@
         if is_long {
             record_silence(core, target, called_at, now);
         }
-        if repeat == CallRepeat::Never {
+        if rule.repeat == CallRepeat::Never {
             continue;
         }
         let is_lost = !core.link.borrow().has_reached_since(called_at) && must_hand_over(core);
-        if is_lost && repeat == CallRepeat::Elsewhere {
+        if is_lost && rule.repeat == CallRepeat::Elsewhere && (rule.may_leave)() {
             return Err(CallFault::Broken(String::from("links to targets lost")));
         }
         if is_long {
             tokio::select! {
                 answer = &mut answering => return answer,
                 is_silent = core.target_checks.is_silent(core, target, address) => {
-                    if is_silent {
+                    if is_silent && (rule.may_leave)() {
                         return Err(CallFault::Broken(String::from("target is silent")));
                     }
                 }
--- a/crates/relay/src/run/mod.rs
+++ b/crates/relay/src/run/mod.rs
@@ -8,7 +8,10 @@
 mod run_request;
 mod send_next;
 mod send_once;
+mod silent_target;
 mod stream_pump;
+mod stream_reader;
+mod stream_successor;
 mod target_choice;
 mod version_bond;
 
--- a/crates/relay/src/run/send_once.rs
+++ b/crates/relay/src/run/send_once.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         dialect::{ReplyOutcome, TargetRequest},
-        link::{CallRepeat, await_answer, record_call_fault},
+        link::{CallRepeat, SilenceRule, await_answer, record_call_fault},
         run::{call_slot::CallSlot, relay_run::RelayRun},
         target::{CallFault, CallReply},
     },
@@ -58,7 +58,11 @@
         (true, true) => CallRepeat::Here,
         (true, false) => CallRepeat::Elsewhere,
     };
-    let result = await_answer(core, &pick.target, pick.address, repeat, answering).await;
+    let waiting = SilenceRule {
+        repeat,
+        may_leave: &|| run.may_leave(&pick.target),
+    };
+    let result = await_answer(core, &pick.target, pick.address, waiting, answering).await;
     let fault = match result {
         Ok(mut reply) => {
             slot.proof.set_opened(reply.opened_at());
--- a/crates/relay/src/run/stream_pump.rs
+++ b/crates/relay/src/run/stream_pump.rs
@@ -8,44 +8,34 @@
             pump_stop::{PumpStop, unless_stopped},
             relay_run::RelayRun,
             run_request::{log_answer, record_completion},
-            send_next::{SendAnswer, send_next},
+            send_next::SendAnswer,
             send_once::fault_outcome,
+            stream_reader::{StreamRead, StreamReader},
+            stream_successor::find_successor,
             version_bond::{VersionBond, check_version},
         },
-        target::{CallReply, EventSplitter},
+        target::CallReply,
     },
-    bytes::Bytes,
     plan::RepeatRule,
     retry::SendFault,
     route::ServiceOutcome,
     setup::HttpReply,
-    slog::{debug, info},
-    std::rc::Rc,
+    slog::info,
+    std::{rc::Rc, time::Duration},
 };
 
-/// Share of the time for which a caller waits for an event, after which a stream without events is
-/// resumed elsewhere.
-const STALL_SHARE: f64 = 0.6;
-
-/// Outcome of a read from a stream.
-enum StreamRead {
-    /// One or more complete events.
-    Events(Bytes),
-    /// The stream ended after a complete event.
-    End,
-    /// The connection failed, or the stream ended within an event.
-    Broken,
-}
+/// Share of the time for which a caller waits for an event, after which another target is asked to go on
+/// with a stream without events.
+const SILENCE_SHARE: f64 = 0.6;
+/// Interval of checks whether another target may go on with a stream that is still without events.
+const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Forwards a stream to its caller in complete events. If a target fails, the stream is resumed at
 /// another one.
 pub struct StreamPump {
     run: RelayRun,
     source: AnswerSource,
-    reply: CallReply,
-    /// True once an event was read from the source.
-    has_events: bool,
-    splitter: EventSplitter,
+    reader: StreamReader,
     /// Set while the target that brought the first event is being proven.
     bond: Option<VersionBond>,
 }
@@ -66,11 +56,9 @@
         let mut headers = reply.headers.clone();
         headers.retain(|(name, _)| name != "content-length" && name != "keep-alive");
         let mut pump = Self {
+            reader: StreamReader::new(&run.core.log, source.name(), reply),
             run,
             source,
-            reply,
-            has_events: false,
-            splitter: EventSplitter::default(),
             bond: None,
         };
         let result = tokio::time::timeout_at(due.into(), pump.read_first_events()).await;
@@ -94,7 +82,7 @@
     /// Reads the first events; if the target fails before them, the request is sent to another one.
     async fn read_first_events(&mut self) -> Result<StreamRead, RelayRefusal> {
         loop {
-            match self.read_events().await {
+            match self.reader.read().await {
                 StreamRead::Broken => self.resume().await?,
                 read => {
                     self.record_read(&read);
@@ -124,7 +112,7 @@
                     if sent.is_err() {
                         return self.on_caller_left();
                     }
-                    match unless_stopped(&core.exit, &sender, due, self.read_before_stall()).await {
+                    match unless_stopped(&core.exit, &sender, due, self.read_or_move()).await {
                         Ok(read) => {
                             self.record_read(&read);
                             read
@@ -146,7 +134,7 @@
                         }
                         Err(stop) => return self.on_stop(stop),
                     }
-                    match unless_stopped(&core.exit, &sender, due, self.read_events()).await {
+                    match unless_stopped(&core.exit, &sender, due, self.reader.read()).await {
                         Ok(read) => {
                             self.record_read(&read);
                             self.run.free_inputs();
@@ -159,114 +147,124 @@
         }
     }
 
-    /// Reads the next complete events. A stream that another target may resume counts as broken once
-    /// it brings no complete event for too long, even if single bytes arrive.
-    async fn read_before_stall(&mut self) -> StreamRead {
+    /// Reads the next complete events. Once a stream that may be resumed has brought no complete event for too
+    /// long, even if single bytes arrive, another target is asked to go on as soon as one may.
+    async fn read_or_move(&mut self) -> StreamRead {
         let rule = &self.run.draft.rule;
         let limit = rule.first_event_limit;
         let Some(limit) = limit.filter(|_| rule.repeat == RepeatRule::Resumable) else {
-            return self.read_events().await;
+            return self.reader.read().await;
         };
-        let stall_limit = limit.mul_f64(STALL_SHARE);
-        match actix_rt::time::timeout(stall_limit, self.read_events()).await {
-            Ok(read) => read,
-            Err(_) => {
-                info!(self.run.core.log, "stream read failed"; "reason" => "no event in time",
-                    "target" => self.source.name());
-                StreamRead::Broken
+        let mut wait = limit.mul_f64(SILENCE_SHARE);
+        loop {
+            if let Ok(read) = actix_rt::time::timeout(wait, self.reader.read()).await {
+                return read;
             }
+            if self.run.leave_silent(self.source.name()) {
+                return self.move_from_silent().await;
+            }
+            wait = SILENCE_CHECK_INTERVAL;
         }
     }
 
-    /// Reads the next complete events from the current target.
-    async fn read_events(&mut self) -> StreamRead {
-        loop {
-            match self.reply.next_chunk().await {
-                Ok(Some(chunk)) => {
-                    self.splitter.push(&chunk);
-                    let events = self.splitter.take_events();
-                    if !events.is_empty() {
-                        return StreamRead::Events(events);
-                    }
-                    if self.splitter.has_oversized_event() {
-                        info!(self.run.core.log, "stream read failed"; "reason" => "endless event",
-                            "target" => self.source.name());
-                        return StreamRead::Broken;
-                    }
-                }
-                Ok(None) if self.is_cut_short() => return StreamRead::Broken,
-                Ok(None) => return StreamRead::End,
-                Err(fault) => {
-                    debug!(self.run.core.log, "stream read failed"; "reason" => ?fault);
-                    return StreamRead::Broken;
+    /// Asks another target to go on. The silent one is left only once the other one answers: whichever is first
+    /// has the stream.
+    async fn move_from_silent(&mut self) -> StreamRead {
+        info!(self.run.core.log, "stream is silent";
+            "request" => &self.run.draft.head.request_id, "target" => self.source.name(),
+            "last_event" => self.reader.last_id());
+        let bond = self.bond.take();
+        self.bond = bond.and_then(|bond| bond.settle_now(&mut self.run));
+        let last_id = self.last_id();
+        let Self { run, reader, .. } = self;
+        let mut is_broken = false;
+        let successor = {
+            let finding = find_successor(run, last_id.as_deref());
+            tokio::pin!(finding);
+            loop {
+                tokio::select! {
+                    biased;
+                    read = reader.read(), if !is_broken => match read {
+                        StreamRead::Broken => is_broken = true,
+                        read => break Err(read),
+                    },
+                    found = &mut finding => break Ok(found),
                 }
             }
+        };
+        match successor {
+            Err(read) => return self.stay(read),
+            Ok(Ok(answer)) => self.take_over(answer),
+            Ok(Err(_)) if is_broken => return self.stay(StreamRead::Broken),
+            Ok(Err(refusal)) => {
+                info!(self.run.core.log, "nobody goes on with a silent stream";
+                    "request" => &self.run.draft.head.request_id, "reason" => &refusal.detail);
+            }
         }
+        let read = self.reader.read().await;
+        self.stay(read)
+    }
+
+    /// Passes on what was read from the source that the stream stays with, after another one was asked.
+    fn stay(&mut self, read: StreamRead) -> StreamRead {
+        self.run.open.set_place(RequestPlace::Events);
+        self.run.free_inputs();
+        read
     }
 
     /// Sends the request again, for the rest of the stream after the last complete event.
     async fn resume(&mut self) -> Result<(), RelayRefusal> {
-        let mut fault = SendFault::Lost;
-        let mut place = self.source.name().to_string();
-        self.source.set_outcome(fault_outcome(fault));
         // The target must have stopped before another one goes on.
-        self.reply.close();
-        self.splitter.discard_partial_event();
+        self.reader.close();
         info!(self.run.core.log, "stream broken";
-            "request" => &self.run.draft.head.request_id, "target" => &place,
-            "last_event" => self.splitter.last_id());
-        self.source.check_crash(&self.run.draft);
+            "request" => &self.run.draft.head.request_id, "target" => self.source.name(),
+            "last_event" => self.reader.last_id());
+        self.record_loss();
         if let Some(bond) = self.bond.take() {
             bond.settle(&mut self.run).await;
         }
-        let last_id = self.splitter.last_id().map(String::from);
-        let last_id = last_id.or_else(|| self.run.draft.head.last_event_id.clone());
-        loop {
-            // Fails unless the stream may be resumed or no target has run the request.
-            self.run.on_fault(&place, fault)?;
-            let due = self.run.draft.deadline;
-            match send_next(&mut self.run, due, last_id.as_deref()).await? {
-                Ok(SendAnswer { source, reply }) if (200..300).contains(&reply.status) => {
-                    info!(self.run.core.log, "stream goes on";
-                        "request" => &self.run.draft.head.request_id,
-                        "target" => source.name(), "after" => last_id,
-                        "version" => source.version());
-                    self.source = source;
-                    self.reply = reply;
-                    self.has_events = false;
-                    return Ok(());
-                }
-                Ok(SendAnswer { mut source, .. }) => {
-                    source.set_outcome(ServiceOutcome::Failed);
-                    place = source.name().to_string();
-                    fault = SendFault::Failed;
-                }
-                Err(failure) => {
-                    place = failure.place;
-                    fault = failure.fault;
-                }
-            }
-        }
+        // Fails unless the stream may be resumed or no target has run the request.
+        self.run.on_fault(self.source.name(), SendFault::Lost)?;
+        let last_id = self.last_id();
+        let answer = find_successor(&mut self.run, last_id.as_deref()).await?;
+        self.take_over(answer);
+        Ok(())
+    }
+
+    /// Goes on with the answer of another source. The one before has lost the stream.
+    fn take_over(&mut self, answer: SendAnswer) {
+        let SendAnswer { source, reply } = answer;
+        self.reader.replace(source.name(), reply);
+        self.record_loss();
+        info!(self.run.core.log, "stream goes on";
+            "request" => &self.run.draft.head.request_id,
+            "target" => source.name(), "after" => self.reader.last_id(),
+            "version" => source.version());
+        self.source = source;
+    }
+
+    /// Records at the source that it has lost the stream.
+    fn record_loss(&mut self) {
+        self.source.set_outcome(fault_outcome(SendFault::Lost));
+        self.source.check_crash(&self.run.draft);
     }
 
-    /// Returns true if a stream whose connection has ended normally was cut all the same: it ended
-    /// within an event, or before the first one with nothing but the connection to mark the end.
-    fn is_cut_short(&self) -> bool {
-        let is_empty = !self.has_events;
-        self.splitter.has_partial_event() || (is_empty && self.reply.ends_with_connection)
+    /// Returns the id of the last event that the caller has.
+    fn last_id(&self) -> Option<String> {
+        let read = self.reader.last_id().map(String::from);
+        read.or_else(|| self.run.draft.head.last_event_id.clone())
     }
 
     /// Records at the target what was read from it.
     fn record_read(&mut self, read: &StreamRead) {
         match read {
             StreamRead::Events(_) => {
-                self.has_events = true;
                 let bond = self.bond.take();
                 self.bond = bond.and_then(|bond| bond.settle_now(&mut self.run));
                 check_version(&mut self.run, &self.source);
                 self.source.record_event();
             }
-            StreamRead::End => self.source.record_end(self.reply.ends_with_connection),
+            StreamRead::End => self.source.record_end(self.reader.ends_with_connection()),
             StreamRead::Broken => {}
         }
     }
--- a/crates/relay/src/run/target_choice.rs
+++ b/crates/relay/src/run/target_choice.rs
@@ -123,18 +123,39 @@
         (may_run && accepts_calls(&pick.target)).then_some((pick, place))
     }
 
+    /// Returns true if there is a target besides this one that was not tried yet.
+    pub(super) fn has_other_target(&self, target: &str, now: Instant) -> bool {
+        let mut tried = self.tried_targets.clone();
+        tried.push(target.to_string());
+        let versions = match &self.draft.versions {
+            // It is asked for before the request is sent.
+            VersionRule::Nowhere => &VersionRule::Any,
+            versions => versions,
+        };
+        self.pick_besides(&tried, versions, now).is_some()
+    }
+
     /// Returns the target that is currently the best of those that were not tried yet.
     fn pick(&self, now: Instant) -> Option<ServicePick> {
+        self.pick_besides(&self.tried_targets, &self.draft.versions, now)
+    }
+
+    fn pick_besides(
+        &self,
+        tried: &[String],
+        versions: &VersionRule,
+        now: Instant,
+    ) -> Option<ServicePick> {
         let own_centre = self.core.settings.borrow().data_centre.clone();
         let stages = self.stages.as_ref();
         let input_bytes = stages.map(|stages| stages.result_bytes(&self.draft));
         let query = ServiceQuery {
             prefixes: &self.draft.prefixes,
-            tried: &self.tried_targets,
+            tried,
             data_centre: &own_centre,
             inputs: &input_bytes.unwrap_or_default(),
             among: None,
-            versions: &self.draft.versions,
+            versions,
         };
         let pools = self.core.pools.borrow();
         let mut random = self.core.random.borrow_mut();
--- a/crates/relay/src/stage/batch_calls.rs
+++ b/crates/relay/src/stage/batch_calls.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         dialect::HeaderList,
-        link::{CallRepeat, await_answer, record_call_fault},
+        link::{CallRepeat, SilenceRule, await_answer, record_call_fault},
         permit::pass_limit,
         shared::RelayCore,
         stage::{
@@ -158,8 +158,12 @@
     let answering = core
         .connections
         .call_and_read(address, call, CALL_TIMEOUT, MAX_ANSWER_BYTES);
-    // A piece may be made again.
-    let answer = await_answer(core, target, address, CallRepeat::Elsewhere, answering).await;
+    // A piece may be made again at any time.
+    let rule = SilenceRule {
+        repeat: CallRepeat::Elsewhere,
+        may_leave: &|| true,
+    };
+    let answer = await_answer(core, target, address, rule, answering).await;
     if answer.is_ok() {
         core.link.borrow_mut().record_answer(Instant::now());
     }
--- a/crates/retry/src/fleet_budget.rs
+++ b/crates/retry/src/fleet_budget.rs
@@ -45,6 +45,7 @@
 /// let mut budget = FleetBudget::new(settings, now);
 /// assert!(!budget.take_repeat("pool", 2, now));
 /// let later = now + Duration::from_secs(11);
+/// assert!(budget.has_repeat("pool", 2, later));
 /// assert!(budget.take_repeat("pool", 2, later));
 /// ```
 #[derive(Debug)]
@@ -73,18 +74,27 @@
     /// Counts one repeat and returns true if this entry's share of the service's budget allows it.
     /// `entry_count` is the number of live entries that share the extra repeats.
     pub fn take_repeat(&mut self, service: &str, entry_count: usize, now: Instant) -> bool {
-        let repeat_ratio = self.settings.repeat_ratio;
-        let extra_repeats = self.extra_repeats(entry_count, now);
-        self.current_slice(service, now);
-        let slices = &self.services[service];
-        let requests: u32 = slices.iter().map(|slice| slice.requests).sum();
-        let repeats: u32 = slices.iter().map(|slice| slice.repeats).sum();
-        let allowed = USED_SHARE * (repeat_ratio * f64::from(requests) + extra_repeats);
-        if f64::from(repeats + 1) > allowed {
-            return false;
+        let is_allowed = self.has_repeat(service, entry_count, now);
+        if is_allowed {
+            self.current_slice(service, now).repeats += 1;
         }
-        self.current_slice(service, now).repeats += 1;
-        true
+        is_allowed
+    }
+
+    /// Returns true if [`Self::take_repeat`] would allow a repeat now, without counting one.
+    pub fn has_repeat(&self, service: &str, entry_count: usize, now: Instant) -> bool {
+        let slices = self.services.get(service).into_iter().flatten();
+        let current = slices.filter(|slice| !self.is_expired(slice, now));
+        let counts = current.map(|slice| (slice.requests, slice.repeats));
+        let (requests, repeats) =
+            counts.fold((0, 0), |sum, slice| (sum.0 + slice.0, sum.1 + slice.1));
+        let extra_repeats = self.extra_repeats(entry_count, now);
+        let granted = self.settings.repeat_ratio * f64::from(requests) + extra_repeats;
+        f64::from(repeats + 1) <= USED_SHARE * granted
+    }
+
+    fn is_expired(&self, slice: &WindowSlice, now: Instant) -> bool {
+        now.saturating_duration_since(slice.started_at) >= self.settings.window
     }
 
     /// Returns this entry's share of the extra repeats.
