Take no answer for whole that ends before its request was written

Cause: an answer without a length ends with its connection, and whether the other side had read the request was not looked at.

Fix: a connection knows whether its request has gone to the socket, and the kernel takes no more than 16 KiB beyond what the other side has room for (it took all of 3 MB). Such an answer counts as broken off: a failure, a visible cut, or a repeat where one is allowed. What fits into the kernels of both sides cannot be told.

--- a/crates/relay/src/memory/call_body.rs
+++ b/crates/relay/src/memory/call_body.rs
@@ -1,4 +1,5 @@
 use {
+    crate::memory::WriteProgress,
     bytes::Bytes,
     hyper::body::{Body, Frame, SizeHint},
     room::UploadLease,
@@ -88,6 +89,7 @@
 pub struct BodyReader {
     body: CallBody,
     next_piece: usize,
+    progress: WriteProgress,
 }
 
 impl BodyReader {
@@ -96,9 +98,16 @@
         Self {
             body,
             next_piece: 0,
+            progress: WriteProgress::default(),
         }
     }
 
+    /// Records on the connection that sends the body how far it has come.
+    pub fn begin(&mut self, progress: &WriteProgress) {
+        progress.begin(self.rest().len());
+        self.progress = progress.clone();
+    }
+
     fn rest(&self) -> &[Bytes] {
         &self.body.pieces.bytes[self.next_piece..]
     }
@@ -113,7 +122,10 @@
         _context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
         let piece = self.rest().first().cloned();
-        self.next_piece += usize::from(piece.is_some());
+        if piece.is_some() {
+            self.next_piece += 1;
+            self.progress.record_piece();
+        }
         Poll::Ready(piece.map(|piece| Ok(Frame::data(piece))))
     }
 
--- a/crates/relay/src/target/call_reply.rs
+++ b/crates/relay/src/target/call_reply.rs
@@ -87,13 +87,34 @@
         self.idle_timeout = idle_timeout;
     }
 
+    /// Returns true if the answer ends with a connection that has ended before the request was written out:
+    /// the other side has broken off, whatever has come of the answer.
+    fn has_ended_early(&self) -> bool {
+        let connection = self.connection.as_ref();
+        let is_written = connection.is_some_and(|connection| connection.progress.is_written());
+        self.ends_with_connection && !is_written
+    }
+
+    /// Checks an answer that has been read to its end.
+    fn check_end(&self) -> Result<(), CallFault> {
+        match self.has_ended_early() {
+            true => Err(CallFault::Broken(String::from(
+                "the connection has ended before the request was written",
+            ))),
+            false => Ok(()),
+        }
+    }
+
     /// Returns the next chunk of the body, or `None` at its end.
     ///
     /// # Errors
     ///
-    /// Fails if the connection ends before the body does.
+    /// Fails if the connection ends before the body does, or before the request was written.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>, CallFault> {
         let chunk = self.next_data().await?;
+        if chunk.is_none() {
+            self.check_end()?;
+        }
         if chunk.is_none() {
             self.return_to_pool();
         }
@@ -111,10 +132,11 @@
     ///
     /// # Errors
     ///
-    /// Fails if the connection ends before the body does, or if the body is longer than `limit`
-    /// bytes.
+    /// Fails if the connection ends before the body does or before the request was written, or if the body is
+    /// longer than `limit` bytes.
     pub async fn read_body(&mut self, limit: usize) -> Result<Bytes, CallFault> {
         let body = self.read_data(limit).await?;
+        self.check_end()?;
         self.return_to_pool();
         Ok(body)
     }
@@ -130,6 +152,7 @@
         };
         self.widen_window(&body);
         let pieces = read_in_task(collect_pieces(body, limit)).await?;
+        self.check_end()?;
         self.return_to_pool();
         Ok(pieces)
     }
@@ -141,6 +164,7 @@
     /// Fails like `read_body`.
     pub(super) async fn read_whole(mut self, limit: usize) -> Result<WholeReply, CallFault> {
         let body = self.read_data(limit).await?;
+        self.check_end()?;
         Ok(WholeReply {
             status: self.status,
             headers: self.headers,
--- a/crates/relay/src/target/connection_pool.rs
+++ b/crates/relay/src/target/connection_pool.rs
@@ -232,6 +232,7 @@
             false => TargetStream::new(stream),
         };
         let window = stream.window().cloned();
+        let progress = stream.progress().clone();
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
@@ -250,6 +251,7 @@
             opened_at: Instant::now(),
             is_new: true,
             window,
+            progress,
             marks: AnswerMarks::default(),
         })
     }
@@ -257,8 +259,9 @@
     pub(super) async fn send(
         self: &Rc<Self>,
         mut connection: PooledConnection,
-        request: Request<BodyReader>,
+        mut request: Request<BodyReader>,
     ) -> Result<CallReply, SendFailure> {
+        request.body_mut().begin(&connection.progress);
         let Some(sender) = &mut connection.sender else {
             return Err(SendFailure::Unsent(Box::new(request)));
         };
--- a/crates/relay/src/target/pooled_connection.rs
+++ b/crates/relay/src/target/pooled_connection.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        memory::BodyReader,
+        memory::{BodyReader, WriteProgress},
         target::{answer_marks::AnswerMarks, target_stream::WindowControl},
     },
     actix_rt::task::JoinHandle,
@@ -20,6 +20,8 @@
     pub(super) is_new: bool,
     /// `None` if the kernel chooses how much it keeps of what arrives.
     pub(super) window: Option<WindowControl>,
+    /// Whether the request that it carries was written out.
+    pub(super) progress: WriteProgress,
     pub(super) marks: AnswerMarks,
 }
 
--- a/crates/relay/src/target/target_stream.rs
+++ b/crates/relay/src/target/target_stream.rs
@@ -1,4 +1,5 @@
 use {
+    crate::memory::WriteProgress,
     socket2::SockRef,
     std::{
         cell::Cell,
@@ -18,6 +19,10 @@
 /// Bytes that the kernel keeps of what arrives while a long answer is read, if it allows as many.
 const WIDE_WINDOW_BYTES: usize = 1024 * 1024;
 
+/// Bytes of a request that the kernel takes beyond what the other side has room for. What it takes counts as
+/// written.
+const UNSENT_BYTES: u32 = 16 * 1024;
+
 /// Sets how much the kernel keeps of what arrives on a connection, from the next read on.
 ///
 /// What the kernel chooses by itself grows while a connection is read, and stays when it is not: a stream whose caller
@@ -50,23 +55,28 @@
     stream: TcpStream,
     /// `None` if the kernel chooses how much it keeps of what arrives.
     window: Option<WindowControl>,
+    progress: WriteProgress,
 }
 
 impl TargetStream {
     /// Creates it from an open connection.
     pub fn new(stream: TcpStream) -> Self {
-        Self {
-            stream,
-            window: None,
-        }
+        Self::create(stream, None)
     }
 
     /// Creates it from an open connection, of which the kernel keeps little until its window is widened.
     pub fn with_short_window(stream: TcpStream) -> Self {
         set_receive_buffer(&stream, SHORT_WINDOW_BYTES);
+        Self::create(stream, Some(WindowControl::default()))
+    }
+
+    fn create(stream: TcpStream, window: Option<WindowControl>) -> Self {
+        // Without it more of a request counts as written than the other side may have.
+        let _ = SockRef::from(&stream).set_tcp_notsent_lowat(UNSENT_BYTES);
         Self {
             stream,
-            window: Some(WindowControl::default()),
+            window,
+            progress: WriteProgress::default(),
         }
     }
 
@@ -74,6 +84,11 @@
     pub fn window(&self) -> Option<&WindowControl> {
         self.window.as_ref()
     }
+
+    /// Returns what tells whether a request was written out.
+    pub fn progress(&self) -> &WriteProgress {
+        &self.progress
+    }
 }
 
 /// Without it the kernel keeps as much as it chooses.
@@ -120,7 +135,12 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        let flushed = Pin::new(&mut self.stream).poll_flush(context);
+        if matches!(flushed, Poll::Ready(Ok(()))) {
+            // The connection flushes once it has written all that it has.
+            self.progress.record_flush();
+        }
+        flushed
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
