Take nothing from an answer whose status HTTP does not have

Status 000 and 099 were 502 before.

Cause: any three digits from 100 on were passed on.

Evidence, before: a_status_that_is_none_reaches_no_caller failed at 101, the test by way of another entry at 999; that of pieces passed (000 and 999).

After: the three tests pass.

--- a/crates/relay/src/target/connection_pool.rs
+++ b/crates/relay/src/target/connection_pool.rs
@@ -12,7 +12,7 @@
         },
     },
     hyper::{
-        Request, Response,
+        Request, Response, StatusCode,
         body::{Body, Incoming},
         client::conn::http1,
         header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING},
@@ -266,6 +266,10 @@
             return Err(SendFailure::Unsent(Box::new(request)));
         };
         match sender.try_send_request(request).await {
+            Ok(response) if !is_final_status(response.status()) => {
+                let text = format!("status {} is none of an answer", response.status().as_u16());
+                Err(SendFailure::Fault(CallFault::Broken(text)))
+            }
             Ok(response) => Ok(self.create_reply(response, connection)),
             Err(mut error) => match error.take_message() {
                 Some(unsent) => Err(SendFailure::Unsent(Box::new(unsent))),
@@ -298,6 +302,12 @@
     }
 }
 
+/// Returns true for a status that an answer can have: HTTP has none from 600 on, and those below 200 come before the
+/// answer. What has another one shows nothing, whatever else it says.
+fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Why a send got no head of an answer.
 pub(super) enum SendFailure {
     /// The connection was closed before anything was sent; holds the request.
