Take only what goes on with a stream for its continuation

Errors by their status were kept out before.

Cause: any success counted as the continuation, whatever it was. And events without ids could be followed by a new run from the beginning.

Fix: the next target's answer must be of the stream's media type, and its first event must have a later id than the last one that the caller has; else the target has failed. Without a known position a stream goes on nowhere.

--- a/crates/relay/src/run/mod.rs
+++ b/crates/relay/src/run/mod.rs
@@ -9,6 +9,7 @@
 mod send_next;
 mod send_once;
 mod silent_target;
+mod stream_move;
 mod stream_pump;
 mod stream_reader;
 mod stream_successor;
--- a/crates/relay/src/run/stream_pump.rs
+++ b/crates/relay/src/run/stream_pump.rs
@@ -8,16 +8,12 @@
             pump_stop::{PumpStop, unless_stopped},
             relay_run::RelayRun,
             run_request::{log_answer, record_completion},
-            send_next::SendAnswer,
-            send_once::fault_outcome,
             stream_reader::{StreamRead, StreamReader},
-            stream_successor::find_successor,
             version_bond::{VersionBond, check_version},
         },
         target::CallReply,
     },
     plan::RepeatRule,
-    retry::SendFault,
     route::ServiceOutcome,
     setup::HttpReply,
     slog::info,
@@ -33,11 +29,11 @@
 /// Forwards a stream to its caller in complete events. If a target fails, the stream is resumed at
 /// another one.
 pub struct StreamPump {
-    run: RelayRun,
-    source: AnswerSource,
-    reader: StreamReader,
+    pub(super) run: RelayRun,
+    pub(super) source: AnswerSource,
+    pub(super) reader: StreamReader,
     /// Set while the target that brought the first event is being proven.
-    bond: Option<VersionBond>,
+    pub(super) bond: Option<VersionBond>,
 }
 
 impl StreamPump {
@@ -55,8 +51,9 @@
         let status = reply.status;
         let mut headers = reply.headers.clone();
         headers.retain(|(name, _)| name != "content-length" && name != "keep-alive");
+        let last_id = run.draft.head.last_event_id.as_deref();
         let mut pump = Self {
-            reader: StreamReader::new(&run.core.log, source.name(), reply),
+            reader: StreamReader::new(&run.core.log, source.name(), reply, last_id),
             run,
             source,
             bond: None,
@@ -160,101 +157,13 @@
             if let Ok(read) = actix_rt::time::timeout(wait, self.reader.read()).await {
                 return read;
             }
-            if self.run.leave_silent(self.source.name()) {
+            if self.reader.has_position() && self.run.leave_silent(self.source.name()) {
                 return self.move_from_silent().await;
             }
             wait = SILENCE_CHECK_INTERVAL;
         }
     }
 
-    /// Asks another target to go on. The silent one is left only once the other one answers: whichever is first
-    /// has the stream.
-    async fn move_from_silent(&mut self) -> StreamRead {
-        info!(self.run.core.log, "stream is silent";
-            "request" => &self.run.draft.head.request_id, "target" => self.source.name(),
-            "last_event" => self.reader.last_id());
-        let bond = self.bond.take();
-        self.bond = bond.and_then(|bond| bond.settle_now(&mut self.run));
-        let last_id = self.last_id();
-        let Self { run, reader, .. } = self;
-        let mut is_broken = false;
-        let successor = {
-            let finding = find_successor(run, last_id.as_deref());
-            tokio::pin!(finding);
-            loop {
-                tokio::select! {
-                    biased;
-                    read = reader.read(), if !is_broken => match read {
-                        StreamRead::Broken => is_broken = true,
-                        read => break Err(read),
-                    },
-                    found = &mut finding => break Ok(found),
-                }
-            }
-        };
-        match successor {
-            Err(read) => return self.stay(read),
-            Ok(Ok(answer)) => self.take_over(answer),
-            Ok(Err(_)) if is_broken => return self.stay(StreamRead::Broken),
-            Ok(Err(refusal)) => {
-                info!(self.run.core.log, "nobody goes on with a silent stream";
-                    "request" => &self.run.draft.head.request_id, "reason" => &refusal.detail);
-            }
-        }
-        let read = self.reader.read().await;
-        self.stay(read)
-    }
-
-    /// Passes on what was read from the source that the stream stays with, after another one was asked.
-    fn stay(&mut self, read: StreamRead) -> StreamRead {
-        self.run.open.set_place(RequestPlace::Events);
-        self.run.free_inputs();
-        read
-    }
-
-    /// Sends the request again, for the rest of the stream after the last complete event.
-    async fn resume(&mut self) -> Result<(), RelayRefusal> {
-        // The target must have stopped before another one goes on.
-        self.reader.close();
-        info!(self.run.core.log, "stream broken";
-            "request" => &self.run.draft.head.request_id, "target" => self.source.name(),
-            "last_event" => self.reader.last_id());
-        self.record_loss();
-        if let Some(bond) = self.bond.take() {
-            bond.settle(&mut self.run).await;
-        }
-        // Fails unless the stream may be resumed or no target has run the request.
-        self.run.on_fault(self.source.name(), SendFault::Lost)?;
-        let last_id = self.last_id();
-        let answer = find_successor(&mut self.run, last_id.as_deref()).await?;
-        self.take_over(answer);
-        Ok(())
-    }
-
-    /// Goes on with the answer of another source. The one before has lost the stream.
-    fn take_over(&mut self, answer: SendAnswer) {
-        let SendAnswer { source, reply } = answer;
-        self.reader.replace(source.name(), reply);
-        self.record_loss();
-        info!(self.run.core.log, "stream goes on";
-            "request" => &self.run.draft.head.request_id,
-            "target" => source.name(), "after" => self.reader.last_id(),
-            "version" => source.version());
-        self.source = source;
-    }
-
-    /// Records at the source that it has lost the stream.
-    fn record_loss(&mut self) {
-        self.source.set_outcome(fault_outcome(SendFault::Lost));
-        self.source.check_crash(&self.run.draft);
-    }
-
-    /// Returns the id of the last event that the caller has.
-    fn last_id(&self) -> Option<String> {
-        let read = self.reader.last_id().map(String::from);
-        read.or_else(|| self.run.draft.head.last_event_id.clone())
-    }
-
     /// Records at the target what was read from it.
     fn record_read(&mut self, read: &StreamRead) {
         match read {
--- a/crates/relay/src/run/stream_reader.rs
+++ b/crates/relay/src/run/stream_reader.rs
@@ -1,5 +1,8 @@
 use {
-    crate::target::{CallReply, EventSplitter},
+    crate::{
+        dialect::header_value,
+        target::{CallReply, EventSplitter, first_event_id},
+    },
     bytes::Bytes,
     slog::{Logger, debug, info},
 };
@@ -23,16 +26,23 @@
     /// True once an event was read from the source.
     has_events: bool,
     splitter: EventSplitter,
+    /// Id of the last event that the caller has; `None` if it has none, or none with an id.
+    last_id: Option<String>,
+    /// True once events were read of which the last one that the caller has is not known by an id.
+    is_unmarked: bool,
 }
 
 impl StreamReader {
-    pub fn new(log: &Logger, source: &str, reply: CallReply) -> Self {
+    /// Creates the reader of a stream that goes on after the event with the id `last_id`.
+    pub fn new(log: &Logger, source: &str, reply: CallReply, last_id: Option<&str>) -> Self {
         Self {
             log: log.clone(),
             source: source.to_string(),
             reply,
             has_events: false,
             splitter: EventSplitter::default(),
+            last_id: last_id.map(String::from),
+            is_unmarked: false,
         }
     }
 
@@ -45,8 +55,7 @@
                     self.splitter.push(&chunk);
                     let events = self.splitter.take_events();
                     if !events.is_empty() {
-                        self.has_events = true;
-                        return StreamRead::Events(events);
+                        return self.accept(events);
                     }
                     if self.splitter.has_oversized_event() {
                         info!(self.log, "stream read failed"; "reason" => "endless event",
@@ -64,10 +73,31 @@
         }
     }
 
+    /// Returns events of the current source, unless its first one does not go on with the stream: then what it
+    /// sends is another stream, or none at all.
+    fn accept(&mut self, events: Bytes) -> StreamRead {
+        let last_id = self.last_id.as_deref().filter(|_| !self.has_events);
+        let goes_on = last_id.is_none_or(|last| {
+            let first = first_event_id(&events);
+            first.is_some_and(|first| is_later(first, last))
+        });
+        if !goes_on {
+            info!(self.log, "stream read failed"; "reason" => "the stream does not go on",
+                "target" => &self.source, "after" => last_id);
+            return StreamRead::Broken;
+        }
+        self.has_events = true;
+        if let Some(id) = self.splitter.last_id() {
+            self.last_id = Some(id.to_string());
+        }
+        self.is_unmarked = self.last_id.is_none();
+        StreamRead::Events(events)
+    }
+
     /// Closes the connection to the current source and drops what it sent of its next event.
     pub fn close(&mut self) {
         self.reply.close();
-        self.splitter.discard_partial_event();
+        self.splitter = EventSplitter::default();
     }
 
     /// Goes on with the answer of another source; the connection to the one before is closed.
@@ -78,9 +108,19 @@
         self.has_events = false;
     }
 
-    /// Returns the id of the last event that was read; `None` if none had one.
+    /// Returns the id of the last event that the caller has; `None` if it has none, or none with an id.
     pub fn last_id(&self) -> Option<&str> {
-        self.splitter.last_id()
+        self.last_id.as_deref()
+    }
+
+    /// Returns true if it can be said where another source should go on.
+    pub fn has_position(&self) -> bool {
+        !self.is_unmarked
+    }
+
+    /// Returns the media type of the current source's answer; `None` if it states none.
+    pub fn media_type(&self) -> Option<String> {
+        media_type(&self.reply)
     }
 
     /// Returns true if nothing but the end of the connection marks that of the stream.
@@ -95,3 +135,19 @@
         self.splitter.has_partial_event() || (is_empty && self.reply.ends_with_connection)
     }
 }
+
+/// Returns the media type of an answer, without its parameters; `None` if it states none.
+pub fn media_type(reply: &CallReply) -> Option<String> {
+    let value = header_value(&reply.headers, "content-type")?;
+    let media_type = value.split(';').next()?;
+    Some(media_type.trim().to_ascii_lowercase())
+}
+
+/// Returns true if an event with the id `id` comes after one with the other id. Ids increase where they are
+/// numbers.
+fn is_later(id: &str, last: &str) -> bool {
+    match (id.parse::<u64>(), last.parse::<u64>()) {
+        (Ok(id), Ok(last)) => id > last,
+        _ => id != last,
+    }
+}
--- a/crates/relay/src/run/stream_successor.rs
+++ b/crates/relay/src/run/stream_successor.rs
@@ -4,13 +4,15 @@
         run::{
             relay_run::RelayRun,
             send_next::{SendAnswer, SendFailure, send_next},
+            stream_reader::media_type,
         },
     },
     retry::SendFault,
     route::ServiceOutcome,
 };
 
-/// Sends a request for the rest of a stream, after the event with this id, until a target goes on with it.
+/// Sends a request for the rest of a stream, after the event with this id, until a target goes on with it: an
+/// answer of another media type than the stream's is none of it.
 ///
 /// # Errors
 ///
@@ -18,11 +20,12 @@
 pub async fn find_successor(
     run: &mut RelayRun,
     last_id: Option<&str>,
+    stream_type: Option<&str>,
 ) -> Result<SendAnswer, RelayRefusal> {
     let due = run.draft.deadline;
     loop {
         let failure = match send_next(run, due, last_id).await? {
-            Ok(answer) if (200..300).contains(&answer.reply.status) => return Ok(answer),
+            Ok(answer) if goes_on(&answer, stream_type) => return Ok(answer),
             Ok(SendAnswer { mut source, .. }) => {
                 source.set_outcome(ServiceOutcome::Failed);
                 SendFailure {
@@ -35,3 +38,8 @@
         run.on_fault(&failure.place, failure.fault)?;
     }
 }
+
+fn goes_on(answer: &SendAnswer, stream_type: Option<&str>) -> bool {
+    let is_success = (200..300).contains(&answer.reply.status);
+    is_success && media_type(&answer.reply).as_deref() == stream_type
+}
--- a/crates/relay/src/target/event_splitter.rs
+++ b/crates/relay/src/target/event_splitter.rs
@@ -76,6 +76,15 @@
     lf_end.max(crlf_end)
 }
 
+/// Returns the id of the first of some whole events; `None` if it has none.
+pub fn first_event_id(events: &[u8]) -> Option<&str> {
+    let lines = events.split(|byte| *byte == b'\n');
+    let lines = lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line));
+    let mut first_lines = lines.take_while(|line| !line.is_empty());
+    let id = first_lines.find_map(|line| line.strip_prefix(b"id:"))?;
+    std::str::from_utf8(id).ok().map(str::trim)
+}
+
 fn last_event_id(events: &[u8]) -> Option<String> {
     let lines = events.split(|byte| *byte == b'\n').rev();
     let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
--- a/crates/relay/src/target/mod.rs
+++ b/crates/relay/src/target/mod.rs
@@ -13,7 +13,7 @@
     call_reply::{CallFault, CallReply},
     connection_check::CheckOutcome,
     connection_pool::ConnectionPool,
-    event_splitter::EventSplitter,
+    event_splitter::{EventSplitter, first_event_id},
     hop_headers::{is_hop_header, keep_alive_timeout},
     socket_setup::{PEER_PATIENCE, TARGET_PATIENCE, configure_socket},
     whole_reply::WholeReply,
