Bound what camphor-entry holds of answers of targets

Cause: the length that a target states was compared with the body only at its end, and the answers that are read were in no account together.

--- a/crates/entry/src/data/entry_core.rs
+++ b/crates/entry/src/data/entry_core.rs
@@ -113,7 +113,10 @@
                 own_hold: STRIKE_EXCHANGE_TIME,
                 ..CrashTrackerSettings::default()
             })),
-            client: OutboundClient::new(settings.limits.answer_bytes),
+            client: OutboundClient::new(
+                settings.limits.answer_bytes,
+                settings.memory_shares().answer_bytes(),
+            ),
             random: RefCell::new(ChaCha8Rng::from_os_rng()),
             running_requests: Cell::new(0),
             unfinished_requests: Cell::new(0),
--- a/crates/entry/src/data/mod.rs
+++ b/crates/entry/src/data/mod.rs
@@ -1,4 +1,5 @@
 mod address_answer;
+mod answer_room;
 mod answer_sink;
 mod call_guard;
 mod call_slot;
--- a/crates/entry/src/data/outbound_client.rs
+++ b/crates/entry/src/data/outbound_client.rs
@@ -1,4 +1,5 @@
 use {
+    crate::data::answer_room::AnswerRoom,
     awc::{Client, Connector},
     std::time::Duration,
 };
@@ -20,11 +21,15 @@
     pub fresh: Client,
     /// Maximum size of one answer in bytes.
     pub max_answer_bytes: usize,
+    /// Room for the answers that are being read and passed on.
+    pub answer_room: AnswerRoom,
 }
 
 impl OutboundClient {
-    pub fn new(max_answer_bytes: usize) -> Self {
+    /// Creates the clients; all answers that are held may use `room_bytes` together.
+    pub fn new(max_answer_bytes: usize, room_bytes: usize) -> Self {
         Self {
+            answer_room: AnswerRoom::new(room_bytes, max_answer_bytes),
             pooled: build_client(),
             fresh: build_client(),
             max_answer_bytes,
--- a/crates/entry/src/data/target_call.rs
+++ b/crates/entry/src/data/target_call.rs
@@ -128,8 +128,7 @@
         if self.is_engine {
             self.read_stream(&mut response, progress).await
         } else {
-            self.read_answer(&mut response, client.max_answer_bytes)
-                .await
+            self.read_answer(&mut response, client, progress).await
         }
     }
 
@@ -161,7 +160,8 @@
     async fn read_answer<S>(
         &self,
         response: &mut ClientResponse<S>,
-        limit: usize,
+        client: &OutboundClient,
+        progress: &mut CallProgress,
     ) -> Result<RunEvent, CallFailure>
     where
         S: Stream<Item = Result<Bytes, actix_http::error::PayloadError>> + Unpin,
@@ -173,7 +173,15 @@
         if identity.as_ref() != Some(&self.identity) {
             return Err(CallFailure::Broken);
         }
-        let mut body = BytesMut::new();
+        let stated = length.and_then(|length| usize::try_from(length).ok());
+        let Some(limit) = stated.filter(|length| *length <= client.max_answer_bytes) else {
+            return Err(CallFailure::Broken);
+        };
+        let waits_since = Instant::now();
+        let lease = client.answer_room.take(limit).await;
+        // The target has answered: the wait says nothing of it.
+        progress.blocked_time += waits_since.elapsed();
+        let mut body = BytesMut::with_capacity(limit);
         while let Some(chunk) = response.next().await {
             let chunk = chunk.map_err(|_| CallFailure::Lost)?;
             if body.len() + chunk.len() > limit {
@@ -186,7 +194,7 @@
             return Err(CallFailure::Broken);
         }
         let attempt = self.identity.attempt;
-        let body = body.freeze();
+        let body = lease.hold(body.freeze());
         Ok(RunEvent::Answered { attempt, body })
     }
 
--- a/crates/proofs/src/fleet_plan.rs
+++ b/crates/proofs/src/fleet_plan.rs
@@ -25,6 +25,8 @@
     pub platform_proxied: bool,
     /// Addresses of peers that it contacts while it can't read the host list.
     pub seeds: Vec<String>,
+    /// Memory that it may use, in megabytes; that of the machine if absent.
+    pub memory_mb: Option<u32>,
     /// Tables to append to its settings file, in TOML.
     pub extra_settings: String,
 }
@@ -44,8 +46,12 @@
         let advertise = advertise.unwrap_or_default();
         let (host, data_centre, size) = (&self.host, &self.data_centre, self.size);
         let (seeds, extra_settings) = (&self.seeds, &self.extra_settings);
+        let memory = self
+            .memory_mb
+            .map(|memory| format!("memory_mb = {memory}\n"));
+        let memory = memory.unwrap_or_default();
         format!(
-            "host = \"{host}\"\ndata_centre = \"{data_centre}\"\nsize = {size}\n\n\
+            "host = \"{host}\"\ndata_centre = \"{data_centre}\"\nsize = {size}\n{memory}\n\
              [listen]\ncallers = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
              operators = \"127.0.0.1:0\"\n\n\
              [platform]\naddress = \"{platform}\"\n\n\
@@ -95,6 +101,7 @@
             proxied: false,
             platform_proxied: false,
             seeds: Vec::new(),
+            memory_mb: None,
             extra_settings: String::new(),
         });
         Self {
