--- a/crates/proofs/tests/graceful_shutdown.rs
+++ b/crates/proofs/tests/graceful_shutdown.rs
@@ -251,3 +251,40 @@
     let status = fleet.wait_for_exit("h1", WAIT_TIMEOUT).await.unwrap();
     assert_eq!(status.code(), Some(0), "{}", fleet.log_text("h1"));
 }
+
+/// Guards against requests that are taken late in a stop, and get no answer when its limit ends it, those that may run
+/// once among them.
+#[actix_rt::test]
+async fn requests_that_come_late_in_a_stop_are_answered_at_its_limit() {
+    let settings = "[answers]\nkeep = \"500ms\"\n\n[shutdown]\nlimit = \"1s\"\n";
+    let mut fleet = start_slow_fleet(settings).await;
+    for target in ["encode1", "encode2", "ledger1", "ledger2"] {
+        let slow = json!({ "delay_ms": 8_000 });
+        fleet.control_target(target, &slow).await.unwrap();
+    }
+    let entry = fleet.caller_address("h1");
+    let caller = TestCaller::new();
+    let ticket = caller.fetch_ticket(&entry, "farm").await.unwrap();
+    fleet.process("h1").terminate().unwrap();
+    actix_rt::time::sleep(Duration::from_millis(1_200)).await;
+    let requests = [
+        RunRequest::new("farm", "look", "look", b"hay"),
+        RunRequest::new("farm", "pay", "pay", b"hay").with_ticket(ticket),
+        RunRequest::new("farm", "read", "read", b"hay").streamed(),
+    ];
+    let runs = requests.map(|request| {
+        let (caller, entry) = (caller.clone(), entry.clone());
+        async move {
+            caller
+                .run(&entry, &request.within(Duration::from_secs(20)))
+                .await
+        }
+    });
+    for outcome in futures_util::future::join_all(runs).await {
+        let report = outcome.failure();
+        let report = report.unwrap_or_else(|| panic!("no answer: {outcome:?}"));
+        assert_eq!(report.reason, FailureReason::Leaving, "{report:?}");
+    }
+    let status = fleet.wait_for_exit("h1", WAIT_TIMEOUT).await.unwrap();
+    assert_eq!(status.code(), Some(1), "{}", fleet.log_text("h1"));
+}
