Name the target that is told to free results

Cause: the call that frees results did not say whom it is meant for, as calls for pieces and requests do.

Evidence, before: a_call_that_frees_results_names_their_maker failed, two calls without the maker's name.

Fix: it names the target; another one refuses it and runs nothing.

--- a/crates/relay/src/dialect/target_dialect.rs
+++ b/crates/relay/src/dialect/target_dialect.rs
@@ -116,6 +116,7 @@
     /// Fails if the body is malformed or has not exactly `count` pieces.
     fn read_pieces(&self, body: &[u8], count: usize) -> Result<Vec<PieceOutcome>, WireFault>;
 
-    /// Returns the call that frees results by their names, under an id of its own.
-    fn write_free(&self, call_id: &str, results: &[String]) -> WireCall;
+    /// Returns the call that frees results of a target by their names, under an id of its own. Another target that
+    /// gets it must not run it.
+    fn write_free(&self, call_id: &str, target: &str, results: &[String]) -> WireCall;
 }
--- a/crates/relay/src/stage/batch_calls.rs
+++ b/crates/relay/src/stage/batch_calls.rs
@@ -96,7 +96,7 @@
         actix_rt::spawn(async move {
             let called_at = Instant::now();
             let call_id = new_call_id(&core);
-            let call = core.dialects.target.write_free(&call_id, &results);
+            let call = core.dialects.target.write_free(&call_id, &target, &results);
             let answer = core
                 .connections
                 .call_and_read(address, call, FREE_TIMEOUT, MAX_ANSWER_BYTES)
