Take the store for back since the call that it answered was begun

Cause: after a lost call the store counted as back from its next answer on, and targets that are missing are kept for 2.3 s after a return. The next answer of a watch comes when something changes: it was the removal itself.

Evidence, before: a_target_that_leaves_long_after_a_lost_call_is_gone_at_once and the_return_of_the_store_is_after_the_last_failed_call failed.

Fix: the store has been back since the answered call was begun, or since the last call that failed, whichever is later.

--- a/crates/relay/src/state/store_contents.rs
+++ b/crates/relay/src/state/store_contents.rs
@@ -34,9 +34,6 @@
         if !self.accept_era(origin.era, now) || !self.is_watching() {
             return;
         }
-        if origin.called_at.is_some() {
-            self.record_contact(now);
-        }
         if changes.revision >= self.position.revision {
             let from = self.position;
             self.position.revision = changes.revision;
@@ -87,10 +84,11 @@
         }
     }
 
-    /// Records that the store answered.
-    pub(super) fn record_contact(&mut self, now: Instant) {
+    /// Records that the store answered a call that was begun at this time. It has been back since then, or since
+    /// the last call that failed: a watch is answered only when something changes.
+    pub(super) fn record_contact(&mut self, begun_at: Instant) {
         if self.failed_call_count > 0 {
-            self.store_returned_at = Some(now);
+            self.store_returned_at = self.last_fault_at.max(Some(begun_at));
         }
         self.failed_call_count = 0;
         self.lacks_store = false;
--- a/crates/relay/src/state/store_replica.rs
+++ b/crates/relay/src/state/store_replica.rs
@@ -67,6 +67,8 @@
     pub(super) next_at: Instant,
     /// Time of the store's first answer after the latest outage; `None` if there was no outage.
     pub(super) store_returned_at: Option<Instant>,
+    /// Time at which a call last failed.
+    pub(super) last_fault_at: Option<Instant>,
     /// Ids of the targets that are kept although the store no longer lists them, each with the time
     /// until which it is kept.
     pub(super) missing_until: BTreeMap<String, Instant>,
@@ -92,6 +94,7 @@
             lacks_store: false,
             next_at: now,
             store_returned_at: None,
+            last_fault_at: None,
             missing_until: BTreeMap::new(),
             unreadable: Vec::new(),
             latest_peer_plan: 0,
@@ -172,7 +175,7 @@
         if !self.accept_era(origin.era, now) {
             return;
         }
-        self.record_contact(now);
+        self.record_contact(self.next_at.min(now));
         if is_later_page && self.position.era != known_era {
             // The pages before are of the era that has ended.
             return;
@@ -205,6 +208,9 @@
 
     /// Applies the answer to a watch.
     pub fn on_changes(&mut self, changes: StoreChanges, origin: AnswerOrigin, now: Instant) {
+        if self.may_apply(origin) {
+            self.record_contact(self.next_at.min(now));
+        }
         self.apply_changes(changes, origin, now);
         self.next_at = now + WATCH_DELAY;
     }
@@ -216,10 +222,18 @@
             return false;
         }
         let known_position = self.position;
+        if self.may_apply(origin) {
+            self.record_contact(now);
+        }
         self.apply_changes(changes, origin, now);
         self.position > known_position
     }
 
+    /// Returns true for an answer that is not of an earlier era, while changes are asked for.
+    fn may_apply(&self, origin: AnswerOrigin) -> bool {
+        origin.era >= self.position.era && self.is_watching()
+    }
+
     /// Returns the time since the store's first answer after its latest outage; `None` if there was
     /// no outage.
     pub fn returned_ago(&self, now: Instant) -> Option<Duration> {
@@ -234,7 +248,7 @@
             self.on_fault(fault, now);
             return true;
         }
-        self.record_failed_call(fault);
+        self.record_failed_call(fault, now);
         false
     }
 
@@ -250,8 +264,9 @@
 
     /// Records a call that failed. A refusal shows at once that the store does not answer this entry,
     /// while a single answer may be lost on the way.
-    fn record_failed_call(&mut self, fault: &WireFault) {
+    fn record_failed_call(&mut self, fault: &WireFault, now: Instant) {
         self.failed_call_count += 1;
+        self.last_fault_at = Some(now);
         let is_refused = matches!(fault, WireFault::Refused(_));
         self.lacks_store |= is_refused || self.failed_call_count > MAX_LOST_ANSWERS;
     }
@@ -265,7 +280,7 @@
             return;
         }
         let backoff = MIN_BACKOFF * (1 << self.failed_call_count.min(4));
-        self.record_failed_call(fault);
+        self.record_failed_call(fault, now);
         self.next_at = now + backoff.min(MAX_BACKOFF);
     }
 
--- a/crates/relay/tests/store_replica.rs
+++ b/crates/relay/tests/store_replica.rs
@@ -222,3 +222,32 @@
     assert_eq!((passed.rows.len(), passed.has_gap), (1, false));
     assert_eq!(replica.take_passed_targets().rows, []);
 }
+
+/// Guards against a target that has left and is kept as one that could not register: the answer that brings its
+/// removal is late because nothing changed before, not because the store was away.
+#[test]
+fn a_target_that_leaves_long_after_a_lost_call_is_gone_at_once() {
+    let now = Instant::now();
+    let mut replica = replica_after_read(now);
+    replica.on_fault(&WireFault::Malformed(String::from("reset")), now);
+    let (_, begun_at) = replica.next_request();
+    assert!(begun_at < now + secs(1));
+    let gone = StoreItem::TargetGone(String::from("t1"));
+    replica.on_changes(changes(vec![gone], 12), at(101), now + secs(4));
+    assert!(!replica.view().targets.contains_key("t1"));
+    assert!(replica.returned_ago(now + secs(4)) > Some(secs(3)));
+}
+
+/// The call was begun while the store was away, as later ones that failed show.
+#[test]
+fn the_return_of_the_store_is_after_the_last_failed_call() {
+    let now = Instant::now();
+    let mut replica = replica_after_read(now);
+    let fault = WireFault::Malformed(String::from("silent"));
+    assert!(!replica.on_check_fault(&fault, now + secs(4)));
+    let gone = StoreItem::TargetGone(String::from("t1"));
+    replica.on_changes(changes(vec![gone], 12), at(101), now + secs(5));
+    assert!(replica.view().targets.contains_key("t1"));
+    replica.remove_expired(now + secs(7));
+    assert!(!replica.view().targets.contains_key("t1"));
+}
