Let a new process hear of a peer before it goes by the store

Cause: the first answer of the store counted as evidence before the process had heard of any peer, which would have known of a later configuration. Not having heard was taken for there being none.

Fix: a process that has seeds besides itself holds back what confirms its configuration until it has heard of a live peer, for a second at the most. Until then it is not ready.

A process that hears of no peer for a second still goes by the store alone.

--- a/crates/relay/src/shared/core_peers.rs
+++ b/crates/relay/src/shared/core_peers.rs
@@ -1,6 +1,9 @@
 use {
-    crate::shared::{RelayCore, RelayPhase, relay_core::CRASH_RETENTION},
-    board::{CrashReport, HostMark, TargetLoad},
+    crate::{
+        RelaySettings,
+        shared::{RelayCore, RelayPhase, relay_core::CRASH_RETENTION},
+    },
+    board::{CrashReport, HostMark, HostRecord, TargetLoad},
     retry::{TrackedCall, TrackedCallEnd, short_hash},
     route::{ServicePool, TargetWork},
     std::{collections::HashMap, time::Instant},
@@ -12,6 +15,28 @@
 
 /// What this entry tells its peers and learns from them.
 impl RelayCore {
+    /// Returns the record of a process that has just started.
+    pub(super) fn new_record(settings: &RelaySettings, incarnation: u64) -> HostRecord {
+        HostRecord {
+            host: settings.host.clone(),
+            data_centre: settings.data_centre.clone(),
+            incarnation,
+            sequence: 0,
+            callers: settings.listen.callers,
+            peers: settings.listen.peers,
+            hops: settings.listen.hop_address(),
+            core_share: (settings.core_share * 1_000.0) as u32,
+            ready: false,
+            reaches_targets: true,
+            leaving: false,
+            settled: false,
+            plan_version: 0,
+            loads: Vec::new(),
+            pools: Vec::new(),
+            crashes: Vec::new(),
+        }
+    }
+
     /// Updates the record that the next gossip round sends to other entries.
     pub fn refresh_own_record(&self, now: Instant) {
         let ready = self.is_ready();
@@ -66,6 +91,7 @@
         let latest_plan = hosts.latest_peer_plan(now);
         let mut replica = self.replica.borrow_mut();
         replica.on_peer_plan(latest_plan, now);
+        replica.heed_peers(hosts.live_peers(now).next().is_some(), now);
         self.record_evidence(replica.view().evidence);
         drop(replica);
         if !self.can_reject_unknown() {
--- a/crates/relay/src/shared/relay_core.rs
+++ b/crates/relay/src/shared/relay_core.rs
@@ -13,7 +13,7 @@
         target::{ConnectionPool, PEER_PATIENCE, TARGET_PATIENCE},
         tasks::TaskSupervisor,
     },
-    board::{CrashReport, GossipSettings, HostRecord, HostTable},
+    board::{CrashReport, GossipSettings, HostTable},
     limit::{BrittleServices, LimitDesk, ReturnLine, RoomDesk, RunTimes, TargetLimits},
     plan::{FleetPlan, PlanEvidence, ServiceId, StorePosition},
     rand::SeedableRng,
@@ -163,8 +163,12 @@
         log: Logger,
     ) -> Rc<Self> {
         let now = Instant::now();
-        let own = own_record(&settings, incarnation);
+        let own = Self::new_record(&settings, incarnation);
         let seeds: Vec<_> = settings.peer_seeds().collect();
+        let mut replica = StoreReplica::new(now);
+        if seeds.iter().any(|seed| *seed != settings.listen.peers) {
+            replica.await_peers();
+        }
         let hosts = HostTable::new(GossipSettings::default(), own, seeds, incarnation);
         let bounds = settings.bounds;
         let budget = FleetBudgetSettings {
@@ -198,7 +202,7 @@
             state: RefCell::default(),
             is_state_applied: Cell::new(true),
             evidence_changed: watch::Sender::default(),
-            replica: RefCell::new(StoreReplica::new(now)),
+            replica: RefCell::new(replica),
             check_wanted: Notify::new(),
             watch_restart: Notify::new(),
             position_changed: watch::Sender::new(StorePosition::default()),
@@ -275,24 +279,3 @@
         1 + self.hosts.borrow().live_peers(now).count()
     }
 }
-
-fn own_record(settings: &RelaySettings, incarnation: u64) -> HostRecord {
-    HostRecord {
-        host: settings.host.clone(),
-        data_centre: settings.data_centre.clone(),
-        incarnation,
-        sequence: 0,
-        callers: settings.listen.callers,
-        peers: settings.listen.peers,
-        hops: settings.listen.hop_address(),
-        core_share: (settings.core_share * 1_000.0) as u32,
-        ready: false,
-        reaches_targets: true,
-        leaving: false,
-        settled: false,
-        plan_version: 0,
-        loads: Vec::new(),
-        pools: Vec::new(),
-        crashes: Vec::new(),
-    }
-}
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -8,6 +8,7 @@
 mod read_phase;
 mod state_view;
 mod store_contents;
+mod store_faults;
 mod store_peers;
 mod store_reader;
 mod store_replica;
--- a/crates/relay/src/state/store_contents.rs
+++ b/crates/relay/src/state/store_contents.rs
@@ -72,6 +72,10 @@
 
     /// Records that the configuration in force was the latest one at the given time.
     pub(super) fn confirm(&mut self, confirmed_at: Option<BootTime>, now: Instant) {
+        if self.awaits_peers {
+            self.held_back = self.held_back.max(confirmed_at);
+            return;
+        }
         let is_era_new = self
             .era_begun_at
             .is_some_and(|begun_at| now < begun_at + ERA_SETTLE_TIME);
--- a/crates/relay/src/state/store_peers.rs
+++ b/crates/relay/src/state/store_peers.rs
@@ -11,6 +11,10 @@
 /// has a later configuration.
 const NEWCOMER_TIME: Duration = Duration::from_millis(6_000);
 
+/// Time after the start of the process within which it must have heard of a peer, if there is one: it goes by the
+/// store alone from then on.
+const PEER_WAIT: Duration = Duration::from_millis(1_000);
+
 /// How the position that a peer knows compares with the one that this entry knows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PeerPosition {
@@ -84,6 +88,23 @@
         PeerPosition::NotLater
     }
 
+    /// Has the replica take no answer as evidence until the process has heard of a peer: alone it cannot tell
+    /// whether the store has come back from an older copy before the start.
+    pub fn await_peers(&mut self) {
+        self.awaits_peers = true;
+    }
+
+    /// Takes the evidence that was held back, once the process has heard of a live peer, whose configuration
+    /// [`Self::on_peer_plan`] has recorded, or has waited long enough.
+    pub fn heed_peers(&mut self, has_live_peer: bool, now: Instant) {
+        let is_over = has_live_peer || now >= self.started_at + PEER_WAIT;
+        if self.awaits_peers && is_over {
+            self.awaits_peers = false;
+            let held_back = self.held_back.take();
+            self.confirm(held_back, now);
+        }
+    }
+
     /// Records the latest version of the configuration that a live peer has in force. Until it is
     /// known here too, answers of the store are no evidence that the configuration is the latest
     /// one: the store may have come back from an older copy.
--- a/crates/relay/src/state/store_replica.rs
+++ b/crates/relay/src/state/store_replica.rs
@@ -1,12 +1,12 @@
 use {
     crate::{
-        dialect::{StoreChanges, StorePage, WireFault},
+        dialect::{StoreChanges, StorePage},
         state::{
             AnswerOrigin, StateView, StoreRequest, change_log::ChangeLog,
             held_targets::HeldTargets, passed_targets::PassedTargets, read_phase::ReadPhase,
         },
     },
-    plan::{PlanVersion, StorePosition},
+    plan::{BootTime, PlanVersion, StorePosition},
     std::{
         collections::BTreeMap,
         time::{Duration, Instant},
@@ -25,13 +25,6 @@
 const CHECK_WAIT: Duration = Duration::from_millis(1);
 /// Delay between an answer to a watch and the next watch.
 const WATCH_DELAY: Duration = Duration::from_millis(300);
-/// Delay before the next call after the first one that failed.
-const MIN_BACKOFF: Duration = Duration::from_millis(250);
-/// Longest delay before the next call after several failed in a row.
-const MAX_BACKOFF: Duration = Duration::from_millis(1_000);
-/// Number of answers of the store in a row that may be lost before this entry counts as out of touch
-/// with it.
-const MAX_LOST_ANSWERS: u32 = 1;
 
 /// Local copy of the store's contents, which outlasts outages of the store and gaps in its history.
 ///
@@ -76,6 +69,10 @@
     pub(super) unreadable: Vec<(String, String)>,
     /// Latest version of the configuration that a live peer has in force; 0 if none is known.
     pub(super) latest_peer_plan: PlanVersion,
+    /// True until the process has heard of a peer, if there are any.
+    pub(super) awaits_peers: bool,
+    /// Time at which the configuration was the latest one by answers that are no evidence yet.
+    pub(super) held_back: Option<BootTime>,
 }
 
 impl StoreReplica {
@@ -98,6 +95,8 @@
             missing_until: BTreeMap::new(),
             unreadable: Vec::new(),
             latest_peer_plan: 0,
+            awaits_peers: false,
+            held_back: None,
         }
     }
 
@@ -241,49 +240,6 @@
             .map(|returned_at| now.saturating_duration_since(returned_at))
     }
 
-    /// Records that a check failed. Returns true if all items must be read again, so that the
-    /// watch must be restarted.
-    pub fn on_check_fault(&mut self, fault: &WireFault, now: Instant) -> bool {
-        if self.needs_full_read(fault) {
-            self.on_fault(fault, now);
-            return true;
-        }
-        self.record_failed_call(fault, now);
-        false
-    }
-
-    /// Returns true if the changes since the known revision cannot be had: the store no longer has
-    /// them, or they do not fit into an answer, so that the same call would fail again.
-    fn needs_full_read(&self, fault: &WireFault) -> bool {
-        match fault {
-            WireFault::HistoryGone => true,
-            WireFault::TooLong => self.is_watching(),
-            WireFault::Malformed(_) | WireFault::Refused(_) => false,
-        }
-    }
-
-    /// Records a call that failed. A refusal shows at once that the store does not answer this entry,
-    /// while a single answer may be lost on the way.
-    fn record_failed_call(&mut self, fault: &WireFault, now: Instant) {
-        self.failed_call_count += 1;
-        self.last_fault_at = Some(now);
-        let is_refused = matches!(fault, WireFault::Refused(_));
-        self.lacks_store |= is_refused || self.failed_call_count > MAX_LOST_ANSWERS;
-    }
-
-    /// Records that a call failed. If the changes since the known revision cannot be had, all items
-    /// are read again at once; otherwise the next call is delayed by a backoff.
-    pub fn on_fault(&mut self, fault: &WireFault, now: Instant) {
-        if self.needs_full_read(fault) {
-            self.phase = ReadPhase::start();
-            self.next_at = now;
-            return;
-        }
-        let backoff = MIN_BACKOFF * (1 << self.failed_call_count.min(4));
-        self.record_failed_call(fault, now);
-        self.next_at = now + backoff.min(MAX_BACKOFF);
-    }
-
     /// Removes targets that did not register again within the grace time after an outage. Returns
     /// true if there were any. Reads the store again once its list can be trusted after a loss of
     /// changes.
--- a/crates/relay/tests/store_replica.rs
+++ b/crates/relay/tests/store_replica.rs
@@ -251,3 +251,38 @@
     replica.remove_expired(now + secs(7));
     assert!(!replica.view().targets.contains_key("t1"));
 }
+
+/// Guards against keys of an older copy of the store: a process that has just started cannot tell one.
+#[test]
+fn a_process_that_has_heard_of_no_peer_has_no_evidence() {
+    let now = Instant::now();
+    let mut replica = StoreReplica::new(now);
+    replica.await_peers();
+    replica.on_page(page(vec![plan(3)], 10, None), at(100), now);
+    let age = |replica: &StoreReplica| replica.view().evidence.age(secs(101));
+    replica.heed_peers(false, now + Duration::from_millis(300));
+    assert_eq!(age(&replica), None);
+    replica.heed_peers(true, now + Duration::from_millis(400));
+    assert_eq!(age(&replica), Some(secs(1)));
+}
+
+#[test]
+fn a_process_whose_peer_has_a_later_configuration_has_no_evidence() {
+    let now = Instant::now();
+    let mut replica = StoreReplica::new(now);
+    replica.await_peers();
+    replica.on_page(page(vec![plan(3)], 10, None), at(100), now);
+    replica.on_peer_plan(4, now);
+    replica.heed_peers(true, now + Duration::from_millis(400));
+    assert_eq!(replica.view().evidence.age(secs(101)), None);
+}
+
+#[test]
+fn a_process_that_hears_of_no_peer_goes_by_the_store_after_a_while() {
+    let now = Instant::now();
+    let mut replica = StoreReplica::new(now);
+    replica.await_peers();
+    replica.on_page(page(vec![plan(3)], 10, None), at(100), now);
+    replica.heed_peers(false, now + secs(2));
+    assert_eq!(replica.view().evidence.age(secs(101)), Some(secs(1)));
+}
