Bind a stream to a media type only once it has events

What callers saw: a stream whose first target ended without any event, and without a media type, was refused though the next target had it.

Cause: the type was taken from the first answer, also if no event had come of it.

Fix: it is that of the answer with the first event.

--- a/crates/relay/src/run/stream_move.rs
+++ b/crates/relay/src/run/stream_move.rs
@@ -23,11 +23,11 @@
         let bond = self.bond.take();
         self.bond = bond.and_then(|bond| bond.settle_now(&mut self.run));
         let last_id = self.reader.last_id().map(String::from);
-        let stream_type = self.reader.media_type();
+        let stream_type = self.reader.stream_type().clone();
         let Self { run, reader, .. } = self;
         let mut is_broken = false;
         let successor = {
-            let finding = find_successor(run, last_id.as_deref(), stream_type.as_deref());
+            let finding = find_successor(run, last_id.as_deref(), &stream_type);
             tokio::pin!(finding);
             loop {
                 tokio::select! {
@@ -78,8 +78,8 @@
         }
         // Fails unless the stream may be resumed or no target has run the request.
         self.run.on_fault(self.source.name(), SendFault::Lost)?;
-        let (last_id, stream_type) = (self.reader.last_id(), self.reader.media_type());
-        let answer = find_successor(&mut self.run, last_id, stream_type.as_deref()).await?;
+        let (last_id, stream_type) = (self.reader.last_id(), self.reader.stream_type());
+        let answer = find_successor(&mut self.run, last_id, stream_type).await?;
         self.take_over(answer);
         Ok(())
     }
--- a/crates/relay/src/run/stream_reader.rs
+++ b/crates/relay/src/run/stream_reader.rs
@@ -17,6 +17,25 @@
     Broken,
 }
 
+/// Media type that the answers have which bring the events of a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StreamType {
+    /// No event was read yet.
+    Any,
+    /// The type that the answer with the first event states, if it states one.
+    Of(Option<String>),
+}
+
+impl StreamType {
+    /// Returns true if an answer can bring further events.
+    pub fn accepts(&self, reply: &CallReply) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Of(media_type) => *media_type == stated_type(reply),
+        }
+    }
+}
+
 /// Reads a stream in complete events, from one source after the other.
 pub struct StreamReader {
     log: Logger,
@@ -28,6 +47,7 @@
     splitter: EventSplitter,
     /// Id of the last event that the caller has; `None` if it has none, or none with an id.
     last_id: Option<String>,
+    stream_type: StreamType,
     /// True once events were read of which the last one that the caller has is not known by an id.
     is_unmarked: bool,
 }
@@ -42,6 +62,7 @@
             has_events: false,
             splitter: EventSplitter::default(),
             last_id: last_id.map(String::from),
+            stream_type: StreamType::Any,
             is_unmarked: false,
         }
     }
@@ -91,6 +112,9 @@
             self.last_id = Some(id.to_string());
         }
         self.is_unmarked = self.last_id.is_none();
+        if self.stream_type == StreamType::Any {
+            self.stream_type = StreamType::Of(stated_type(&self.reply));
+        }
         StreamRead::Events(events)
     }
 
@@ -118,9 +142,9 @@
         !self.is_unmarked
     }
 
-    /// Returns the media type of the current source's answer; `None` if it states none.
-    pub fn media_type(&self) -> Option<String> {
-        media_type(&self.reply)
+    /// Returns the media type of the stream.
+    pub fn stream_type(&self) -> &StreamType {
+        &self.stream_type
     }
 
     /// Returns true if nothing but the end of the connection marks that of the stream.
@@ -137,7 +161,7 @@
 }
 
 /// Returns the media type of an answer, without its parameters; `None` if it states none.
-pub fn media_type(reply: &CallReply) -> Option<String> {
+fn stated_type(reply: &CallReply) -> Option<String> {
     let value = header_value(&reply.headers, "content-type")?;
     let media_type = value.split(';').next()?;
     Some(media_type.trim().to_ascii_lowercase())
--- a/crates/relay/src/run/stream_successor.rs
+++ b/crates/relay/src/run/stream_successor.rs
@@ -4,8 +4,9 @@
         run::{
             relay_run::RelayRun,
             send_next::{SendAnswer, SendFailure, send_next},
-            stream_reader::media_type,
+            stream_reader::StreamType,
         },
+        target::CallReply,
     },
     retry::SendFault,
     route::ServiceOutcome,
@@ -20,12 +21,14 @@
 pub async fn find_successor(
     run: &mut RelayRun,
     last_id: Option<&str>,
-    stream_type: Option<&str>,
+    stream_type: &StreamType,
 ) -> Result<SendAnswer, RelayRefusal> {
     let due = run.draft.deadline;
     loop {
         let failure = match send_next(run, due, last_id).await? {
-            Ok(answer) if goes_on(&answer, stream_type) => return Ok(answer),
+            Ok(SendAnswer { source, reply }) if goes_on(&reply, stream_type) => {
+                return Ok(SendAnswer { source, reply });
+            }
             Ok(SendAnswer { mut source, .. }) => {
                 source.set_outcome(ServiceOutcome::Failed);
                 SendFailure {
@@ -39,7 +42,6 @@
     }
 }
 
-fn goes_on(answer: &SendAnswer, stream_type: Option<&str>) -> bool {
-    let is_success = (200..300).contains(&answer.reply.status);
-    is_success && media_type(&answer.reply).as_deref() == stream_type
+fn goes_on(reply: &CallReply, stream_type: &StreamType) -> bool {
+    (200..300).contains(&reply.status) && stream_type.accepts(reply)
 }
