Take a target that was not measured for a typical one

What operators saw: a target that joined a service of fast ones got no call for 10 s and more.

Cause: it was assumed to take 50 ms a call, beside others that take 6 ms and are cheaper with 20 calls each.

Fix: a target that was not measured is assumed to take the mean of those that were.

--- a/crates/route/src/service_choice.rs
+++ b/crates/route/src/service_choice.rs
@@ -81,6 +81,7 @@
                 && !query.tried.contains(id)
                 && query.among.is_none_or(|among| among.contains(*id))
         });
+        let typical_time = self.typical_call_time();
         let costs = usable.map(|(id, target)| {
             let work = match (query.among, prefix_owner) {
                 (Some(among), _) => {
@@ -92,7 +93,7 @@
                 }
                 (None, _) => self.work_elsewhere(target, owner_source, query.prefixes, now),
             };
-            let cost = self.cost(target, &work, query, now);
+            let cost = self.cost(target, &work, query, typical_time, now);
             let jitter = MAX_TIE_JITTER.mul_f64(random.random::<f64>());
             (cost + jitter, id, target, work)
         });
@@ -120,11 +121,12 @@
     /// Returns the shortest time in which any target could answer a request now; `None` if all
     /// targets are leaving or want no calls for a while.
     pub fn min_answer_time(&self, prefixes: &[(PrefixKey, u32)], now: Instant) -> Option<Duration> {
+        let typical_time = self.typical_call_time();
         let usable = self.targets.values();
         let usable = usable.filter(|target| target.accepts_calls(now));
         let times = usable.map(
             |target| match prefixes.is_empty() && self.engine.is_none() {
-                true => target.call_completion_time(),
+                true => target.call_completion_time(typical_time),
                 false => target.prompt_read_time(target.cache.unread_tokens(prefixes, now)),
             },
         );
@@ -199,6 +201,7 @@
         target: &ServiceTarget,
         work: &PromptWork,
         query: ServiceQuery<'_>,
+        typical_time: Duration,
         now: Instant,
     ) -> Duration {
         let work_time = match self.engine {
@@ -211,7 +214,7 @@
                 let running_cost = RUNNING_REQUEST_COST * running + QUEUED_REQUEST_COST * queued;
                 read_time + extra_cost + running_cost
             }
-            None => target.call_completion_time(),
+            None => target.call_completion_time(typical_time),
         };
         let network_cost = match target.data_centre == query.data_centre {
             true => Duration::ZERO,
--- a/crates/route/src/service_pool.rs
+++ b/crates/route/src/service_pool.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         NoticeStanding, PrefixKey, ServiceOutcome, ServicePick, VersionRule,
-        service_target::{ServiceTarget, TargetWork},
+        service_target::{INITIAL_CALL_TIME, ServiceTarget, TargetWork},
     },
     base::StableHash,
     plan::{EngineSpec, ServiceSpec, TargetRow},
@@ -82,6 +82,19 @@
         }
     }
 
+    /// Returns the mean call time of the targets that were measured, which is assumed for the others: a target
+    /// that joins would never be tried if it were taken for a slow one.
+    pub(crate) fn typical_call_time(&self) -> Duration {
+        let measured = self.targets.values().filter_map(|target| target.call_time);
+        let (count, sum) = measured.fold((0, Duration::ZERO), |(count, sum), time| {
+            (count + 1, sum + time)
+        });
+        match count {
+            0 => INITIAL_CALL_TIME,
+            count => sum / count,
+        }
+    }
+
     /// Returns the work that the targets do for this entry, without idle targets, keyed by
     /// [`id_hash`] of the target.
     pub fn own_work(&self) -> impl Iterator<Item = (u64, TargetWork)> {
@@ -190,6 +203,7 @@
         now: Instant,
     ) {
         let has_engine = self.engine.is_some();
+        let typical_time = self.typical_call_time();
         let Some(target) = self.targets.get_mut(&pick.target) else {
             return;
         };
@@ -204,7 +218,7 @@
             ServiceOutcome::Answered => {
                 target.observe_success();
                 if !has_engine {
-                    target.observe_call(elapsed);
+                    target.observe_call(elapsed, typical_time);
                 }
             }
             ServiceOutcome::Failed => target.observe_failure(),
--- a/crates/route/src/service_target.rs
+++ b/crates/route/src/service_target.rs
@@ -16,8 +16,8 @@
 const MIN_SAMPLE_TOKENS: u32 = 800;
 /// Time to the first event of an answer in addition to the time to read the prompt.
 const FIRST_EVENT_OVERHEAD: Duration = Duration::from_millis(12);
-/// Call time assumed before the first measurement, for a service without an engine.
-const INITIAL_CALL_TIME: Duration = Duration::from_millis(50);
+/// Call time assumed before any target of a service without an engine was measured.
+pub(crate) const INITIAL_CALL_TIME: Duration = Duration::from_millis(50);
 /// Weight of the newest sample in the moving averages of the read rate and the call time.
 const SAMPLE_WEIGHT: f64 = 0.2;
 /// Weight of the newest call in the moving average of the failure rate.
@@ -65,8 +65,9 @@
     pub failure_rate: f64,
     /// Moving average, in prompt tokens per millisecond.
     read_rate: f64,
-    /// Moving average of the call time, for a service without an engine.
-    call_time: Duration,
+    /// Moving average of the call time, for a service without an engine; `None` before the first
+    /// measurement.
+    pub(crate) call_time: Option<Duration>,
     consecutive_losses: u32,
     backoff_until: Option<Instant>,
 }
@@ -88,7 +89,7 @@
             cache: PrefixCache::default(),
             failure_rate: 0.0,
             read_rate: INITIAL_READ_RATE,
-            call_time: INITIAL_CALL_TIME,
+            call_time: None,
             consecutive_losses: 0,
             backoff_until: None,
         }
@@ -170,10 +171,12 @@
         own_tokens.saturating_add(self.peer_work.unread_tokens)
     }
 
-    /// Returns the time until a call to a service without an engine would be answered.
-    pub fn call_completion_time(&self) -> Duration {
+    /// Returns the time until a call to a service without an engine would be answered; a call takes the typical
+    /// time as long as the target was not measured.
+    pub fn call_completion_time(&self, typical_time: Duration) -> Duration {
         let running = self.own_work.running + self.peer_work.running;
-        self.call_time + self.call_time * running / self.slots
+        let call_time = self.call_time.unwrap_or(typical_time);
+        call_time + call_time * running / self.slots
     }
 
     /// Records the time to the first event of an answer. `queued_tokens` is the number of tokens
@@ -189,10 +192,12 @@
         self.read_rate += SAMPLE_WEIGHT * (rate - self.read_rate);
     }
 
-    /// Records the time that a call to a service without an engine took.
-    pub fn observe_call(&mut self, elapsed: Duration) {
-        self.call_time =
-            self.call_time.mul_f64(1.0 - SAMPLE_WEIGHT) + elapsed.mul_f64(SAMPLE_WEIGHT);
+    /// Records the time that a call to a service without an engine took, where one typically takes the other
+    /// time.
+    pub fn observe_call(&mut self, elapsed: Duration, typical_time: Duration) {
+        let known_time = self.call_time.unwrap_or(typical_time);
+        let call_time = known_time.mul_f64(1.0 - SAMPLE_WEIGHT) + elapsed.mul_f64(SAMPLE_WEIGHT);
+        self.call_time = Some(call_time);
     }
 
     /// Records a successful answer.
--- a/crates/route/tests/service_pool.rs
+++ b/crates/route/tests/service_pool.rs
@@ -17,6 +17,13 @@
 /// Creates a pool whose targets alternate between the data centres `a` and `b`. In a pool of more
 /// than three, `t0` is leaving.
 fn pool_of(target_count: usize, has_engine: bool) -> ServicePool {
+    let mut pool = ServicePool::new();
+    set_targets(&mut pool, target_count, has_engine);
+    pool
+}
+
+/// Lists this many targets in the pool; those that stay keep their measurements.
+fn set_targets(pool: &mut ServicePool, target_count: usize, has_engine: bool) {
     let spec = ServiceSpec {
         name: String::from("s"),
         engine: has_engine.then_some(EngineSpec {
@@ -40,9 +47,7 @@
             (format!("t{number}"), row)
         })
         .collect();
-    let mut pool = ServicePool::new();
     pool.set_targets(&spec, &rows);
-    pool
 }
 
 /// Returns the prefix keys of a prompt, given by the id and number of tokens of each part.
@@ -183,6 +188,28 @@
     );
 }
 
+/// Guards against targets that join a service of fast ones and are never tried.
+#[test]
+fn a_target_that_joins_fast_ones_gets_calls() {
+    let mut pool = pool_of(2, false);
+    let call_time = Duration::from_millis(6);
+    for seed in 0..100 {
+        let now = Instant::now();
+        let pick = pick(&pool, &[], &[], seed);
+        pool.record_start(&pick, &[], now);
+        pool.record_end(&pick, ServiceOutcome::Answered, true, call_time, now);
+    }
+    set_targets(&mut pool, 3, false);
+    // t2 is in the data centre of the entry, as t0 is.
+    let to_new = (0..60).filter(|seed| {
+        let pick = pick(&pool, &[], &[], *seed);
+        pool.record_start(&pick, &[], Instant::now());
+        pick.target == "t2"
+    });
+    let to_new = to_new.count();
+    assert!(to_new >= 20, "{to_new} of 60 went to the new target");
+}
+
 /// If entries counted only their own work, all would send their requests to the same target.
 #[test]
 fn a_target_that_is_busy_for_peers_is_not_picked() {
