Look for a crash of a target once

Fix: the loss is recorded where it is found. After: the tests of broken, silent and other streams and of crashes pass.

--- a/crates/relay/src/run/stream_move.rs
+++ b/crates/relay/src/run/stream_move.rs
@@ -42,7 +42,10 @@
         };
         match successor {
             Err(read) => return self.stay(read),
-            Ok(Ok(answer)) => self.take_over(answer),
+            Ok(Ok(answer)) => {
+                self.record_loss();
+                self.take_over(answer);
+            }
             Ok(Err(_)) if is_broken => return self.stay(StreamRead::Broken),
             Ok(Err(refusal)) => {
                 info!(self.run.core.log, "nobody goes on with a silent stream";
@@ -84,11 +87,10 @@
         Ok(())
     }
 
-    /// Goes on with the answer of another source. The one before has lost the stream.
+    /// Goes on with the answer of another source.
     fn take_over(&mut self, answer: SendAnswer) {
         let SendAnswer { source, reply } = answer;
         self.reader.replace(source.name(), reply);
-        self.record_loss();
         info!(self.run.core.log, "stream goes on";
             "request" => &self.run.draft.head.request_id,
             "target" => source.name(), "after" => self.reader.last_id(),
