--- a/crates/entry/src/data/mod.rs
+++ b/crates/entry/src/data/mod.rs
@@ -2,6 +2,7 @@
 mod answer_room;
 mod answer_sink;
 mod call_guard;
+mod call_reply;
 mod call_slot;
 mod caller_server;
 mod entry_core;
--- a/crates/entry/src/data/peer_forward.rs
+++ b/crates/entry/src/data/peer_forward.rs
@@ -1,6 +1,6 @@
 use {
     crate::data::{
-        EntryCore, RequestDraft, failure_answer::refusal_reply, target_call::is_failed_dial,
+        EntryCore, RequestDraft, call_reply::is_failed_dial, failure_answer::refusal_reply,
     },
     actix_http::{
         Response,
--- a/crates/entry/src/data/target_call.rs
+++ b/crates/entry/src/data/target_call.rs
@@ -1,24 +1,21 @@
 use {
-    crate::data::{call_slot::CallSlot, line_buffer::LineBuffer, outbound_client::OutboundClient},
-    actix_http::{StatusCode, header::HeaderMap},
-    awc::{
-        ClientRequest, ClientResponse,
-        error::{ConnectError, SendRequestError},
+    crate::data::{
+        call_reply::{header_identity, parse_header, reported_state, send_failure, status_failure},
+        call_slot::CallSlot,
+        line_buffer::LineBuffer,
+        outbound_client::OutboundClient,
     },
+    actix_http::StatusCode,
+    awc::{ClientRequest, ClientResponse},
     base::{
         ATTEMPT_HEADER, AnswerDigest, CALL_HEADER, CUSTOMER_HEADER, CallIdentity, DIGEST_HEADER,
-        LEAVING_HEADER, LENGTH_HEADER, LOAD_HEADER, MODEL_HEADER, NOT_RUN_HEADER, PRIORITY_HEADER,
-        REMAINING_HEADER, REQUEST_HEADER, RESUME_HEADER, RequestPriority, STAGE_HEADER,
-        StreamEvent,
+        LENGTH_HEADER, MODEL_HEADER, PRIORITY_HEADER, REMAINING_HEADER, REQUEST_HEADER,
+        RESUME_HEADER, RequestPriority, STAGE_HEADER, StreamEvent,
     },
     bytes::{Bytes, BytesMut},
     futures_util::{Stream, StreamExt},
-    pipe::{CallFailure, NotRunProof, RunEvent},
-    std::{
-        io::ErrorKind,
-        str::FromStr,
-        time::{Duration, Instant},
-    },
+    pipe::{CallFailure, RunEvent},
+    std::time::{Duration, Instant},
     tokio::sync::mpsc::{self, error::TrySendError},
 };
 
@@ -257,49 +254,3 @@
     Answered(RunEvent),
     Failed(CallFailure),
 }
-
-/// Classifies an error of sending. Only a failed dial proves that nothing was sent: a pooled
-/// connection that breaks may have carried the call.
-fn send_failure(error: SendRequestError) -> CallFailure {
-    match error {
-        SendRequestError::Connect(ConnectError::Io(error)) if is_failed_dial(error.kind()) => {
-            CallFailure::NotSent(NotRunProof::dial_failed())
-        }
-        _ => CallFailure::Lost,
-    }
-}
-
-/// Returns true for errors that occur only while a connection is established.
-pub fn is_failed_dial(kind: ErrorKind) -> bool {
-    matches!(
-        kind,
-        ErrorKind::ConnectionRefused | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable
-    )
-}
-
-fn status_failure<S>(response: &ClientResponse<S>) -> CallFailure {
-    match parse_header::<bool>(response.headers(), NOT_RUN_HEADER) {
-        Some(true) => CallFailure::Refused(NotRunProof::target_refused()),
-        _ => CallFailure::Errored,
-    }
-}
-
-fn reported_state(headers: &HeaderMap) -> ReportedState {
-    ReportedState {
-        load: parse_header(headers, LOAD_HEADER),
-        is_leaving: parse_header(headers, LEAVING_HEADER).unwrap_or(false),
-    }
-}
-
-fn header_identity(headers: &HeaderMap) -> Option<CallIdentity> {
-    Some(CallIdentity {
-        customer: parse_header(headers, CUSTOMER_HEADER)?,
-        request: parse_header(headers, REQUEST_HEADER)?,
-        stage: parse_header(headers, STAGE_HEADER)?,
-        attempt: parse_header(headers, ATTEMPT_HEADER)?,
-    })
-}
-
-fn parse_header<T: FromStr>(headers: &HeaderMap, header: &str) -> Option<T> {
-    headers.get(header)?.to_str().ok()?.parse().ok()
-}
--- a/crates/relay/src/target/connection_check.rs
+++ b/crates/relay/src/target/connection_check.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         dialect::WireCall,
-        target::{ConnectionPool, connection_pool::build_request, hop_headers::keep_alive_timeout},
+        target::{ConnectionPool, call_message::build_request, hop_headers::keep_alive_timeout},
     },
     bytes::Bytes,
     std::{
--- a/crates/relay/src/target/connection_pool.rs
+++ b/crates/relay/src/target/connection_pool.rs
@@ -5,17 +5,18 @@
         target::{
             CallFault, CallReply, WholeReply,
             answer_marks::AnswerMarks,
+            call_message::{SendFailure, build_request, is_final_status},
             configure_socket,
-            hop_headers::{end_to_end_headers, is_hop_header, keep_alive_timeout},
+            hop_headers::{end_to_end_headers, keep_alive_timeout},
             pooled_connection::{IdleConnection, PooledConnection},
             target_stream::TargetStream,
         },
     },
     hyper::{
-        Request, Response, StatusCode,
+        Request, Response,
         body::{Body, Incoming},
         client::conn::http1,
-        header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING},
+        header::{CONTENT_LENGTH, TRANSFER_ENCODING},
     },
     hyper_util::rt::TokioIo,
     slog::{Logger, debug},
@@ -301,38 +302,3 @@
         )
     }
 }
-
-/// Returns true for a status that an answer can have: HTTP has none from 600 on, and those below 200 come before the
-/// answer. What has another one shows nothing, whatever else it says.
-fn is_final_status(status: StatusCode) -> bool {
-    (200..600).contains(&status.as_u16())
-}
-
-/// Why a send got no head of an answer.
-pub(super) enum SendFailure {
-    /// The connection was closed before anything was sent; holds the request.
-    Unsent(Box<Request<BodyReader>>),
-    /// The call failed in another way, perhaps after the request was sent.
-    Fault(CallFault),
-}
-
-pub(super) fn build_request(
-    address: SocketAddr,
-    call: WireCall,
-) -> Result<Request<BodyReader>, CallFault> {
-    let mut builder = Request::builder()
-        .method(call.method.as_str())
-        .uri(call.path.as_str());
-    let mut has_host = false;
-    for (name, value) in &call.headers {
-        has_host |= name == HOST.as_str();
-        if !is_hop_header(name) && name != CONTENT_LENGTH.as_str() {
-            builder = builder.header(name.as_str(), value.as_slice());
-        }
-    }
-    if !has_host {
-        builder = builder.header(HOST, address.to_string());
-    }
-    let request = builder.body(BodyReader::new(call.body));
-    request.map_err(|error| CallFault::NotSent(error.to_string()))
-}
--- a/crates/relay/src/target/mod.rs
+++ b/crates/relay/src/target/mod.rs
@@ -1,4 +1,5 @@
 mod answer_marks;
+mod call_message;
 mod call_reply;
 mod connection_check;
 mod connection_pool;
