Show sound lookups that are refused after two replicas crash

Cause: a call that is lost with its target is a strike against organisation, path and body. Lookups of one path have all three in common; two strikes refuse them at every entry for a minute, and no answer clears a strike.

--- a/review/stand-3/src/cases/crashed_replicas.rs
+++ b/review/stand-3/src/cases/crashed_replicas.rs
@@ -83,7 +83,7 @@
     let later = start(LATER_REQUESTERS, "GET", "/wuhu344/2f");
     thread::sleep(Duration::from_secs(5));
     if has_trouble {
-        let crashed: Vec<_> = replicas.drain(..CRASH_COUNT).collect();
+        let crashed = take_busy(&mut replicas);
         for replica in &crashed {
             replica.end();
         }
@@ -112,6 +112,19 @@
     })
 }
 
+/// Waits until enough replicas run lookups, and takes these.
+fn take_busy(replicas: &mut Vec<Arc<StandReplica>>) -> Vec<Arc<StandReplica>> {
+    loop {
+        let busy = replicas.iter().filter(|replica| replica.runs_lookup());
+        let busy: Vec<_> = busy.take(CRASH_COUNT).cloned().collect();
+        if busy.len() == CRASH_COUNT {
+            replicas.retain(|replica| !busy.iter().any(|taken| taken.id == replica.id));
+            return busy;
+        }
+        thread::sleep(Duration::from_millis(1));
+    }
+}
+
 /// How many of the requests of a route were served.
 #[derive(Debug, Clone, Copy)]
 struct ServedShare {
--- a/review/stand-3/src/edge_process.rs
+++ b/review/stand-3/src/edge_process.rs
@@ -16,6 +16,10 @@
 /// Number of ports that a host needs, one after the other.
 const PORT_COUNT: u16 = 8;
 
+/// Ports from which those of the hosts are chosen.
+const FIRST_PORT: u16 = 21_000;
+const PORT_RANGE: u16 = 9_000;
+
 /// Hosts of a small deployment, with the same ports each.
 pub struct EdgeFleet {
     pub edges: Vec<EdgeProcess>,
@@ -35,6 +39,19 @@
         self.address(0)
     }
 
+    /// Sends a signal to the process.
+    pub fn signal(&self, name: &str) -> Result<(), String> {
+        let process = self.child.id().to_string();
+        let status = Command::new("kill")
+            .arg(format!("-{name}"))
+            .arg(process)
+            .status();
+        match status {
+            Ok(status) if status.success() => Ok(()),
+            _ => Err(format!("signal {name} was not sent")),
+        }
+    }
+
     fn address(&self, offset: u16) -> SocketAddr {
         let text = format!("{}:{}", self.ip, self.first_port + offset);
         text.parse().expect("an address")
@@ -59,9 +76,14 @@
 impl EdgeFleet {
     /// Starts this number of processes and waits until all are ready.
     pub fn start(count: usize, store: SocketAddr, record: &RunRecord) -> Result<Self, String> {
+        Self::start_at(&vec![store; count], record)
+    }
+
+    /// Starts a process for each of these addresses of the store, and waits until all are ready.
+    pub fn start_at(stores: &[SocketAddr], record: &RunRecord) -> Result<Self, String> {
         let folder = std::env::temp_dir().join(format!("review-3-{}", std::process::id()));
         fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
-        let ips: Vec<String> = (0..count)
+        let ips: Vec<String> = (0..stores.len())
             .map(|host| format!("127.31.0.{}", host + 11))
             .collect();
         let first_port = free_ports(&ips).ok_or("no free ports")?;
@@ -69,10 +91,10 @@
             edges: Vec::new(),
             folder,
         };
-        for (host, ip) in ips.iter().enumerate() {
+        for ((host, ip), store) in ips.iter().enumerate().zip(stores) {
             let name = format!("edge-lakes-a-{}", host + 1);
             let settings = fleet.folder.join(format!("{name}.toml"));
-            let text = settings_text(&name, ip, first_port, &ips, store)?;
+            let text = settings_text(&name, ip, first_port, &ips, *store)?;
             fs::write(&settings, text).map_err(|error| error.to_string())?;
             let log = File::create(fleet.folder.join(format!("{name}.log")));
             let log = log.map_err(|error| error.to_string())?;
@@ -117,7 +139,8 @@
 fn free_ports(ips: &[String]) -> Option<u16> {
     (0..100).find_map(|_| {
         let probe = TcpListener::bind("127.0.0.1:0").ok()?;
-        let first = probe.local_addr().ok()?.port().min(65_000);
+        // Below the ports that the kernel gives to outgoing connections.
+        let first = FIRST_PORT + probe.local_addr().ok()?.port() % PORT_RANGE;
         drop(probe);
         let mut addresses = ips
             .iter()
--- a/review/stand-3/src/main.rs
+++ b/review/stand-3/src/main.rs
@@ -6,9 +6,11 @@
 
 mod base64;
 mod cases;
+mod cut_link;
 mod edge_process;
 mod http_text;
 mod run_record;
+mod stand_engine;
 mod stand_replica;
 mod stand_store;
 mod test_requester;
@@ -40,7 +42,9 @@
         }
     };
     let outcome = match case.as_str() {
+        "crashing-request" => cases::crashing_request(&record, has_trouble),
         "crashed-replicas" => cases::crashed_replicas(&record, has_trouble),
+        "frozen-entry" => cases::frozen_entry(&record, has_trouble),
         "removed-replica" => cases::removed_replica(&record, has_trouble),
         _ => Err(format!("no case {case}")),
     };
--- a/review/stand-3/src/stand_store.rs
+++ b/review/stand-3/src/stand_store.rs
@@ -41,8 +41,10 @@
 impl StandStore {
     pub fn start(record: &Arc<RunRecord>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port for the store");
-        let mut state = StoreState::default();
-        state.revision = 400;
+        let state = StoreState {
+            revision: 400,
+            ..StoreState::default()
+        };
         let store = Self {
             address: listener.local_addr().expect("a bound socket"),
             state: Arc::new((Mutex::new(state), Condvar::new())),
--- a/review/stand-3/src/test_requester.rs
+++ b/review/stand-3/src/test_requester.rs
@@ -10,7 +10,7 @@
         net::{SocketAddr, TcpStream},
         sync::{
             Arc,
-            atomic::{AtomicBool, AtomicU64, Ordering},
+            atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
         },
         thread::{self, JoinHandle},
         time::Duration,
@@ -20,6 +20,12 @@
 /// Number of the next request of the whole run.
 static NEXT_REQUEST: AtomicU64 = AtomicU64::new(1);
 
+/// Number of the next requester.
+static NEXT_REQUESTER: AtomicU32 = AtomicU32::new(0);
+
+/// Time between the starts of two requesters, so that they do not send all at once.
+const START_INTERVAL: Duration = Duration::from_millis(37);
+
 /// A request and what became of it.
 #[derive(Debug, Clone)]
 pub struct SentRequest {
@@ -50,6 +56,7 @@
     thread::spawn(move || {
         let mut sent = Vec::new();
         let mut connection = None;
+        thread::sleep(START_INTERVAL * (NEXT_REQUESTER.fetch_add(1, Ordering::SeqCst) % 32));
         while !stop.load(Ordering::SeqCst) {
             let number = NEXT_REQUEST.fetch_add(1, Ordering::SeqCst);
             let id = format!("{number:016x}");
