Show a stream that runs twice by way of another entry

Cause: an entry that runs a request for another one does not notice that this one stands still, and works on for a requester that has taken the stream up elsewhere.

--- a/review/stand-3/src/cases/frozen_entry.rs
+++ b/review/stand-3/src/cases/frozen_entry.rs
@@ -26,8 +26,10 @@
 /// Time after which no entry takes the software version of the engines for new: twice the route's
 /// timeout and more.
 const CALM_TIME: Duration = Duration::from_secs(38);
-/// Time from the cut of the links to the request.
-const CUT_TIME: Duration = Duration::from_secs(4);
+/// Time from the cut of the links to the streams.
+const LEAD_TIME: Duration = Duration::from_millis(2_400);
+/// Time for which the links are cut.
+const CUT_TIME: Duration = Duration::from_secs(5);
 /// Time for which the streams run before their entry stands still.
 const TIME_BEFORE: Duration = Duration::from_millis(1_200);
 const REQUESTER_COUNT: usize = 6;
@@ -77,7 +79,7 @@
                 None,
             );
             drop(request);
-            thread::sleep(CUT_TIME / 3);
+            thread::sleep(LEAD_TIME / 3);
         }
     }
     let requesters: Vec<_> = (0..REQUESTER_COUNT)
@@ -91,7 +93,13 @@
     if has_trouble {
         record.note("the first entry stands still");
         fleet.edges[0].signal("STOP")?;
-        thread::sleep(FREEZE_TIME);
+        let cut_left = CUT_TIME - LEAD_TIME - TIME_BEFORE;
+        thread::sleep(cut_left);
+        record.note("the links of the first entry are back");
+        for link in &links {
+            link.restore();
+        }
+        thread::sleep(FREEZE_TIME - cut_left);
         record.note("the first entry goes on");
         fleet.edges[0].signal("CONT")?;
     }
--- a/review/stand-3/src/cut_link.rs
+++ b/review/stand-3/src/cut_link.rs
@@ -1,4 +1,4 @@
-//! The link of one entry to a replica: it passes connections on until it is cut.
+//! The link of one entry to a replica: it passes connections on unless it is cut.
 
 use std::{
     io::{Read, Write},
@@ -44,6 +44,11 @@
         }
     }
 
+    /// From now on new connections are passed on again.
+    pub fn restore(&self) {
+        self.is_cut.store(false, Ordering::SeqCst);
+    }
+
     fn pass_on(&self, near: TcpStream) {
         if self.is_cut.load(Ordering::SeqCst) {
             return;
