Show a piece that goes on crashing stage replicas

Cause: crashes under pieces are counted nowhere; a lost call puts its pieces back for the next target, and the next attempt of the request begins anew.

--- a/review/stand-3/src/cases/crashed_replicas.rs
+++ b/review/stand-3/src/cases/crashed_replicas.rs
@@ -69,6 +69,7 @@
         let kind = RequestKind {
             method,
             path,
+            piece_key: None,
             deadline_ms: 4_000,
             pause: PAUSE_TIME,
         };
--- a/review/stand-3/src/cases/crashing_request.rs
+++ b/review/stand-3/src/cases/crashing_request.rs
@@ -65,6 +65,7 @@
     let kind = |method, path, pause| RequestKind {
         method,
         path,
+        piece_key: None,
         deadline_ms: 4_000,
         pause,
     };
--- a/review/stand-3/src/cases/mod.rs
+++ b/review/stand-3/src/cases/mod.rs
@@ -1,11 +1,13 @@
 //! The cases.
 
 mod crashed_replicas;
+mod crashing_piece;
 mod crashing_request;
 mod frozen_entry;
 mod removed_replica;
 
 pub use {
-    crashed_replicas::crashed_replicas, crashing_request::crashing_request,
-    frozen_entry::frozen_entry, removed_replica::removed_replica,
+    crashed_replicas::crashed_replicas, crashing_piece::crashing_piece,
+    crashing_request::crashing_request, frozen_entry::frozen_entry,
+    removed_replica::removed_replica,
 };
--- a/review/stand-3/src/cases/removed_replica.rs
+++ b/review/stand-3/src/cases/removed_replica.rs
@@ -48,6 +48,7 @@
     let kind = RequestKind {
         method: "POST",
         path: "/bobo563/2f",
+        piece_key: None,
         deadline_ms: 4_000,
         pause: Duration::from_millis(20),
     };
--- a/review/stand-3/src/main.rs
+++ b/review/stand-3/src/main.rs
@@ -12,6 +12,7 @@
 mod run_record;
 mod stand_engine;
 mod stand_replica;
+mod stand_stage;
 mod stand_store;
 mod test_requester;
 
@@ -42,6 +43,7 @@
         }
     };
     let outcome = match case.as_str() {
+        "crashing-piece" => cases::crashing_piece(&record, has_trouble),
         "crashing-request" => cases::crashing_request(&record, has_trouble),
         "crashed-replicas" => cases::crashed_replicas(&record, has_trouble),
         "frozen-entry" => cases::frozen_entry(&record, has_trouble),
--- a/review/stand-3/src/test_requester.rs
+++ b/review/stand-3/src/test_requester.rs
@@ -40,6 +40,8 @@
 pub struct RequestKind {
     pub method: &'static str,
     pub path: &'static str,
+    /// Key of the one piece of the request; `None` if its route has no stages.
+    pub piece_key: Option<&'static str>,
     pub deadline_ms: u64,
     /// Pause between an answer and the next request.
     pub pause: Duration,
@@ -100,8 +102,11 @@
         "GET" => String::new(),
         _ => format!("{{\"posting\":\"{id}\"}}"),
     };
+    let pieces = kind.piece_key.map_or(String::new(), |key| {
+        format!("X-Pieces: 1\r\nX-Piece-Key: {key}\r\n")
+    });
     let text = format!(
-        "{method} {path} HTTP/1.1\r\nHost: jepu9.example\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {deadline_ms}\r\nX-Api-Key: key-a\r\nContent-Length: {}\r\n\r\n{body}",
+        "{method} {path} HTTP/1.1\r\nHost: jepu9.example\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {deadline_ms}\r\nX-Api-Key: key-a\r\n{pieces}Content-Length: {}\r\n\r\n{body}",
         body.len()
     );
     writer.write_all(text.as_bytes())?;
