Show withdrawn keys that work at processes that start together

Cause: a new process trusts the store once it has heard of any live peer, also of one that has started at the same moment and read the same older copy.

--- a/review/stand-3/src/edge_process.rs
+++ b/review/stand-3/src/edge_process.rs
@@ -6,7 +6,7 @@
         fs::{self, File},
         io::Write,
         net::{SocketAddr, TcpListener, TcpStream},
-        path::PathBuf,
+        path::{Path, PathBuf},
         process::{Child, Command, Stdio},
         thread,
         time::{Duration, Instant},
@@ -28,6 +28,7 @@
 
 /// A process on a host of its own.
 pub struct EdgeProcess {
+    settings: PathBuf,
     ip: String,
     first_port: u16,
     child: Child,
@@ -96,17 +97,10 @@
             let settings = fleet.folder.join(format!("{name}.toml"));
             let text = settings_text(&name, ip, first_port, &ips, *store)?;
             fs::write(&settings, text).map_err(|error| error.to_string())?;
-            let log = File::create(fleet.folder.join(format!("{name}.log")));
-            let log = log.map_err(|error| error.to_string())?;
-            let child = Command::new("target/release/camphor-edge")
-                .env("CAMPHORRAMP_NODE_FILE", &settings)
-                .stdin(Stdio::null())
-                .stdout(log)
-                .stderr(Stdio::null())
-                .spawn();
-            let child = child.map_err(|error| format!("camphor-edge does not start: {error}"))?;
+            let child = start_process(&settings)?;
             record.note(&format!("{name}: started"));
             fleet.edges.push(EdgeProcess {
+                settings,
                 ip: ip.clone(),
                 first_port,
                 child,
@@ -123,6 +117,26 @@
     }
 }
 
+impl EdgeFleet {
+    /// Kills the last processes at the same moment, and starts them again at once.
+    pub fn kill_last(&mut self, count: usize, record: &RunRecord) -> Result<(), String> {
+        let first = self.edges.len() - count;
+        let killed = &mut self.edges[first..];
+        for edge in killed.iter_mut() {
+            edge.child.kill().map_err(|error| error.to_string())?;
+        }
+        record.note(&format!("{count} processes are killed"));
+        for edge in killed.iter_mut() {
+            edge.child.wait().map_err(|error| error.to_string())?;
+        }
+        for edge in killed {
+            edge.child = start_process(&edge.settings)?;
+        }
+        record.note("they are started again");
+        Ok(())
+    }
+}
+
 impl Drop for EdgeFleet {
     fn drop(&mut self) {
         for edge in &mut self.edges {
@@ -135,6 +149,22 @@
     }
 }
 
+/// Starts the program of the deploy file; its log stands beside its settings.
+fn start_process(settings: &Path) -> Result<Child, String> {
+    let log = File::options()
+        .create(true)
+        .append(true)
+        .open(settings.with_extension("log"));
+    let log = log.map_err(|error| error.to_string())?;
+    let child = Command::new("target/release/camphor-edge")
+        .env("CAMPHORRAMP_NODE_FILE", settings)
+        .stdin(Stdio::null())
+        .stdout(log)
+        .stderr(Stdio::null())
+        .spawn();
+    child.map_err(|error| format!("camphor-edge does not start: {error}"))
+}
+
 /// Returns the first of some ports that are free on all hosts.
 fn free_ports(ips: &[String]) -> Option<u16> {
     (0..100).find_map(|_| {
--- a/review/stand-3/src/main.rs
+++ b/review/stand-3/src/main.rs
@@ -47,6 +47,7 @@
         "crashing-request" => cases::crashing_request(&record, has_trouble),
         "crashed-replicas" => cases::crashed_replicas(&record, has_trouble),
         "frozen-entry" => cases::frozen_entry(&record, has_trouble),
+        "old-copy" => cases::old_copy(&record, has_trouble),
         "removed-replica" => cases::removed_replica(&record, has_trouble),
         _ => Err(format!("no case {case}")),
     };
--- a/review/stand-3/src/stand_store.rs
+++ b/review/stand-3/src/stand_store.rs
@@ -19,8 +19,9 @@
 /// Number of items that one page holds at most.
 const PAGE_ITEMS: usize = 500;
 
-#[derive(Default)]
-struct StoreState {
+/// What the store holds.
+#[derive(Clone, Default)]
+pub struct StoreState {
     revision: u64,
     /// JSON of the live items, by key.
     items: BTreeMap<String, String>,
@@ -28,6 +29,9 @@
     changes: Vec<(u64, String)>,
     /// Number of times that the waiting watches were cut.
     cut_count: usize,
+    /// Number of times that the store came back from an older copy.
+    era: u64,
+    is_away: bool,
 }
 
 /// A store that listens on loopback.
@@ -79,6 +83,35 @@
         changed.notify_all();
     }
 
+    /// Returns a copy of what the store holds now.
+    pub fn copy(&self) -> StoreState {
+        self.state.0.lock().expect("the state").clone()
+    }
+
+    /// From now on no call is answered.
+    pub fn go_away(&self) {
+        let (state, changed) = &*self.state;
+        let mut state = state.lock().expect("the state");
+        state.is_away = true;
+        state.cut_count += 1;
+        changed.notify_all();
+        self.record.note("store: away");
+    }
+
+    /// The store is back from an older copy, in a new era.
+    pub fn come_back(&self, copy: StoreState) {
+        let mut state = self.state.0.lock().expect("the state");
+        let (era, cut_count) = (state.era + 1, state.cut_count);
+        let revision = copy.revision;
+        *state = StoreState {
+            era,
+            cut_count,
+            ..copy
+        };
+        self.record
+            .note(&format!("store: back in era {era} at revision {revision}"));
+    }
+
     fn change(&self, key: &str, value: Option<&str>) -> Duration {
         let (state, changed) = &*self.state;
         let mut state = state.lock().expect("the state");
@@ -113,20 +146,31 @@
                 true => self.watch(&request),
                 false => Some(self.page(&request)),
             };
-            let Some(body) = body else {
+            let (Some(body), Some(era)) = (body, self.answering_era()) else {
                 let _ = writer.shutdown(Shutdown::Both);
                 return;
             };
-            let headers = [("Content-Type", "application/json")];
-            if writer
-                .write_all(answer_text("200 OK", &headers, &body).as_bytes())
-                .is_err()
-            {
+            let status = match body.is_empty() {
+                true => "410 Gone",
+                false => "200 OK",
+            };
+            let headers = [
+                ("Content-Type", "application/json"),
+                ("Store-Era", era.as_str()),
+            ];
+            let answer = answer_text(status, &headers, &body);
+            if writer.write_all(answer.as_bytes()).is_err() {
                 return;
             }
         }
     }
 
+    /// Returns the era as the answers name it; `None` while the store is away.
+    fn answering_era(&self) -> Option<String> {
+        let state = self.state.0.lock().expect("the state");
+        (!state.is_away).then(|| state.era.to_string())
+    }
+
     fn page(&self, request: &HttpMessage) -> String {
         let after = query_value(request.path(), "after").unwrap_or_default();
         let state = self.state.0.lock().expect("the state");
@@ -140,7 +184,8 @@
         )
     }
 
-    /// Returns the answer to a watch, or `None` if it is cut.
+    /// Returns the answer to a watch: `None` if it is cut, and nothing if it begins at a revision that the
+    /// store does not have.
     fn watch(&self, request: &HttpMessage) -> Option<String> {
         let number = |name| query_value(request.path(), name)?.parse::<u64>().ok();
         let after = number("after").unwrap_or(0);
@@ -149,6 +194,9 @@
         let (state, changed) = &*self.state;
         let mut state = state.lock().expect("the state");
         let cut_count = state.cut_count;
+        if after > state.revision {
+            return Some(String::new());
+        }
         loop {
             let events = state
                 .changes
