--- a/review/stand-3/src/edge_process.rs
+++ b/review/stand-3/src/edge_process.rs
@@ -42,11 +42,8 @@
 
     /// Sends a signal to the process.
     pub fn signal(&self, name: &str) -> Result<(), String> {
-        let process = self.child.id().to_string();
-        let status = Command::new("kill")
-            .arg(format!("-{name}"))
-            .arg(process)
-            .status();
+        let command = format!("kill -{name} {}", self.child.id());
+        let status = Command::new("bash").args(["-c", &command]).status();
         match status {
             Ok(status) if status.success() => Ok(()),
             _ => Err(format!("signal {name} was not sent")),
