Let only what was there before vouch for the store in a later era

Cause: any live peer vouched for the store's copy, one too that had just read the same copy.

Change: a process that reads the store for the first time in a later era takes the era for one that has just begun. Answers of the store are evidence there once the operator can have written again; before that only the evidence of a peer counts, which a process that has just started does not have. An entry without evidence asks the checkers in each round.

--- a/crates/board/src/evidence_refresher.rs
+++ b/crates/board/src/evidence_refresher.rs
@@ -111,8 +111,28 @@
         }
     }
 
-    /// Returns what to do now, given the age of the evidence; `None` stands for no evidence, as
-    /// before the first read of the store, and needs nothing.
+    /// Returns the age to go by at a host that has read the store and has no evidence. `usable_for` is
+    /// the time for which an answer of the store could have been evidence; `None` while only that of a
+    /// peer can be.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// let limit = Duration::from_secs(4);
+    /// let refresher = board::EvidenceRefresher::new(limit, 1);
+    /// let checks_at_once = refresher.age_without_evidence(Some(Duration::ZERO));
+    /// assert!(refresher.age_without_evidence(None) < checks_at_once);
+    /// assert!(checks_at_once < limit);
+    /// ```
+    pub fn age_without_evidence(&self, usable_for: Option<Duration>) -> Duration {
+        match usable_for {
+            None => self.limit.mul_f64(ASK_PEER_SHARE),
+            Some(time) => self.limit.mul_f64(CHECKER_SHARE + MAX_JITTER_SHARE) + time,
+        }
+    }
+
+    /// Returns what to do now, given the age of the evidence; `None` stands for no evidence before
+    /// the first read of the store, and needs nothing.
     pub fn decide_refresh(
         &mut self,
         age: Option<Duration>,
--- a/crates/relay/src/peer/gossip_loop.rs
+++ b/crates/relay/src/peer/gossip_loop.rs
@@ -14,6 +14,7 @@
         EvidenceAnswer, EvidenceRefresher, EvidenceRequest, GossipDatagram, GossipMessage,
         seal_shortened,
     },
+    plan::BootTime,
     slog::{debug, info},
     std::{
         net::SocketAddr,
@@ -102,7 +103,7 @@
 ) {
     heed_lag(core, Instant::now());
     let asked_at = boot_time();
-    let age = core.state.borrow().evidence.age(asked_at);
+    let age = evidence_age(core, refresher, asked_at);
     let decision = refresher.decide_refresh(age, &core.hosts.borrow(), Instant::now());
     // Until the store answers again others go by their own questions or by those of other entries.
     let check_store = decision.check_store || core.replica.borrow().lacks_store();
@@ -119,6 +120,22 @@
     }
 }
 
+/// Returns the age of the evidence, or the one to go by while the store was read and there is none;
+/// `None` before.
+fn evidence_age(
+    core: &RelayCore,
+    refresher: &EvidenceRefresher,
+    asked_at: BootTime,
+) -> Option<Duration> {
+    let age = core.state.borrow().evidence.age(asked_at);
+    let replica = core.replica.borrow();
+    let is_missing = age.is_none() && replica.is_watching();
+    age.or(is_missing.then(|| {
+        let usable_for = replica.could_confirm_for(Instant::now());
+        refresher.age_without_evidence(usable_for)
+    }))
+}
+
 /// Sends the datagrams to all live peers.
 async fn broadcast(
     core: &RelayCore,
--- a/crates/relay/src/state/store_contents.rs
+++ b/crates/relay/src/state/store_contents.rs
@@ -16,7 +16,7 @@
 const RETURN_GRACE: Duration = Duration::from_millis(2_300);
 /// Time after the store has come back from an older copy within which its answers are no evidence
 /// that a configuration is the latest one, since the operator may not have written it again yet.
-const ERA_SETTLE_TIME: Duration = Duration::from_millis(2_500);
+pub(super) const ERA_SETTLE_TIME: Duration = Duration::from_millis(2_500);
 
 /// Longest time for which a target can be cold, whatever it says.
 const MAX_COLD_TIME: Duration = Duration::from_secs(60);
@@ -55,12 +55,14 @@
         if era > self.position.era {
             let is_first_read = self.position.revision == 0;
             self.position = StorePosition { era, revision: 0 };
+            self.era_begun_at = Some(now);
             if is_first_read {
+                // It may have begun a moment ago: nothing here is from before it.
                 return true;
             }
+            self.has_seen_era_begin = true;
             self.phase = ReadPhase::start();
             self.next_at = now;
-            self.era_begun_at = Some(now);
             // Targets write their state again, as after an outage.
             self.store_returned_at = Some(now);
             self.held_targets.begin_era(&self.view.targets, now);
@@ -70,20 +72,29 @@
         era == self.position.era
     }
 
-    /// Records that the configuration in force was the latest one at the given time.
+    /// Records that by an answer of the store the configuration in force was the latest one at the
+    /// given time.
     pub(super) fn confirm(&mut self, confirmed_at: Option<BootTime>, now: Instant) {
         if self.awaits_peers {
             self.held_back = self.held_back.max(confirmed_at);
             return;
         }
-        let is_era_new = self
-            .era_begun_at
-            .is_some_and(|begun_at| now < begun_at + ERA_SETTLE_TIME);
-        let known_plan = self.known_plan();
-        if let Some(confirmed_at) = confirmed_at
-            && !is_era_new
-            && known_plan >= self.latest_peer_plan
-        {
+        if !self.is_era_new(now) {
+            self.renew_evidence(confirmed_at);
+        }
+    }
+
+    /// Returns true if the store may have come back from an older copy so short a time ago that the
+    /// operator has not written the latest configuration again.
+    pub(super) fn is_era_new(&self, now: Instant) -> bool {
+        let begun_at = self.era_begun_at;
+        begun_at.is_some_and(|begun_at| now < begun_at + ERA_SETTLE_TIME)
+    }
+
+    /// Renews the evidence of the configuration in force unless a live peer has a later one.
+    pub(super) fn renew_evidence(&mut self, confirmed_at: Option<BootTime>) {
+        let is_latest = self.known_plan() >= self.latest_peer_plan;
+        if let Some(confirmed_at) = confirmed_at.filter(|_| is_latest) {
             self.view.evidence.confirm(confirmed_at);
         }
     }
--- a/crates/relay/src/state/store_peers.rs
+++ b/crates/relay/src/state/store_peers.rs
@@ -1,7 +1,9 @@
 use {
     crate::{
         dialect::{StoreChanges, StoreItem},
-        state::{AnswerOrigin, StoreReplica, read_phase::ReadPhase},
+        state::{
+            AnswerOrigin, StoreReplica, read_phase::ReadPhase, store_contents::ERA_SETTLE_TIME,
+        },
     },
     plan::{BootTime, PlanEvidence, PlanVersion, StoreEra, StorePosition},
     std::time::{Duration, Instant},
@@ -83,11 +85,34 @@
             return PeerPosition::Later;
         }
         if self.is_watching() && position.era == self.position.era {
-            self.confirm(Some(confirmed_at), now);
+            self.confirm_by_peer(confirmed_at, now);
         }
         PeerPosition::NotLater
     }
 
+    /// Records that by a peer's evidence the configuration in force was the latest one at the given
+    /// time.
+    ///
+    /// Only a peer that has evidence vouches for the store: one that was there before the present era,
+    /// that has waited until the operator can have written again, or that another such peer has vouched to.
+    /// A peer that has just started and read the same copy has none.
+    fn confirm_by_peer(&mut self, confirmed_at: BootTime, now: Instant) {
+        match self.has_seen_era_begin {
+            true => self.confirm(Some(confirmed_at), now),
+            false => self.renew_evidence(Some(confirmed_at)),
+        }
+    }
+
+    /// Returns for how long answers of the store could have been evidence here; `None` while they
+    /// cannot be.
+    pub fn could_confirm_for(&self, now: Instant) -> Option<Duration> {
+        if self.awaits_peers || !self.is_watching() || self.is_era_new(now) {
+            return None;
+        }
+        let begun_at = self.era_begun_at.map(|begun_at| begun_at + ERA_SETTLE_TIME);
+        Some(now.saturating_duration_since(begun_at.unwrap_or(self.started_at)))
+    }
+
     /// Has the replica take no answer as evidence until the process has heard of a peer: alone it cannot tell
     /// whether the store has come back from an older copy before the start.
     pub fn await_peers(&mut self) {
--- a/crates/relay/src/state/store_reader.rs
+++ b/crates/relay/src/state/store_reader.rs
@@ -101,7 +101,10 @@
     replica.remove_expired(now);
     let position = replica.position();
     core.position_changed.send_if_modified(|known| {
-        if known.era != position.era && known.revision > 0 {
+        if known.revision == 0 && position.revision > 0 {
+            info!(core.log, "store read for the first time";
+                "era" => position.era, "revision" => position.revision);
+        } else if known.era != position.era {
             warn!(core.log, "store came back from an older copy";
                 "era" => position.era, "revision" => position.revision);
         }
--- a/crates/relay/src/state/store_replica.rs
+++ b/crates/relay/src/state/store_replica.rs
@@ -43,9 +43,11 @@
     pub(super) position: StorePosition,
     /// Time at which the process started.
     pub(super) started_at: Instant,
-    /// Time at which this entry learnt that the store had lost its latest changes; `None` if it
-    /// never did.
+    /// Time at which this entry learnt of the present era, which the store begins when it has lost its
+    /// latest changes; `None` in the first one.
     pub(super) era_begun_at: Option<Instant>,
+    /// True if this entry knew an earlier era: what it learnt there outlasts the loss.
+    pub(super) has_seen_era_begin: bool,
     /// Targets that an older copy of the store must not bring back.
     pub(super) held_targets: HeldTargets,
     /// Targets that may be in no view.
@@ -84,6 +86,7 @@
             position: StorePosition::default(),
             started_at: now,
             era_begun_at: None,
+            has_seen_era_begin: false,
             held_targets: HeldTargets::default(),
             passed_targets: PassedTargets::default(),
             change_log: ChangeLog::default(),
--- a/crates/relay/tests/store_eras.rs
+++ b/crates/relay/tests/store_eras.rs
@@ -190,3 +190,44 @@
     follower.on_peer_changes(from, changes(vec![gone("t2")], 12), 0, now + secs(20));
     assert!(!follower.view().targets.contains_key("t2"));
 }
+
+/// Guards against keys of an older copy at a process that starts in a later era: it cannot tell how long
+/// ago the era began.
+#[test]
+fn a_process_that_starts_in_a_later_era_waits_until_the_operator_can_have_written_again() {
+    let now = Instant::now();
+    let mut replica = StoreReplica::new(now);
+    replica.await_peers();
+    replica.on_page(page(vec![plan(3)], 10, None), in_era(1, 100), now);
+    // Another process that has just started and read the same copy proves nothing.
+    replica.on_peer_plan(3, now);
+    replica.heed_peers(true, now);
+    assert_eq!(replica.could_confirm_for(now), None);
+    replica.on_changes(changes(vec![], 10), in_era(1, 101), now + secs(1));
+    assert_eq!(replica.view().evidence.age(secs(101)), None);
+    let later = now + secs(3);
+    assert!(replica.could_confirm_for(later).is_some());
+    replica.on_changes(changes(vec![], 10), in_era(1, 103), later);
+    assert_eq!(replica.view().evidence.age(secs(103)), Some(secs(0)));
+}
+
+#[test]
+fn a_peer_with_evidence_vouches_for_the_store_in_a_later_era() {
+    let now = Instant::now();
+    let mut replica = StoreReplica::new(now);
+    replica.await_peers();
+    replica.on_page(page(vec![plan(3)], 10, None), in_era(1, 100), now);
+    replica.on_peer_position(position(1, 10), secs(98), now);
+    assert_eq!(replica.view().evidence.age(secs(100)), Some(secs(2)));
+}
+
+#[test]
+fn a_peer_with_a_later_configuration_vouches_for_nothing() {
+    let now = Instant::now();
+    let mut replica = StoreReplica::new(now);
+    replica.await_peers();
+    replica.on_page(page(vec![plan(3)], 10, None), in_era(1, 100), now);
+    replica.on_peer_plan(4, now);
+    replica.on_peer_position(position(1, 10), secs(98), now);
+    assert_eq!(replica.view().evidence.age(secs(100)), None);
+}
