Lay a crash to a request only until a target has answered it

Cause: deaths were strikes against the fingerprint of the request, which all lookups of one path and organisation share; answers cleared those of streams only, and not at other entries.

Change: a whole request counts as one more part of its prompt, so that one record of crashes and answers decides on both: an answer clears it at all entries, a suspect one is refused with a time to come back and tried by one entry at a time. camphor-edge no longer keeps the second record, of fingerprints, nor its reports in the hosts' records.

--- a/crates/board/src/host_record.rs
+++ b/crates/board/src/host_record.rs
@@ -72,7 +72,8 @@
     pub loads: Vec<TargetLoad>,
     /// Waits at the shards that the entry owns, and its [`HostMark`].
     pub pools: Vec<PoolLoad>,
-    /// Recent crashes of targets that the entry observed.
+    /// Crashes of targets that an entry of an earlier build observed; others tell of them as of those
+    /// under parts of prompts.
     pub crashes: Vec<CrashReport>,
 }
 
--- a/crates/relay/src/peer/gossip_loop.rs
+++ b/crates/relay/src/peer/gossip_loop.rs
@@ -52,7 +52,6 @@
                     send(&core, &socket, &seal, &request, address).await;
                 }
             }
-            () = core.crash_news.notified() => next_round = Instant::now(),
             () = core.part_news.notified() => {
                 let part_news = part_gossip.on_news(&core);
                 broadcast(&core, &socket, &seal, &part_news).await;
--- a/crates/relay/src/run/part_gate.rs
+++ b/crates/relay/src/run/part_gate.rs
@@ -11,23 +11,22 @@
     std::time::{Duration, Instant},
 };
 
-/// Returns the refusal of a request that has a suspect part and may not try it now.
+/// Returns the refusal of a request that is suspect, or has a suspect part, and may not be tried now.
 pub fn held_refusal(core: &RelayCore, draft: &RelayDraft) -> Option<RelayRefusal> {
-    match core.parts.borrow().verdict(&draft.parts, Instant::now()) {
+    match verdict(core, draft) {
         PartVerdict::Held { part, retry_in } => Some(suspect_refusal(draft, part, retry_in)),
         PartVerdict::Clear | PartVerdict::Trial { .. } => None,
     }
 }
 
-/// Lets a request pass if no part of its prompt is suspect, or if it may try the suspect ones.
+/// Lets a request pass if neither it nor a part of its prompt is suspect, or if it may try what is.
 /// Returns true if it is a trial.
 ///
 /// # Errors
 ///
 /// Refuses the request if it must not be sent now.
 pub async fn pass_part_gate(core: &RelayCore, draft: &RelayDraft) -> Result<bool, RelayRefusal> {
-    let verdict = core.parts.borrow().verdict(&draft.parts, Instant::now());
-    let part = match verdict {
+    let part = match verdict(core, draft) {
         PartVerdict::Clear => return Ok(false),
         PartVerdict::Held { part, retry_in } => {
             return Err(suspect_refusal(draft, part, retry_in));
@@ -36,7 +35,7 @@
     };
     let subject = PermitSubject::Trial {
         part,
-        parts: draft.parts.clone(),
+        parts: accusable_parts(draft),
     };
     if let PermitAnswer::Denied { retry_in } = ask_permit(core, subject).await {
         return Err(suspect_refusal(draft, part, retry_in));
@@ -47,7 +46,29 @@
     Ok(true)
 }
 
+/// Returns whether the request may be sent. It is clear while nothing is suspect; its key, which takes
+/// a pass over its body, is not needed then.
+fn verdict(core: &RelayCore, draft: &RelayDraft) -> PartVerdict {
+    let parts = core.parts.borrow();
+    match parts.has_suspects() {
+        true => parts.verdict(&accusable_parts(draft), Instant::now()),
+        false => PartVerdict::Clear,
+    }
+}
+
+/// Returns what a crash under the request can be blamed on: the parts of its prompt that others share,
+/// and the request itself.
+pub fn accusable_parts(draft: &RelayDraft) -> Vec<PartKey> {
+    let mut parts = draft.parts.clone();
+    parts.push(draft.request_key());
+    parts
+}
+
 fn suspect_refusal(draft: &RelayDraft, part: PartKey, retry_in: Duration) -> RelayRefusal {
+    if part == draft.request_key() {
+        let detail = "targets died while they ran this request";
+        return RelayRefusal::not_run(FailureReason::CrashSuspect, detail).retry_after(retry_in);
+    }
     let prompt = draft.head.prompt.iter();
     let ids = prompt.map(|part| part.id.as_str());
     let id = ids.filter(|id| retry::part_keys([*id, ""]).contains(&part));
--- a/crates/relay/src/run/run_request.rs
+++ b/crates/relay/src/run/run_request.rs
@@ -18,7 +18,7 @@
         target::CallReply,
     },
     base::{FailureReason, RunVerdict},
-    retry::{SendFault, TrackedCall, TrackedCallEnd},
+    retry::SendFault,
     route::ServiceOutcome,
     setup::HttpReply,
     slog::info,
@@ -116,6 +116,9 @@
     let has_failed = reply.status >= 500;
     if !has_failed {
         source.record_survival();
+        if source.slot().is_some() {
+            record_completion(run);
+        }
     }
     source.set_outcome(match has_failed {
         true => ServiceOutcome::Failed,
@@ -189,15 +192,11 @@
     );
 }
 
-/// Tells the crash tracker that a target completed a request.
-pub fn record_completion(run: &RelayRun, target: &str) {
-    let mut crashes = run.core.crashes.borrow_mut();
-    if !crashes.is_empty() {
-        let call = TrackedCall {
-            fingerprint: run.draft.fingerprint(),
-            stage: 0,
-            target,
-        };
-        crashes.finish_call(call, TrackedCallEnd::Whole, Instant::now());
+/// Records that a target has answered a request whole, which clears it of crashes that happened while
+/// targets ran it.
+pub fn record_completion(run: &RelayRun) {
+    let is_accused_any = run.core.parts.borrow().has_accused();
+    if is_accused_any {
+        run.core.record_part_answer(&[run.draft.request_key()]);
     }
 }
--- a/crates/relay/src/run/stream_pump.rs
+++ b/crates/relay/src/run/stream_pump.rs
@@ -180,8 +180,8 @@
 
     fn on_complete(mut self) {
         self.source.set_outcome(ServiceOutcome::Answered);
-        if let Some(slot) = self.source.slot() {
-            record_completion(&self.run, slot.target());
+        if self.source.slot().is_some() {
+            record_completion(&self.run);
         }
         log_answer(&self.run, &self.source, 200);
     }
--- a/crates/relay/src/shared/core_peers.rs
+++ b/crates/relay/src/shared/core_peers.rs
@@ -1,18 +1,14 @@
 use {
     crate::{
         RelaySettings,
-        shared::{RelayCore, RelayPhase, relay_core::CRASH_RETENTION},
+        shared::{RelayCore, RelayPhase},
     },
-    board::{CrashReport, HostMark, HostRecord, TargetLoad},
-    retry::{TrackedCall, TrackedCallEnd, short_hash},
+    board::{HostMark, HostRecord, TargetLoad},
     route::{ServicePool, TargetWork},
     std::{collections::HashMap, time::Instant},
     wire::NEWEST_SCHEMA,
 };
 
-/// Maximum number of crashes that are reported to other entries, the latest ones.
-const MAX_REPORTED_CRASHES: usize = 8;
-
 /// What this entry tells its peers and learns from them.
 impl RelayCore {
     /// Returns the record of a process that has just started.
@@ -51,9 +47,6 @@
             schema: NEWEST_SCHEMA,
             lacks_store: self.replica.borrow().lacks_store(),
         };
-        let mut recent = self.recent_crashes.borrow_mut();
-        recent.retain(|(_, seen)| now.saturating_duration_since(*seen) < CRASH_RETENTION);
-        let skipped_count = recent.len().saturating_sub(MAX_REPORTED_CRASHES);
         let mut hosts = self.hosts.borrow_mut();
         let own = hosts.own_record_mut();
         own.ready = ready;
@@ -63,10 +56,6 @@
         own.loads = loads;
         own.pools = pool_loads;
         own.pools.push(mark.to_load());
-        own.crashes = recent[skipped_count..]
-            .iter()
-            .map(|(report, _)| *report)
-            .collect();
     }
 
     /// Applies the loads and crashes that other entries reported.
@@ -81,9 +70,6 @@
                 work.running = work.running.saturating_add(load.running);
                 work.unread_tokens = work.unread_tokens.saturating_add(load.unread_tokens);
             }
-            for crash in &record.crashes {
-                self.merge_crash(crash, now);
-            }
         }
         for pool in self.pools.borrow_mut().values_mut() {
             pool.set_peer_work(&work_by_target);
@@ -99,39 +85,6 @@
         }
     }
 
-    /// Records that a target died while it ran a request, and reports it to the other entries.
-    pub fn record_crash(&self, fingerprint: retry::CrashFingerprint, target: &str, now: Instant) {
-        let call = TrackedCall {
-            fingerprint,
-            // Only whole requests are tracked; all count as stage 0.
-            stage: 0,
-            target,
-        };
-        self.crashes
-            .borrow_mut()
-            .finish_call(call, TrackedCallEnd::TargetDied, now);
-        let report = CrashReport {
-            request: fingerprint,
-            target: short_hash(target),
-        };
-        self.recent_crashes.borrow_mut().push((report, now));
-        self.crash_news.notify_one();
-    }
-
-    fn merge_crash(&self, crash: &CrashReport, now: Instant) {
-        let record = retry::CrashRecord {
-            fingerprint: crash.request,
-            victims: vec![retry::TargetStrikes {
-                target: crash.target,
-                stage: 0,
-                strikes: 1,
-                cleared: 0,
-            }],
-            remaining: CRASH_RETENTION,
-        };
-        self.crashes.borrow_mut().merge(&record, now);
-    }
-
     fn own_loads(&self) -> Vec<TargetLoad> {
         let pools = self.pools.borrow();
         let work = pools.values().flat_map(ServicePool::own_work);
--- a/crates/relay/src/shared/relay_core.rs
+++ b/crates/relay/src/shared/relay_core.rs
@@ -13,15 +13,12 @@
         target::{ConnectionPool, PEER_PATIENCE, TARGET_PATIENCE},
         tasks::TaskSupervisor,
     },
-    board::{CrashReport, GossipSettings, HostTable},
+    board::{GossipSettings, HostTable},
     limit::{BrittleServices, LimitDesk, ReturnLine, RoomDesk, RunTimes, TargetLimits},
     plan::{FleetPlan, PlanEvidence, ServiceId, StorePosition},
     rand::SeedableRng,
     rand_chacha::ChaCha8Rng,
-    retry::{
-        CrashTracker, CrashTrackerSettings, FleetBudget, FleetBudgetSettings, PartTracker,
-        TrialDesk,
-    },
+    retry::{FleetBudget, FleetBudgetSettings, PartTracker, TrialDesk},
     room::UploadRoom,
     route::{EngineGroups, ServicePool, StreamOrigins, TargetLink, TargetNotices, VersionHistory},
     slog::Logger,
@@ -41,8 +38,6 @@
 /// Unknown keys and routes are rejected for good only while the evidence that the configuration is
 /// the latest one is no older than this.
 const MAX_REJECTION_EVIDENCE_AGE: Duration = Duration::from_millis(1_800);
-/// Time for which crashes are remembered and reported to other entries.
-pub(super) const CRASH_RETENTION: Duration = Duration::from_secs(60);
 
 /// The dialects of the platform that an entry serves.
 #[derive(Clone)]
@@ -111,8 +106,7 @@
     pub return_line: RefCell<ReturnLine>,
     /// Budget for repeated sends, shared with the other entries.
     pub budget: RefCell<FleetBudget>,
-    pub crashes: RefCell<CrashTracker>,
-    /// Parts of prompts that crash targets.
+    /// Parts of prompts, and requests, that crash targets.
     pub parts: RefCell<PartTracker>,
     /// Trials of suspect parts that this entry has granted to requests of any entry.
     pub trials: RefCell<TrialDesk>,
@@ -148,10 +142,6 @@
     pub answer_room: AnswerRoom,
     /// How long the requests of each route take.
     pub run_times: RefCell<RunTimes>,
-    /// Has the next round of gossip sent at once, since this entry saw a crash.
-    pub crash_news: Notify,
-    /// Crashes that this entry saw itself, oldest first, with the time of each.
-    pub(super) recent_crashes: RefCell<Vec<(CrashReport, Instant)>>,
 }
 
 impl RelayCore {
@@ -176,10 +166,6 @@
             extra_repeats: bounds.repeat_extra,
             window: bounds.repeat_window,
         };
-        let tracker = CrashTrackerSettings {
-            lifetime: CRASH_RETENTION,
-            ..CrashTrackerSettings::default()
-        };
         let memory = settings.memory_shares();
         let client_rooms = ClientRooms::new(memory);
         let ledger = RequestLedger::new();
@@ -220,7 +206,6 @@
             hosts: RefCell::new(hosts),
             return_line: RefCell::default(),
             budget: RefCell::new(FleetBudget::new(budget, now)),
-            crashes: RefCell::new(CrashTracker::new(tracker)),
             parts: RefCell::default(),
             trials: RefCell::new(TrialDesk::new(now)),
             part_news: Notify::new(),
@@ -233,8 +218,6 @@
             hop_counts: RefCell::default(),
             random: RefCell::new(ChaCha8Rng::seed_from_u64(incarnation)),
             phase: Cell::new(RelayPhase::Starting),
-            crash_news: Notify::new(),
-            recent_crashes: RefCell::default(),
         })
     }
 
--- a/crates/retry/src/lib.rs
+++ b/crates/retry/src/lib.rs
@@ -25,7 +25,7 @@
     hedge_policy::{HedgeCandidate, HedgePolicy},
     parts::{
         CRASH_LIFETIME, CrashKey, PartChange, PartCrash, PartKey, PartNews, PartProof, PartTracker,
-        PartVerdict, TrialDesk, crash_key, part_keys,
+        PartVerdict, TrialDesk, crash_key, part_keys, request_key,
     },
     retry_budget::{RetryBudget, RetryBudgetSettings},
 };
--- a/crates/retry/src/parts/mod.rs
+++ b/crates/retry/src/parts/mod.rs
@@ -5,7 +5,9 @@
 mod trial_desk;
 
 pub use {
-    part_evidence::{CrashKey, PartCrash, PartKey, PartNews, PartProof, crash_key, part_keys},
+    part_evidence::{
+        CrashKey, PartCrash, PartKey, PartNews, PartProof, crash_key, part_keys, request_key,
+    },
     part_tracker::{CRASH_LIFETIME, PartChange, PartTracker, PartVerdict},
     trial_desk::TrialDesk,
 };
--- a/crates/retry/src/parts/part_blame.rs
+++ b/crates/retry/src/parts/part_blame.rs
@@ -1,5 +1,8 @@
 use {
-    crate::{CrashKey, PartKey, parts::part_proofs::PartProofs},
+    crate::{
+        CrashKey, PartKey,
+        parts::{part_evidence::is_request_key, part_proofs::PartProofs},
+    },
     std::{
         collections::{BTreeMap, BTreeSet},
         time::{Duration, Instant},
@@ -17,6 +20,15 @@
     Duration::from_secs(600),
 ];
 
+/// The same of a whole request. Many requests wait for the trial of a part that they share, few for that
+/// of one request.
+const REQUEST_TRIAL_DELAYS: [Duration; 4] = [
+    Duration::from_secs(5),
+    Duration::from_secs(20),
+    Duration::from_secs(120),
+    Duration::from_secs(600),
+];
+
 /// A crash as an entry knows it.
 #[derive(Debug, Clone)]
 pub struct CrashRow {
@@ -109,7 +121,11 @@
     let blames_part = |row: &&CrashRow| blamed_parts(row, proofs).any(|blamed| blamed == part);
     let crashes: Vec<&CrashRow> = rows.values().filter(blames_part).collect();
     let failed_trials = crashes.iter().filter(|row| row.is_trial).count();
-    let delay = TRIAL_DELAYS[failed_trials.min(TRIAL_DELAYS.len() - 1)];
+    let delays = match is_request_key(part) {
+        true => REQUEST_TRIAL_DELAYS,
+        false => TRIAL_DELAYS,
+    };
+    let delay = delays[failed_trials.min(delays.len() - 1)];
     let last_at = crashes.iter().map(|row| row.at).max();
     let last_at = last_at.expect("a suspect part has crashes");
     Suspicion {
--- a/crates/retry/src/parts/part_evidence.rs
+++ b/crates/retry/src/parts/part_evidence.rs
@@ -1,4 +1,5 @@
 use {
+    crate::CrashFingerprint,
     base::StableHash,
     serde::{Deserialize, Serialize},
     std::time::Duration,
@@ -13,7 +14,13 @@
 /// Maximum number of proofs in one message.
 const MAX_PROOFS: usize = 32;
 
-/// Hash of the id of one part of a prompt, the same on every entry.
+/// Lowest bits of the key of a whole request. By chance the key of a part has them too, one in a
+/// million times; its first trial then comes as late as that of a request.
+const REQUEST_MARK: u64 = 0x5_1d3a;
+/// Bits of a key that hold the mark.
+const REQUEST_MARK_BITS: u64 = 0xf_ffff;
+
+/// Hash of the id of one part of a prompt, or of a whole request, the same on every entry.
 pub type PartKey = u64;
 
 /// Hash of the process of a target, which ends once.
@@ -109,6 +116,33 @@
     parts
 }
 
+/// Returns the key that stands for a whole request among the parts of prompts: what crashes targets
+/// may be the request itself, whether it has a prompt or not.
+///
+/// ```
+/// let one = retry::request_key(&retry::fingerprint("farm", "/view", b""));
+/// let other = retry::request_key(&retry::fingerprint("farm", "/list", b""));
+/// assert_ne!(one, other);
+/// ```
+pub fn request_key(fingerprint: &CrashFingerprint) -> PartKey {
+    let numbers = fingerprint.chunks(8).map(leading_number);
+    let hash = numbers
+        .fold(StableHash::new(), StableHash::with_number)
+        .finish();
+    (hash & !REQUEST_MARK_BITS) | REQUEST_MARK
+}
+
+/// Returns the number that up to eight bytes hold.
+fn leading_number(bytes: &[u8]) -> u64 {
+    let digits = bytes.iter().rev();
+    digits.fold(0, |number, byte| number << 8 | u64::from(*byte))
+}
+
+/// Returns true if the key stands for a whole request.
+pub(super) fn is_request_key(key: PartKey) -> bool {
+    key & REQUEST_MARK_BITS == REQUEST_MARK
+}
+
 /// Returns the key of the process of the target with this id that started at this time, in
 /// milliseconds since the Unix epoch or 0 if unknown.
 ///
--- a/crates/retry/src/parts/part_tracker.rs
+++ b/crates/retry/src/parts/part_tracker.rs
@@ -58,7 +58,8 @@
     },
 }
 
-/// Finds parts of prompts that crash targets, from the crashes and answers of all entries.
+/// Finds parts of prompts, and whole requests, that crash targets, from the crashes and answers of all
+/// entries. A whole request counts as one more part, see [`request_key`](crate::request_key).
 ///
 /// A crash is blamed on the parts of the requests that the target had, but had not begun to answer;
 /// an answer shows that its prompt's parts are sound. Two crashes make a part suspect. Requests with
@@ -122,6 +123,16 @@
         is_news
     }
 
+    /// Returns true if a crash is blamed on any part or request, so that an answer may clear it.
+    pub fn has_accused(&self) -> bool {
+        !self.accused.is_empty()
+    }
+
+    /// Returns true if any part or request is suspect.
+    pub fn has_suspects(&self) -> bool {
+        !self.suspects.is_empty()
+    }
+
     /// Merges what another entry tells. Returns this entry's own proofs for parts that the other
     /// one blames a crash on.
     pub fn merge(&mut self, news: &PartNews, now: Instant) -> Vec<PartProof> {
