Take a lost call for an outage only if items can have expired in it

Cause: each lost call began a grace of 2.3 s in which a target that is no longer listed stays in use.

Change: an entry keeps the latest time at which the store is known to have answered it or a peer. Only a lost call with a silence of 2 s around it, in which a target's item can expire, counts as an outage, here and for followers.

--- a/crates/relay/src/peer/gossip_loop.rs
+++ b/crates/relay/src/peer/gossip_loop.rs
@@ -251,10 +251,13 @@
         return;
     };
     let now = Instant::now();
-    let comparison = core
-        .replica
-        .borrow_mut()
-        .on_peer_position(answer.position, confirmed_at, now);
+    let mut replica = core.replica.borrow_mut();
+    let answered_ago = boot_time().saturating_sub(confirmed_at);
+    if let Some(answered_at) = now.checked_sub(answered_ago) {
+        replica.record_sighting(answered_at);
+    }
+    let comparison = replica.on_peer_position(answer.position, confirmed_at, now);
+    drop(replica);
     match comparison {
         PeerPosition::Later => {
             core.feed_lag.borrow_mut().record(answer.position, sender);
--- a/crates/relay/src/state/store_contents.rs
+++ b/crates/relay/src/state/store_contents.rs
@@ -14,6 +14,9 @@
 /// Targets that expired in the store during an outage are kept until this time after its end, so
 /// that they can register again.
 const RETURN_GRACE: Duration = Duration::from_millis(2_300);
+/// Shortest silence of the store in which the item of a target can expire that goes on renewing it: an item
+/// outlasts the loss of one renewal.
+const MIN_LAPSE_SILENCE: Duration = Duration::from_millis(2_000);
 /// Time after the store has come back from an older copy within which its answers are no evidence
 /// that a configuration is the latest one, since the operator may not have written it again yet.
 pub(super) const ERA_SETTLE_TIME: Duration = Duration::from_millis(2_500);
@@ -99,16 +102,28 @@
         }
     }
 
-    /// Records that the store answered a call that was begun at this time. It has been back since then, or since
-    /// the last call that failed: a watch is answered only when something changes.
+    /// Records that the store answered a call of this entry that was begun at this time. It has answered since
+    /// then, or since the last call that failed: a watch is answered only when something changes.
     pub(super) fn record_contact(&mut self, begun_at: Instant) {
-        if self.failed_call_count > 0 {
-            self.store_returned_at = self.last_fault_at.max(Some(begun_at));
-        }
+        let answered_at = self.last_fault_at.map_or(begun_at, |at| at.max(begun_at));
+        self.record_sighting(answered_at);
         self.failed_call_count = 0;
         self.lacks_store = false;
     }
 
+    /// Records that the store answered this entry or another one at about this time. If calls failed
+    /// since it was last known to answer, and that is so long ago that targets could not renew their
+    /// items, the store has returned from an outage; a lost call alone shows none.
+    pub fn record_sighting(&mut self, answered_at: Instant) {
+        let last_answer_at = self.last_answer_at.unwrap_or(self.started_at);
+        let silence = answered_at.saturating_duration_since(last_answer_at);
+        let has_failed = self.last_fault_at.is_some_and(|at| at > last_answer_at);
+        if has_failed && silence >= MIN_LAPSE_SILENCE {
+            self.store_returned_at = self.store_returned_at.max(Some(answered_at));
+        }
+        self.last_answer_at = Some(last_answer_at.max(answered_at));
+    }
+
     /// Applies all items of the store; targets that are not among them are gone.
     pub(super) fn apply_full_read(
         &mut self,
--- a/crates/relay/src/state/store_replica.rs
+++ b/crates/relay/src/state/store_replica.rs
@@ -60,8 +60,11 @@
     pub(super) lacks_store: bool,
     /// Time of the next request.
     pub(super) next_at: Instant,
-    /// Time of the store's first answer after the latest outage; `None` if there was no outage.
+    /// Time of the store's first answer after the latest outage in which items of targets can have
+    /// expired; `None` if there was none.
     pub(super) store_returned_at: Option<Instant>,
+    /// Latest time at which the store is known to have answered this entry or another one.
+    pub(super) last_answer_at: Option<Instant>,
     /// Time at which a call last failed.
     pub(super) last_fault_at: Option<Instant>,
     /// Ids of the targets that are kept although the store no longer lists them, each with the time
@@ -94,6 +97,7 @@
             lacks_store: false,
             next_at: now,
             store_returned_at: None,
+            last_answer_at: None,
             last_fault_at: None,
             missing_until: BTreeMap::new(),
             unreadable: Vec::new(),
@@ -236,8 +240,8 @@
         origin.era >= self.position.era && self.is_watching()
     }
 
-    /// Returns the time since the store's first answer after its latest outage; `None` if there was
-    /// no outage.
+    /// Returns the time since the store's first answer after its latest outage in which items of
+    /// targets can have expired; `None` if there was none.
     pub fn returned_ago(&self, now: Instant) -> Option<Duration> {
         self.store_returned_at
             .map(|returned_at| now.saturating_duration_since(returned_at))
