Keep no missing target for longer than one that has left serves

Besides, the grace was bounded by the store's return as this entry saw it, not by the news of the removal.

Change: whatever has happened to the store, a target is kept for 1.7 s after the news that it is gone at the longest. A check follows a lost watch at once, since the next watch is answered only when something changes.

--- a/crates/relay/src/state/store_contents.rs
+++ b/crates/relay/src/state/store_contents.rs
@@ -14,6 +14,9 @@
 /// Targets that expired in the store during an outage are kept until this time after its end, so
 /// that they can register again.
 const RETURN_GRACE: Duration = Duration::from_millis(2_300);
+/// Longest time for which a target is kept after the news that its item is gone, whatever has
+/// happened to the store: one that has left serves for little longer.
+const MAX_MISSING_TIME: Duration = Duration::from_millis(1_700);
 /// Shortest silence of the store in which the item of a target can expire that goes on renewing it: an item
 /// outlasts the loss of one renewal.
 const MIN_LAPSE_SILENCE: Duration = Duration::from_millis(2_000);
@@ -211,6 +214,7 @@
             .map(|store_returned_at| store_returned_at + RETURN_GRACE);
         match grace_end.filter(|until| *until > now) {
             Some(until) if self.view.targets.contains_key(&id) => {
+                let until = until.min(now + MAX_MISSING_TIME);
                 self.missing_until.entry(id).or_insert(until);
             }
             _ => self.remove_target(&id, now),
--- a/crates/relay/src/state/store_reader.rs
+++ b/crates/relay/src/state/store_reader.rs
@@ -61,6 +61,8 @@
         log_contact_change(&core, failed_call_count, outcome.as_ref().err());
         if let Err(fault) = outcome {
             core.replica.borrow_mut().on_fault(&fault, now);
+            // The next watch is answered only when something changes, and one lost call proves little.
+            core.check_wanted.notify_one();
         }
         publish_view(&core, now);
     }
--- a/crates/relay/tests/store_replica.rs
+++ b/crates/relay/tests/store_replica.rs
@@ -294,6 +294,22 @@
     assert!(replica.view().targets.contains_key("t1"));
 }
 
+/// What has left serves for two seconds, and the news of it takes a while.
+#[test]
+fn no_target_is_kept_for_longer_than_one_that_left_can_serve() {
+    let now = Instant::now();
+    let mut replica = replica_after_read(now);
+    let fault = WireFault::Refused(503);
+    replica.on_fault(&fault, now + secs(5));
+    let gone = StoreItem::TargetGone(String::from("t1"));
+    let news_at = now + Duration::from_millis(5_300);
+    replica.on_changes(changes(vec![gone], 12), at(105), news_at);
+    replica.remove_expired(news_at + Duration::from_millis(1_600));
+    assert!(replica.view().targets.contains_key("t1"));
+    replica.remove_expired(news_at + Duration::from_millis(1_800));
+    assert!(!replica.view().targets.contains_key("t1"));
+}
+
 /// The call was begun while the store was away, as later ones that failed show.
 #[test]
 fn the_return_of_the_store_is_after_the_last_failed_call() {
