Hold that an answer which ends in its head reaches nobody as a whole one

What other operators report: a replica stops in the middle of its answer's head and closes, and clients get a 200 with an empty or short body, framed as whole.

--- a/crates/proofs/tests/faulty_targets.rs
+++ b/crates/proofs/tests/faulty_targets.rs
@@ -60,6 +60,15 @@
         head: &'static str,
         bytes: &'static [u8],
     },
+    /// This many bytes of the head of a sound answer, which is not sent whole, and then the end of the
+    /// connection.
+    CutHead {
+        sent_bytes: usize,
+        is_chunked: bool,
+        is_reset: bool,
+    },
+    /// Three tokens; from the call that goes on after them on, this many bytes of a head.
+    ThenCutHead { sent_bytes: usize },
     /// Three tokens, and then nothing for this time, or the end of the connection.
     Stream { pause: Option<Duration> },
     /// Three tokens; from the call that goes on after them on, this text with this status.
@@ -139,6 +148,27 @@
                 actix_rt::time::sleep(Duration::from_millis(500)).await;
                 drain(&mut stream, rest).await;
             }
+            Fault::CutHead {
+                sent_bytes,
+                is_chunked,
+                is_reset,
+            } => {
+                drain(&mut stream, rest).await;
+                send_cut_head(&mut stream, &head, sent_bytes, is_chunked).await?;
+                if is_reset {
+                    actix_rt::time::sleep(Duration::from_millis(10)).await;
+                    socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
+                }
+            }
+            Fault::ThenCutHead { sent_bytes } => {
+                drain(&mut stream, rest).await;
+                if header(&head, "x-camphor-resume-at").is_empty() {
+                    self.answer_stream(&mut stream, &head, None).await?;
+                    return Ok(());
+                }
+                self.resumed_calls.set(self.resumed_calls.get() + 1);
+                send_cut_head(&mut stream, &head, sent_bytes, true).await?;
+            }
             Fault::Endless { head: text, bytes } => {
                 let text = text.replace("{sound}", &sound_head(&head));
                 let length = format!("{LENGTH_HEADER}: {}", AnswerDigest::of(BODY).length());
@@ -246,6 +276,30 @@
     echoed.concat() + &own
 }
 
+/// Returns the head of a sound answer to a call with this head.
+fn answer_head(head: &str, is_chunked: bool) -> String {
+    let framing = match is_chunked {
+        true => String::from("transfer-encoding: chunked"),
+        false => format!("content-length: {}", BODY.len()),
+    };
+    format!(
+        "HTTP/1.1 200 OK\r\n{framing}\r\n{}\r\n\r\n",
+        sound_head(head)
+    )
+}
+
+/// Sends this many bytes of the head of a sound answer, and not the last one.
+async fn send_cut_head(
+    stream: &mut TcpStream,
+    head: &str,
+    sent_bytes: usize,
+    is_chunked: bool,
+) -> std::io::Result<()> {
+    let text = answer_head(head, is_chunked);
+    let sent_bytes = sent_bytes.min(text.len() - 1);
+    stream.write_all(&text.as_bytes()[..sent_bytes]).await
+}
+
 fn sound_answer(head: &str, status: &str) -> Vec<u8> {
     let text = format!(
         "HTTP/1.1 {status}\r\n{}\r\ncontent-length: {}\r\n\r\n",
@@ -397,6 +451,64 @@
     }
 }
 
+/// Length of heads from which on nothing is added here.
+const HEAD_BYTES: usize = 330;
+
+/// Guards against an answer that ends in its head and reaches a caller as a whole one.
+#[actix_rt::test]
+async fn an_answer_that_ends_in_its_head_is_not_whole() {
+    let faulty = FaultyFleet::start().await;
+    for is_chunked in [false, true] {
+        for is_reset in [false, true] {
+            let step = if is_reset { 23 } else { 5 };
+            for sent_bytes in (0..HEAD_BYTES).step_by(step) {
+                let fault = Fault::CutHead {
+                    sent_bytes,
+                    is_chunked,
+                    is_reset,
+                };
+                faulty.plain.fault.set(fault);
+                for engine in &faulty.engines {
+                    engine.fault.set(fault);
+                }
+                let id = format!("{is_chunked}-{is_reset}-{sent_bytes}");
+                let ids = [format!("l-{id}"), format!("s-{id}")];
+                let (look, say) =
+                    futures_util::future::join(faulty.look(&ids[0], b"hay"), faulty.say(&ids[1]))
+                        .await;
+                for outcome in [look, say] {
+                    assert!(
+                        outcome.complete_answer().is_none(),
+                        "{fault:?}: {outcome:?}"
+                    );
+                    assert!(outcome.failure().is_some(), "{fault:?}: {outcome:?}");
+                }
+            }
+        }
+    }
+    assert!(faulty.plain.calls.get() > 50, "the target was called");
+}
+
+/// The first engine breaks off, and the one that should go on ends in its head.
+#[actix_rt::test]
+async fn a_stream_whose_next_answer_ends_in_its_head_is_not_whole() {
+    let faulty = FaultyFleet::start().await;
+    for sent_bytes in (0..HEAD_BYTES).step_by(13) {
+        let fault = Fault::ThenCutHead { sent_bytes };
+        for engine in &faulty.engines {
+            engine.fault.set(fault);
+        }
+        let outcome = faulty.say(&format!("s{sent_bytes}")).await;
+        assert!(
+            outcome.failure().is_some_and(may_have_run),
+            "{fault:?}: {outcome:?}"
+        );
+    }
+    let resumed = faulty.engines.iter();
+    let resumed = resumed.map(|engine| engine.resumed_calls.get());
+    assert!(resumed.sum::<usize>() > 10, "streams went on");
+}
+
 #[actix_rt::test]
 async fn an_answer_whose_status_is_none_reaches_no_caller() {
     let faulty = FaultyFleet::start().await;
