Lay the crash of a target to the inputs of the pieces that it made

Cause: deaths under calls for pieces were laid to nobody; a lost call put its pieces back for the next target.

Change: the entry that calls a target for pieces lays its death to what callers gave for them, on the record that decides on prompts and requests; a piece that is made clears it. A job whose input is suspect goes to no other target, and requests that have it are refused or try it alone.

--- a/crates/piece/src/batch_scheduler.rs
+++ b/crates/piece/src/batch_scheduler.rs
@@ -204,6 +204,14 @@
         }
     }
 
+    /// Ends a job without its results, since its pieces must not be sent to another target. Does nothing
+    /// if the job has ended.
+    pub fn give_up(&mut self, job: JobId, now: Instant) {
+        if self.jobs.contains_key(&job) {
+            self.fail_job(job, PieceOutcome::Failed, now);
+        }
+    }
+
     pub(super) fn fail_job(&mut self, job: JobId, outcome: PieceOutcome, now: Instant) {
         self.cancel(job, now);
         self.actions.push(BatchAction::Failed { job, outcome });
--- a/crates/relay/src/run/part_gate.rs
+++ b/crates/relay/src/run/part_gate.rs
@@ -4,6 +4,7 @@
         dialect::RelayRefusal,
         permit::{PermitAnswer, PermitSubject, ask_permit},
         shared::{RelayCore, part_name},
+        stage::input_keys,
     },
     base::FailureReason,
     retry::{PartKey, PartVerdict},
@@ -13,30 +14,46 @@
 
 /// Returns the refusal of a request that is suspect, or has a suspect part, and may not be tried now.
 pub fn held_refusal(core: &RelayCore, draft: &RelayDraft) -> Option<RelayRefusal> {
-    match verdict(core, draft) {
+    let accusable = || [accusable_parts(draft), input_keys(draft)].concat();
+    match verdict(core, accusable) {
         PartVerdict::Held { part, retry_in } => Some(suspect_refusal(draft, part, retry_in)),
         PartVerdict::Clear | PartVerdict::Trial { .. } => None,
     }
 }
 
-/// Lets a request pass if neither it nor a part of its prompt is suspect, or if it may try what is.
-/// Returns true if it is a trial.
+/// Lets a request pass to a target if neither it nor a part of its prompt is suspect, or if it may try
+/// what is. Returns true if it is a trial.
 ///
 /// # Errors
 ///
 /// Refuses the request if it must not be sent now.
 pub async fn pass_part_gate(core: &RelayCore, draft: &RelayDraft) -> Result<bool, RelayRefusal> {
-    let part = match verdict(core, draft) {
+    pass_gate(core, draft, || accusable_parts(draft)).await
+}
+
+/// Lets the stages of a request begin if what the caller gave for them is not suspect, or may be tried.
+///
+/// # Errors
+///
+/// Refuses the request if its stages must not run now.
+pub async fn pass_stage_gate(core: &RelayCore, draft: &RelayDraft) -> Result<(), RelayRefusal> {
+    pass_gate(core, draft, || input_keys(draft)).await.map(drop)
+}
+
+async fn pass_gate(
+    core: &RelayCore,
+    draft: &RelayDraft,
+    accusable: impl Fn() -> Vec<PartKey>,
+) -> Result<bool, RelayRefusal> {
+    let part = match verdict(core, &accusable) {
         PartVerdict::Clear => return Ok(false),
         PartVerdict::Held { part, retry_in } => {
             return Err(suspect_refusal(draft, part, retry_in));
         }
         PartVerdict::Trial { parts } => parts[0],
     };
-    let subject = PermitSubject::Trial {
-        part,
-        parts: accusable_parts(draft),
-    };
+    let parts = accusable();
+    let subject = PermitSubject::Trial { part, parts };
     if let PermitAnswer::Denied { retry_in } = ask_permit(core, subject).await {
         return Err(suspect_refusal(draft, part, retry_in));
     }
@@ -46,12 +63,12 @@
     Ok(true)
 }
 
-/// Returns whether the request may be sent. It is clear while nothing is suspect; its key, which takes
-/// a pass over its body, is not needed then.
-fn verdict(core: &RelayCore, draft: &RelayDraft) -> PartVerdict {
+/// Returns whether a request that has these parts may be sent. It is clear while nothing is suspect: its
+/// key, which takes a pass over its body, is not needed then.
+fn verdict(core: &RelayCore, accusable: impl Fn() -> Vec<PartKey>) -> PartVerdict {
     let parts = core.parts.borrow();
     match parts.has_suspects() {
-        true => parts.verdict(&accusable_parts(draft), Instant::now()),
+        true => parts.verdict(&accusable(), Instant::now()),
         false => PartVerdict::Clear,
     }
 }
@@ -65,8 +82,8 @@
 }
 
 fn suspect_refusal(draft: &RelayDraft, part: PartKey, retry_in: Duration) -> RelayRefusal {
-    if part == draft.request_key() {
-        let detail = "targets died while they ran this request";
+    if part == draft.request_key() || input_keys(draft).contains(&part) {
+        let detail = "targets died while they ran this request or its stages";
         return RelayRefusal::not_run(FailureReason::CrashSuspect, detail).retry_after(retry_in);
     }
     let prompt = draft.head.prompt.iter();
--- a/crates/relay/src/run/relay_run.rs
+++ b/crates/relay/src/run/relay_run.rs
@@ -4,7 +4,11 @@
         dialect::RelayRefusal,
         hop::HopSlot,
         ledger::{OpenRequest, RequestPlace},
-        run::{call_slot::CallSlot, crash_watch::CrashWatch, part_gate::pass_part_gate},
+        run::{
+            call_slot::CallSlot,
+            crash_watch::CrashWatch,
+            part_gate::{pass_part_gate, pass_stage_gate},
+        },
         shared::RelayCore,
         stage::StageRun,
     },
@@ -61,6 +65,10 @@
         if !self.draft.has_stages() {
             return Ok(());
         }
+        if self.stages.is_none() {
+            let gate = pass_stage_gate(&self.core, &self.draft).await;
+            gate.map_err(|refusal| self.with_verdict(refusal))?;
+        }
         self.open.set_place(RequestPlace::Stages);
         let mut failed_run_count = 0;
         if self.draft.data_centre.is_none() {
--- a/crates/relay/src/stage/batch_calls.rs
+++ b/crates/relay/src/stage/batch_calls.rs
@@ -47,6 +47,7 @@
             let started = Instant::now();
             let outcome = catch_panic(call_target(&core, &target, &work)).await;
             let outcome = outcome.unwrap_or(Err(PieceCallFault::Panicked));
+            let is_broken = matches!(outcome, Err(PieceCallFault::Broken));
             let now = Instant::now();
             if let Some(state) = core.batch_service.shard_states.borrow_mut().get_mut(&shard) {
                 match outcome {
@@ -59,6 +60,10 @@
                             "ms" => (now - started).as_millis() as u64,
                             "waiting" => state.scheduler.waiting_pieces(),
                             "room" => state.scheduler.room(&target, now));
+                        let made = work.iter().zip(&outcomes);
+                        let made =
+                            made.filter(|(_, outcome)| matches!(outcome, PieceOutcome::Made(_)));
+                        Self::record_made(&core, made.map(|(piece, _)| piece));
                         state.scheduler.finish_call(call, outcomes, now);
                     }
                     Err(fault) => {
@@ -68,11 +73,19 @@
                             "reason" => ?fault);
                         let is_refused =
                             matches!(fault, PieceCallFault::Refused | PieceCallFault::Unsent);
+                        let suspects = Self::suspect_jobs(&core, &work);
+                        for job in suspects.into_iter().filter(|_| is_broken) {
+                            state.scheduler.give_up(job, now);
+                        }
                         state.scheduler.fail_call(call, is_refused, now);
                     }
                 }
             }
             core.batch_service.wake.notify_one();
+            if is_broken {
+                core.batch_service
+                    .check_piece_crash(&core, &shard, target, work);
+            }
         });
     }
 
--- a/crates/relay/src/stage/mod.rs
+++ b/crates/relay/src/stage/mod.rs
@@ -9,6 +9,7 @@
 mod peer_outbox;
 mod peer_server;
 mod piece_answer;
+mod piece_blame;
 mod pool_wait;
 mod shard_owner;
 mod shard_state;
@@ -22,6 +23,7 @@
     peer_message::PeerMessage,
     peer_outbox::{PeerGone, PeerInbox, PeerOutbox},
     peer_server::serve_peers,
+    piece_blame::input_keys,
     pool_wait::{PoolWait, is_urgency_load, pool_wait, shard_wait},
     shard_owner::{JobPlace, takes_jobs},
     stage_run::StageRun,
