--- a/crates/retry/src/parts/part_tracker.rs
+++ b/crates/retry/src/parts/part_tracker.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        CrashKey, PartCrash, PartKey, PartNews, PartProof,
+        CrashKey, PartChange, PartCrash, PartKey, PartNews, PartProof,
         parts::{
             part_blame::{CrashRow, Suspicion, blamed_parts, resembles_crash, suspect_parts},
             part_proofs::PartProofs,
@@ -41,23 +41,6 @@
     },
 }
 
-/// A change in what is held against a part.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum PartChange {
-    /// The part is suspect now.
-    Suspected {
-        /// The part.
-        part: PartKey,
-        /// Number of targets that crashed under it.
-        crashes: usize,
-    },
-    /// The part is no longer suspect.
-    Cleared {
-        /// The part.
-        part: PartKey,
-    },
-}
-
 /// Finds parts of prompts, and whole requests, that crash targets, from the crashes and answers of all
 /// entries. A whole request counts as one more part, see [`request_key`](crate::request_key).
 ///
