Tell crashes of requests with the records of hosts, and lay the end of a begun stream to nothing

Each answer to a request that had been on a target that died was news for all entries, and digests differed for long.

Change: crashes of requests and of inputs of pieces go with the records of hosts, as they did before; only the answer to a suspect one is told to all. The end of a target that had begun to answer is laid to nothing.

--- a/crates/board/src/host_record.rs
+++ b/crates/board/src/host_record.rs
@@ -72,8 +72,7 @@
     pub loads: Vec<TargetLoad>,
     /// Waits at the shards that the entry owns, and its [`HostMark`].
     pub pools: Vec<PoolLoad>,
-    /// Crashes of targets that an entry of an earlier build observed; others tell of them as of those
-    /// under parts of prompts.
+    /// Recent crashes of targets that the entry observed.
     pub crashes: Vec<CrashReport>,
 }
 
--- a/crates/relay/src/caller/relay_draft.rs
+++ b/crates/relay/src/caller/relay_draft.rs
@@ -7,7 +7,7 @@
     base::FailureReason,
     piece::JobRank,
     plan::{FleetPlan, RouteRule, ServiceId},
-    retry::{PartKey, fingerprint_in_pieces, part_keys, request_key},
+    retry::{CrashFingerprint, PartKey, part_keys, request_key},
     route::{PrefixKey, VersionRule, id_hash, prefix_keys},
     std::{
         collections::BTreeSet,
@@ -100,16 +100,16 @@
         })
     }
 
-    /// Returns the key of the organisation, path and body, by which the request is recognised when it
-    /// is repeated. Requests that have these in common share it.
-    pub fn request_key(&self) -> PartKey {
+    /// Returns a hash of the organisation, path and body, by which the request is recognised when it is
+    /// repeated. Requests that have these in common share it.
+    pub fn fingerprint(&self) -> CrashFingerprint {
         let organisation = self.organisation.as_deref().unwrap_or_default();
-        let pieces = self.body.pieces();
-        request_key(&fingerprint_in_pieces(
-            organisation,
-            &self.head.path,
-            pieces,
-        ))
+        retry::fingerprint_in_pieces(organisation, &self.head.path, self.body.pieces())
+    }
+
+    /// Returns the key of the fingerprint among the parts of prompts.
+    pub fn request_key(&self) -> PartKey {
+        request_key(&self.fingerprint())
     }
 
     /// Returns the time left until the deadline; zero once it has passed.
--- a/crates/relay/src/peer/gossip_loop.rs
+++ b/crates/relay/src/peer/gossip_loop.rs
@@ -52,6 +52,12 @@
                     send(&core, &socket, &seal, &request, address).await;
                 }
             }
+            () = core.crash_news.notified() => next_round = Instant::now(),
+            () = core.cleared_news.notified() => {
+                let proofs = core.take_cleared_requests();
+                let proofs = GossipDatagram::PartProofs(proofs);
+                broadcast(&core, &socket, &seal, &[proofs]).await;
+            }
             () = core.part_news.notified() => {
                 let part_news = part_gossip.on_news(&core);
                 broadcast(&core, &socket, &seal, &part_news).await;
--- a/crates/relay/src/run/crash_watch.rs
+++ b/crates/relay/src/run/crash_watch.rs
@@ -2,7 +2,6 @@
     crate::{
         caller::RelayDraft,
         link::is_link_sound,
-        run::part_gate::accusable_parts,
         shared::{RelayCore, part_name},
     },
     retry::{CrashKey, PartKey},
@@ -83,16 +82,17 @@
     }
 
     /// Checks whether a target that lost the call has crashed. If it has, that counts against the
-    /// request, and against the parts of its prompt unless the target had begun to answer. A target
-    /// that was about to leave ends whatever it runs.
+    /// request and the parts of its prompt, unless the target had begun to answer. A target that was
+    /// about to leave ends whatever it runs.
     pub fn check_crash(&self, draft: &RelayDraft) {
         let (core, target) = (Rc::clone(&self.core), self.target.clone());
         let (address, crash, is_trial) = (self.address, self.crash, self.is_trial);
-        let parts = match (core.is_leaving(&target), self.has_survived) {
-            (true, _) => Vec::new(),
-            (false, true) => vec![draft.request_key()],
-            (false, false) => accusable_parts(draft),
+        let is_blameless = self.has_survived || core.is_leaving(&target);
+        let parts = match is_blameless {
+            true => Vec::new(),
+            false => self.parts.clone(),
         };
+        let fingerprint = draft.fingerprint();
         let request = draft.head.request_id.clone();
         let lost_at = Instant::now();
         actix_rt::spawn(async move {
@@ -103,6 +103,9 @@
             info!(core.log, "target died under a request";
                 "request" => request, "target" => &target, "parts" => part_names.join(","));
             core.record_part_crash(crash, &parts, is_trial);
+            if !is_blameless {
+                core.record_request_crash(&[fingerprint], &target, is_trial);
+            }
         });
     }
 }
--- a/crates/relay/src/run/part_gate.rs
+++ b/crates/relay/src/run/part_gate.rs
@@ -75,7 +75,7 @@
 
 /// Returns what a crash under the request can be blamed on: the parts of its prompt that others share,
 /// and the request itself.
-pub fn accusable_parts(draft: &RelayDraft) -> Vec<PartKey> {
+fn accusable_parts(draft: &RelayDraft) -> Vec<PartKey> {
     let mut parts = draft.parts.clone();
     parts.push(draft.request_key());
     parts
--- a/crates/relay/src/run/run_request.rs
+++ b/crates/relay/src/run/run_request.rs
@@ -197,6 +197,6 @@
 pub fn record_completion(run: &RelayRun) {
     let is_accused_any = run.core.parts.borrow().has_accused();
     if is_accused_any {
-        run.core.record_part_answer(&[run.draft.request_key()]);
+        run.core.record_request_answers(&[run.draft.request_key()]);
     }
 }
--- a/crates/relay/src/shared/core_parts.rs
+++ b/crates/relay/src/shared/core_parts.rs
@@ -55,7 +55,7 @@
         }
     }
 
-    fn log_part_changes(&self) {
+    pub(super) fn log_part_changes(&self) {
         for change in self.parts.borrow_mut().take_changes() {
             match change {
                 PartChange::Suspected { part, crashes } => {
--- a/crates/relay/src/shared/core_peers.rs
+++ b/crates/relay/src/shared/core_peers.rs
@@ -47,6 +47,7 @@
             schema: NEWEST_SCHEMA,
             lacks_store: self.replica.borrow().lacks_store(),
         };
+        let crashes = self.reported_crashes(now);
         let mut hosts = self.hosts.borrow_mut();
         let own = hosts.own_record_mut();
         own.ready = ready;
@@ -56,6 +57,7 @@
         own.loads = loads;
         own.pools = pool_loads;
         own.pools.push(mark.to_load());
+        own.crashes = crashes;
     }
 
     /// Applies the loads and crashes that other entries reported.
@@ -71,6 +73,7 @@
                 work.unread_tokens = work.unread_tokens.saturating_add(load.unread_tokens);
             }
         }
+        self.merge_crashes(&hosts, now);
         for pool in self.pools.borrow_mut().values_mut() {
             pool.set_peer_work(&work_by_target);
         }
--- a/crates/relay/src/shared/mod.rs
+++ b/crates/relay/src/shared/mod.rs
@@ -1,5 +1,6 @@
 mod boot_clock;
 mod client_metrics;
+mod core_crashes;
 mod core_limits;
 mod core_parts;
 mod core_peers;
--- a/crates/relay/src/shared/relay_core.rs
+++ b/crates/relay/src/shared/relay_core.rs
@@ -13,12 +13,12 @@
         target::{ConnectionPool, PEER_PATIENCE, TARGET_PATIENCE},
         tasks::TaskSupervisor,
     },
-    board::{GossipSettings, HostTable},
+    board::{CrashReport, GossipSettings, HostTable},
     limit::{BrittleServices, LimitDesk, ReturnLine, RoomDesk, RunTimes, TargetLimits},
     plan::{FleetPlan, PlanEvidence, ServiceId, StorePosition},
     rand::SeedableRng,
     rand_chacha::ChaCha8Rng,
-    retry::{FleetBudget, FleetBudgetSettings, PartTracker, TrialDesk},
+    retry::{FleetBudget, FleetBudgetSettings, PartKey, PartTracker, TrialDesk},
     room::UploadRoom,
     route::{EngineGroups, ServicePool, StreamOrigins, TargetLink, TargetNotices, VersionHistory},
     slog::Logger,
@@ -112,6 +112,10 @@
     pub trials: RefCell<TrialDesk>,
     /// Wakes the task that tells the other entries of parts.
     pub part_news: Notify,
+    /// Requests that were suspect and have been answered, of which the other entries are to be told.
+    pub(super) cleared_requests: RefCell<Vec<PartKey>>,
+    /// Wakes the task that tells the other entries of them.
+    pub cleared_news: Notify,
     /// Where streams began, as far as this entry has seen it or was told.
     pub origins: RefCell<StreamOrigins>,
     /// For how long the targets of each service have all had the same version.
@@ -142,6 +146,10 @@
     pub answer_room: AnswerRoom,
     /// How long the requests of each route take.
     pub run_times: RefCell<RunTimes>,
+    /// Has the next round of gossip sent at once, since this entry saw a crash.
+    pub crash_news: Notify,
+    /// Crashes that this entry saw itself, oldest first, with the time of each.
+    pub(super) recent_crashes: RefCell<Vec<(CrashReport, Instant)>>,
 }
 
 impl RelayCore {
@@ -209,6 +217,8 @@
             parts: RefCell::default(),
             trials: RefCell::new(TrialDesk::new(now)),
             part_news: Notify::new(),
+            cleared_requests: RefCell::default(),
+            cleared_news: Notify::new(),
             origins: RefCell::default(),
             version_history: RefCell::default(),
             link: RefCell::default(),
@@ -218,6 +228,8 @@
             hop_counts: RefCell::default(),
             random: RefCell::new(ChaCha8Rng::seed_from_u64(incarnation)),
             phase: Cell::new(RelayPhase::Starting),
+            crash_news: Notify::new(),
+            recent_crashes: RefCell::default(),
         })
     }
 
--- a/crates/relay/src/stage/piece_blame.rs
+++ b/crates/relay/src/stage/piece_blame.rs
@@ -6,7 +6,7 @@
         stage::BatchService,
     },
     piece::{JobId, PieceInput, PieceWork},
-    retry::{PartKey, PartVerdict, fingerprint, request_key},
+    retry::{CrashFingerprint, PartKey, PartVerdict, fingerprint, request_key},
     setup::is_process_gone,
     slog::info,
     std::{
@@ -19,10 +19,10 @@
 /// Time after which a crash of a target that has lost a call is no longer laid to the call's pieces.
 const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Returns the key of the input that a caller gave for the pieces of a stage, by which they are
-/// recognised when they come again in other requests.
-fn input_key(stage: u16, key: &str) -> PartKey {
-    request_key(&fingerprint("piece", &stage.to_string(), key.as_bytes()))
+/// Returns a hash of the input that a caller gave for the pieces of a stage, by which they are recognised
+/// when they come again in other requests.
+fn input_fingerprint(stage: u16, key: &str) -> CrashFingerprint {
+    fingerprint("piece", &stage.to_string(), key.as_bytes())
 }
 
 /// Returns the keys of what a caller gave for the pieces of a request. Those that are made of other
@@ -34,20 +34,22 @@
     let stages = (0..).zip(&draft.rule.stages);
     let first_stages = stages.filter(|(_, rule)| rule.after.is_empty());
     first_stages
-        .map(|(stage, _)| input_key(stage, key))
+        .map(|(stage, _)| request_key(&input_fingerprint(stage, key)))
         .collect()
 }
 
-fn work_key(work: &PieceWork) -> Option<PartKey> {
+fn work_fingerprint(work: &PieceWork) -> Option<CrashFingerprint> {
     match &work.input {
-        PieceInput::Key(key) if !key.is_empty() => Some(input_key(work.stage, key)),
+        PieceInput::Key(key) if !key.is_empty() => Some(input_fingerprint(work.stage, key)),
         PieceInput::Key(_) | PieceInput::Results(_) => None,
     }
 }
 
-fn work_keys<'a>(work: impl IntoIterator<Item = &'a PieceWork>) -> Vec<PartKey> {
-    let keys: BTreeSet<PartKey> = work.into_iter().filter_map(work_key).collect();
-    keys.into_iter().collect()
+/// Returns the inputs of a call, without duplicates.
+fn work_fingerprints<'a>(
+    work: impl IntoIterator<Item = &'a PieceWork>,
+) -> BTreeSet<CrashFingerprint> {
+    work.into_iter().filter_map(work_fingerprint).collect()
 }
 
 /// Which inputs crash the targets that make pieces of them.
@@ -60,7 +62,7 @@
         }
         let now = Instant::now();
         let is_suspect = |piece: &&PieceWork| {
-            let key = work_key(piece);
+            let key = work_fingerprint(piece).map(|input| request_key(&input));
             key.is_some_and(|key| parts.verdict(&[key], now) != PartVerdict::Clear)
         };
         work.iter()
@@ -73,7 +75,9 @@
     pub(super) fn record_made<'a>(core: &RelayCore, made: impl IntoIterator<Item = &'a PieceWork>) {
         let is_accused_any = core.parts.borrow().has_accused();
         if is_accused_any {
-            core.record_part_answer(&work_keys(made));
+            let inputs = work_fingerprints(made);
+            let keys: Vec<PartKey> = inputs.iter().map(request_key).collect();
+            core.record_request_answers(&keys);
         }
     }
 
@@ -86,13 +90,12 @@
         target: String,
         work: Vec<PieceWork>,
     ) {
-        let keys = work_keys(&work);
+        let inputs: Vec<CrashFingerprint> = work_fingerprints(&work).into_iter().collect();
         let address = self.addresses.borrow().get(&target).copied();
-        let Some(address) = address.filter(|_| !keys.is_empty() && !core.is_leaving(&target))
+        let Some(address) = address.filter(|_| !inputs.is_empty() && !core.is_leaving(&target))
         else {
             return;
         };
-        let crash = core.crash_key(&target);
         let is_trial = !Self::suspect_jobs(core, &work).is_empty();
         let (core, shard) = (Rc::clone(core), shard.to_string());
         let lost_at = Instant::now();
@@ -103,10 +106,11 @@
             if checked != Ok(true) {
                 return;
             }
-            let names: Vec<String> = keys.iter().copied().map(part_name).collect();
+            let names = inputs.iter().map(request_key).map(part_name);
+            let names: Vec<String> = names.collect();
             info!(core.log, "target died under a call for pieces";
                 "target" => &target, "parts" => names.join(","));
-            core.record_part_crash(crash, &keys, is_trial);
+            core.record_request_crash(&inputs, &target, is_trial);
             let jobs = Self::suspect_jobs(&core, &work);
             core.batch_service.give_up_jobs(&shard, &jobs);
         });
--- a/crates/retry/src/parts/mod.rs
+++ b/crates/retry/src/parts/mod.rs
@@ -3,6 +3,7 @@
 mod part_evidence;
 mod part_proofs;
 mod part_tracker;
+mod part_verdict;
 mod trial_desk;
 
 pub use {
@@ -10,6 +11,7 @@
     part_evidence::{
         CrashKey, PartCrash, PartKey, PartNews, PartProof, crash_key, part_keys, request_key,
     },
-    part_tracker::{CRASH_LIFETIME, PartTracker, PartVerdict},
+    part_tracker::{CRASH_LIFETIME, PartTracker},
+    part_verdict::PartVerdict,
     trial_desk::TrialDesk,
 };
--- a/crates/retry/src/parts/part_blame.rs
+++ b/crates/retry/src/parts/part_blame.rs
@@ -39,6 +39,14 @@
     pub at: Instant,
 }
 
+impl CrashRow {
+    /// Returns the parts that are no whole requests.
+    pub fn shared_parts(&self) -> impl Iterator<Item = PartKey> {
+        let parts = self.parts.iter().copied();
+        parts.filter(|part| !is_request_key(*part))
+    }
+}
+
 /// What is held against a suspect part.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Suspicion {
--- a/crates/retry/src/parts/part_tracker.rs
+++ b/crates/retry/src/parts/part_tracker.rs
@@ -1,8 +1,9 @@
 use {
     crate::{
-        CrashKey, PartChange, PartCrash, PartKey, PartNews, PartProof,
+        CrashKey, PartChange, PartCrash, PartKey, PartNews, PartProof, PartVerdict,
         parts::{
             part_blame::{CrashRow, Suspicion, blamed_parts, resembles_crash, suspect_parts},
+            part_evidence::is_request_key,
             part_proofs::PartProofs,
         },
     },
@@ -22,25 +23,6 @@
 /// trial. By then requests with some of its parts have been tried, where there are any.
 const JOINT_TRIAL_DELAY: Duration = Duration::from_secs(20);
 
-/// Whether a request may be sent, by the parts of its prompt.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum PartVerdict {
-    /// No part is suspect.
-    Clear,
-    /// The request may not be sent now.
-    Held {
-        /// The suspect part.
-        part: PartKey,
-        /// Time until a request with the part may be tried.
-        retry_in: Duration,
-    },
-    /// One request at a time in the whole fleet may be sent to try these parts.
-    Trial {
-        /// The suspect parts.
-        parts: Vec<PartKey>,
-    },
-}
-
 /// Finds parts of prompts, and whole requests, that crash targets, from the crashes and answers of all
 /// entries. A whole request counts as one more part, see [`request_key`](crate::request_key).
 ///
@@ -111,6 +93,17 @@
         !self.accused.is_empty()
     }
 
+    /// Returns true if this part or request is suspect.
+    pub fn is_suspect(&self, part: PartKey) -> bool {
+        self.suspects.contains_key(&part)
+    }
+
+    /// Returns true if an answer shows that this part or request was not to blame for a crash at that
+    /// time.
+    pub fn is_cleared(&self, part: PartKey, crashed_at: Instant) -> bool {
+        self.proofs.is_sound_at(part, crashed_at)
+    }
+
     /// Returns true if any part or request is suspect.
     pub fn has_suspects(&self) -> bool {
         !self.suspects.is_empty()
@@ -163,18 +156,20 @@
         }
     }
 
-    /// Returns what this entry knows of at most this age, for other entries.
+    /// Returns what this entry knows of at most this age, for other entries. Whole requests are left out,
+    /// here and in the digest: far more of them end with their targets than parts that many share.
     pub fn news(&self, max_age: Duration, now: Instant) -> PartNews {
         let is_new = |at: Instant| now.saturating_duration_since(at) <= max_age;
         let new_rows = self.rows.iter().filter(|(_, row)| is_new(row.at));
         let crashes = new_rows.map(|(crash, row)| PartCrash {
             crash: *crash,
-            parts: row.parts.iter().copied().collect(),
+            parts: row.shared_parts().collect(),
             is_trial: row.is_trial,
             age: now.saturating_duration_since(row.at),
         });
-        let blamed = self.rows.values().flat_map(|row| &row.parts);
-        let blamed: BTreeSet<PartKey> = blamed.copied().collect();
+        let crashes = crashes.filter(|crash| !crash.parts.is_empty());
+        let blamed = self.rows.values().flat_map(CrashRow::shared_parts);
+        let blamed: BTreeSet<PartKey> = blamed.collect();
         let proofs = blamed.into_iter().filter_map(|part| self.proof(part, now));
         PartNews {
             crashes: crashes.collect(),
@@ -195,12 +190,13 @@
     /// ```
     pub fn digest(&self) -> u64 {
         let mut hash = StableHash::new();
-        for (crash, row) in &self.rows {
+        let is_shared = |row: &&CrashRow| row.shared_parts().next().is_some();
+        for (crash, row) in self.rows.iter().filter(|(_, row)| is_shared(row)) {
             hash = hash.with_number(*crash);
-            let parts = row.parts.iter();
-            hash = parts.fold(hash, |hash, part| hash.with_number(*part));
+            hash = row.shared_parts().fold(hash, StableHash::with_number);
         }
         let accused = self.accused.iter();
+        let accused = accused.filter(|part| !is_request_key(**part));
         accused
             .fold(hash, |hash, part| hash.with_number(*part))
             .finish()
--- a/crates/retry/tests/request_blame.rs
+++ b/crates/retry/tests/request_blame.rs
@@ -2,7 +2,10 @@
 //! sound ones that ran on targets which crashed for another reason must not be.
 
 use {
-    retry::{CRASH_LIFETIME, PartKey, PartTracker, PartVerdict, fingerprint, request_key},
+    retry::{
+        CRASH_LIFETIME, PartKey, PartNews, PartProof, PartTracker, PartVerdict, fingerprint,
+        request_key,
+    },
     std::time::{Duration, Instant},
 };
 
@@ -25,11 +28,6 @@
     tracker.verdict(keys, now) == PartVerdict::Clear
 }
 
-/// Brings what an entry knows to another one.
-fn tell(from: &PartTracker, to: &mut PartTracker, now: Instant) {
-    to.merge(&from.news(CRASH_LIFETIME, now), now);
-}
-
 /// Guards against sound lookups of one path, which are one request by their content, being refused at every
 /// entry for a minute after two targets crashed under them: review/15.
 #[test]
@@ -37,20 +35,45 @@
     let now = Instant::now();
     let lookup = key("/view");
     let (mut one, mut other) = (PartTracker::default(), PartTracker::default());
-    one.record_crash(100, &[lookup], false, now);
-    other.record_crash(101, &[lookup], false, now);
-    tell(&one, &mut other, now);
-    tell(&other, &mut one, now);
-    assert!(!is_clear(&one, &[lookup], now) && !is_clear(&other, &[lookup], now));
+    // Each entry hears of the crash that the other one saw.
+    for tracker in [&mut one, &mut other] {
+        tracker.record_crash(100, &[lookup], false, now);
+        tracker.record_crash(101, &[lookup], false, now);
+        assert!(tracker.is_suspect(lookup) && !is_clear(tracker, &[lookup], now));
+    }
     // One that was under way elsewhere ends whole.
     let later = now + Duration::from_millis(400);
-    assert!(one.record_answer(&[lookup], later), "this is news");
-    tell(&one, &mut other, later);
-    for tracker in [&one, &other] {
+    one.record_answer(&[lookup], later);
+    let proof = PartProof {
+        part: lookup,
+        age: Duration::ZERO,
+    };
+    let news = PartNews {
+        crashes: Vec::new(),
+        proofs: vec![proof],
+    };
+    other.merge(&news, later);
+    for tracker in [&mut one, &mut other] {
         assert!(is_clear(tracker, &[lookup], later));
+        // The crash is reported once more.
+        tracker.record_crash(100, &[lookup], false, later + secs(40));
+        assert!(is_clear(tracker, &[lookup], later + secs(40)));
     }
 }
 
+/// Guards against news that grow with the requests that end with their targets: those are told by other means.
+#[test]
+fn whole_requests_are_in_no_news_and_change_no_digest() {
+    let now = Instant::now();
+    let mut tracker = PartTracker::default();
+    let digest = tracker.digest();
+    tracker.record_crash(100, &[key("/view")], false, now);
+    assert!(tracker.news(CRASH_LIFETIME, now).is_empty());
+    assert_eq!(tracker.digest(), digest);
+    tracker.record_crash(101, &[7, key("/ask")], false, now);
+    assert_eq!(tracker.news(CRASH_LIFETIME, now).crashes[0].parts, [7]);
+}
+
 /// A request that nobody answers meanwhile is tried, by one entry at a time.
 #[test]
 fn a_request_that_two_targets_died_under_is_tried_again() {
