Hold that answers of other entries and to camphorctl which end in their head are none

Another process answers at the address of an entry that has ended, with a part of a head; camphorctl is answered with one.

--- a/crates/ctl/tests/cli.rs
+++ b/crates/ctl/tests/cli.rs
@@ -8,6 +8,7 @@
     stamp::{EventKind, HybridTime, TimelineEvent},
     std::{
         fs,
+        io::{Read, Write},
         path::{Path, PathBuf},
         process::{Command, Output},
         sync::mpsc,
@@ -270,3 +271,36 @@
     assert_eq!(run(&dead_and_live_args[..3]).status.code(), Some(1));
     assert_eq!(run(&["timeline"]).status.code(), Some(2));
 }
+
+/// Sends the first bytes of the head of an answer to each call, by this number more each time; returns the
+/// address.
+fn serve_cut_heads(step: usize) -> String {
+    const HEAD: &[u8] =
+        b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 2\r\n\r\n";
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    thread::spawn(move || {
+        for (number, stream) in listener.incoming().enumerate() {
+            let mut stream = stream.unwrap();
+            let mut request = [0; 4_096];
+            let count = stream.read(&mut request).unwrap();
+            assert!(count > 0, "a request");
+            let sent_bytes = (number * step).min(HEAD.len() - 1);
+            stream.write_all(&HEAD[..sent_bytes]).unwrap();
+        }
+    });
+    address
+}
+
+/// Guards against an answer that ends in its head and counts as an empty one.
+#[test]
+fn an_answer_that_ends_in_its_head_is_an_error() {
+    for command in ["status", "drain"] {
+        let address = serve_cut_heads(6);
+        for call in 0..12 {
+            let output = run(&[command, "--entry", &address]);
+            assert!(!output.status.success(), "{command}, call {call}");
+            assert_eq!(stdout(&output), "", "{command}, call {call}");
+        }
+    }
+}
